--- /dev/null
+++ b/include/bluebellkeel/Core/RequestId.h
@@ -0,0 +1,13 @@
+#ifndef BLUEBELLKEEL_CORE_REQUESTID_H
+#define BLUEBELLKEEL_CORE_REQUESTID_H
+
+#include "bluebellkeel/Core/Identifier.h"
+
+namespace bluebellkeel {
+
+/// Names one request of a client account; a resend keeps it.
+using request_id = identifier<struct request_tag>;
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_CORE_REQUESTID_H
--- /dev/null
+++ b/include/bluebellkeel/Core/ServiceId.h
@@ -0,0 +1,13 @@
+#ifndef BLUEBELLKEEL_CORE_SERVICEID_H
+#define BLUEBELLKEEL_CORE_SERVICEID_H
+
+#include "bluebellkeel/Core/Identifier.h"
+
+namespace bluebellkeel {
+
+/// Names a plain service that stands beside the model engines.
+using service_id = identifier<struct service_tag>;
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_CORE_SERVICEID_H
--- /dev/null
+++ b/include/bluebellkeel/Core/SystemClock.h
@@ -0,0 +1,21 @@
+#ifndef BLUEBELLKEEL_CORE_SYSTEMCLOCK_H
+#define BLUEBELLKEEL_CORE_SYSTEMCLOCK_H
+
+#include "bluebellkeel/Core/Clock.h"
+
+namespace bluebellkeel {
+
+/// The machine's own clocks.
+class system_clock final : public clock {
+public:
+  monotonic_time monotonicNow() const override {
+    return std::chrono::steady_clock::now();
+  }
+  wall_time wallNow() const override {
+    return std::chrono::system_clock::now();
+  }
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_CORE_SYSTEMCLOCK_H
--- /dev/null
+++ b/include/bluebellkeel/Core/TeamId.h
@@ -0,0 +1,13 @@
+#ifndef BLUEBELLKEEL_CORE_TEAMID_H
+#define BLUEBELLKEEL_CORE_TEAMID_H
+
+#include "bluebellkeel/Core/Identifier.h"
+
+namespace bluebellkeel {
+
+/// Names a team of operators; it owns one subtree of the settings.
+using team_id = identifier<struct team_tag>;
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_CORE_TEAMID_H
--- /dev/null
+++ b/include/bluebellkeel/Core/VersionId.h
@@ -0,0 +1,13 @@
+#ifndef BLUEBELLKEEL_CORE_VERSIONID_H
+#define BLUEBELLKEEL_CORE_VERSIONID_H
+
+#include "bluebellkeel/Core/Identifier.h"
+
+namespace bluebellkeel {
+
+/// Names a model and its version, written `model@version`.
+using version_id = identifier<struct version_tag>;
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_CORE_VERSIONID_H
--- /dev/null
+++ b/include/bluebellkeel/Journal/BillLedger.h
@@ -0,0 +1,66 @@
+#ifndef BLUEBELLKEEL_JOURNAL_BILLLEDGER_H
+#define BLUEBELLKEEL_JOURNAL_BILLLEDGER_H
+
+#include "bluebellkeel/Core/Clock.h"
+#include "bluebellkeel/Journal/AppendPacer.h"
+#include "bluebellkeel/Journal/BatchQueue.h"
+#include "bluebellkeel/Journal/Bill.h"
+#include "bluebellkeel/Journal/BillMirror.h"
+#include "bluebellkeel/Journal/RecordLog.h"
+#include <atomic>
+#include <functional>
+#include <memory>
+
+namespace bluebellkeel {
+
+/// Writes bills to the log in groups. While the log is down, it holds a
+/// bounded number of them and keeps a copy of each at a peer.
+class bill_ledger {
+public:
+  using bill_log = record_log<bill>;
+  using callback = std::function<void(tl::expected<void, journal_error>)>;
+
+  static constexpr std::size_t MaxHeld = 16384;
+  static constexpr std::size_t MaxBatch = 512;
+
+  bill_ledger(bill_log &Log, bill_mirror &Mirror, const clock &Clock,
+              milliseconds AppendInterval);
+
+  /// Takes \p Bill; \p Done is called once, when the bill is durable or when
+  /// it cannot be made so. The caller's last byte waits for it.
+  void submit(const bill &Bill, callback Done);
+
+  /// Takes bills that a peer handed over. False when there is no room.
+  bool adopt(const std::vector<bill> &Bills);
+
+  bool hasRoom() const { return Queue.size() < MaxHeld; }
+  std::size_t held() const { return Queue.size(); }
+
+  /// Appends one group; waits at most \p Wait for work.
+  void commitOnce(milliseconds Wait);
+
+  /// Calls commitOnce until stop() and until nothing is held, or until the
+  /// log fails after stop().
+  void run();
+  void stop() { Queue.close(); }
+
+private:
+  struct work_item {
+    bill Bill;
+    bool Copied;
+    std::shared_ptr<callback> Done;
+  };
+
+  void mirror(std::vector<work_item> &Batch);
+
+  bill_log &Log;
+  bill_mirror &Mirror;
+  const clock &Clock;
+  append_pacer Pacer;
+  batch_queue<work_item> Queue;
+  std::atomic<bool> LogFailed{false};
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_JOURNAL_BILLLEDGER_H
--- /dev/null
+++ b/include/bluebellkeel/Journal/RecordedOutcome.h
@@ -0,0 +1,33 @@
+#ifndef BLUEBELLKEEL_JOURNAL_RECORDEDOUTCOME_H
+#define BLUEBELLKEEL_JOURNAL_RECORDEDOUTCOME_H
+
+#include "bluebellkeel/Core/Comparable.h"
+#include <string>
+#include <tuple>
+#include <utility>
+
+namespace bluebellkeel {
+
+/// The answer of a call that may run once, kept so that a resend gets it.
+class recorded_outcome : public comparable<recorded_outcome> {
+public:
+  /// Longest answer that is kept, in bytes; a longer one is kept empty.
+  static constexpr std::size_t MaxBodyBytes = 2048;
+
+  recorded_outcome() = default;
+  recorded_outcome(int Status, std::string Body)
+      : Status(Status), Body(std::move(Body)) {}
+
+  /// The HTTP status of the service's answer.
+  int status() const { return Status; }
+  const std::string &body() const { return Body; }
+  auto key() const { return std::tie(Status, Body); }
+
+private:
+  int Status = 0;
+  std::string Body;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_JOURNAL_RECORDEDOUTCOME_H
--- /dev/null
+++ b/include/bluebellkeel/Journal/SettingsRecord.h
@@ -0,0 +1,15 @@
+#ifndef BLUEBELLKEEL_JOURNAL_SETTINGSRECORD_H
+#define BLUEBELLKEEL_JOURNAL_SETTINGSRECORD_H
+
+#include "bluebellkeel/Settings/SettingsChange.h"
+#include "bluebellkeel/Settings/SettingsSnapshot.h"
+#include <variant>
+
+namespace bluebellkeel {
+
+/// What the settings stream holds.
+using settings_record = std::variant<settings_change, settings_snapshot>;
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_JOURNAL_SETTINGSRECORD_H
--- /dev/null
+++ b/include/bluebellkeel/Journal/Ticket.h
@@ -0,0 +1,37 @@
+#ifndef BLUEBELLKEEL_JOURNAL_TICKET_H
+#define BLUEBELLKEEL_JOURNAL_TICKET_H
+
+#include "bluebellkeel/Core/AccountId.h"
+#include "bluebellkeel/Core/LogOffset.h"
+#include "bluebellkeel/Core/Time.h"
+#include <tuple>
+
+namespace bluebellkeel {
+
+/// The right to have one call run at most once.
+class ticket : public comparable<ticket> {
+public:
+  ticket() = default;
+  ticket(std::string Id, account_id Account, wall_time IssuedAt,
+         log_offset Floor)
+      : Id(std::move(Id)), Account(std::move(Account)), IssuedAt(IssuedAt),
+        Floor(Floor) {}
+
+  const std::string &id() const { return Id; }
+  const account_id &account() const { return Account; }
+  wall_time issuedAt() const { return IssuedAt; }
+  /// An offset of the claims stream that stands before each claim of this
+  /// ticket.
+  log_offset floor() const { return Floor; }
+  auto key() const { return std::tie(Id, Account, IssuedAt, Floor); }
+
+private:
+  std::string Id;
+  account_id Account;
+  wall_time IssuedAt;
+  log_offset Floor;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_JOURNAL_TICKET_H
--- /dev/null
+++ b/include/bluebellkeel/Membership/AddressAdvice.h
@@ -0,0 +1,29 @@
+#ifndef BLUEBELLKEEL_MEMBERSHIP_ADDRESSADVICE_H
+#define BLUEBELLKEEL_MEMBERSHIP_ADDRESSADVICE_H
+
+#include "bluebellkeel/Core/NetworkAddress.h"
+#include "bluebellkeel/Core/Time.h"
+#include <tuple>
+#include <vector>
+
+namespace bluebellkeel {
+
+/// Which addresses a caller should use, best first, and for how long.
+class address_advice : public comparable<address_advice> {
+public:
+  address_advice() = default;
+  address_advice(std::vector<network_address> Addresses, seconds Lifetime)
+      : Addresses(std::move(Addresses)), Lifetime(Lifetime) {}
+
+  const std::vector<network_address> &addresses() const { return Addresses; }
+  seconds lifetime() const { return Lifetime; }
+  auto key() const { return std::tie(Addresses, Lifetime); }
+
+private:
+  std::vector<network_address> Addresses;
+  seconds Lifetime{0};
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_MEMBERSHIP_ADDRESSADVICE_H
--- /dev/null
+++ b/include/bluebellkeel/Membership/InstanceState.h
@@ -0,0 +1,17 @@
+#ifndef BLUEBELLKEEL_MEMBERSHIP_INSTANCESTATE_H
+#define BLUEBELLKEEL_MEMBERSHIP_INSTANCESTATE_H
+
+#include <string_view>
+
+namespace bluebellkeel {
+
+/// What the platform's list says of an instance.
+enum class instance_state { Live, Leaving };
+
+inline std::string_view toString(instance_state State) {
+  return State == instance_state::Live ? "live" : "leaving";
+}
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_MEMBERSHIP_INSTANCESTATE_H
--- /dev/null
+++ b/include/bluebellkeel/Membership/LogContact.h
@@ -0,0 +1,30 @@
+#ifndef BLUEBELLKEEL_MEMBERSHIP_LOGCONTACT_H
+#define BLUEBELLKEEL_MEMBERSHIP_LOGCONTACT_H
+
+#include "bluebellkeel/Core/LogOffset.h"
+#include "bluebellkeel/Core/Time.h"
+#include <optional>
+#include <tuple>
+
+namespace bluebellkeel {
+
+/// What an instance knows first hand of the settings stream.
+class log_contact : public comparable<log_contact> {
+public:
+  log_contact() = default;
+  log_contact(log_offset Applied, std::optional<monotonic_time> CaughtUp)
+      : Applied(Applied), CaughtUp(CaughtUp) {}
+
+  log_offset applied() const { return Applied; }
+  /// When Applied was last seen to be the head; empty if never.
+  std::optional<monotonic_time> caughtUp() const { return CaughtUp; }
+  auto key() const { return std::tie(Applied, CaughtUp); }
+
+private:
+  log_offset Applied;
+  std::optional<monotonic_time> CaughtUp;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_MEMBERSHIP_LOGCONTACT_H
--- /dev/null
+++ b/include/bluebellkeel/Membership/PeerSelector.h
@@ -0,0 +1,21 @@
+#ifndef BLUEBELLKEEL_MEMBERSHIP_PEERSELECTOR_H
+#define BLUEBELLKEEL_MEMBERSHIP_PEERSELECTOR_H
+
+#include "bluebellkeel/Membership/InstanceRecord.h"
+#include <vector>
+
+namespace bluebellkeel {
+
+/// Most peers that an instance asks for heartbeats; keeps control traffic of
+/// an instance constant however many there are.
+constexpr std::size_t MaxHeartbeatPeers = 8;
+
+/// The peers that \p Self asks for heartbeats: by rendezvous weight, taking
+/// the data centres in turn so that each is seen if the number allows.
+std::vector<instance_record>
+selectPeers(const instance_id &Self,
+            const std::vector<instance_record> &Listed);
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_MEMBERSHIP_PEERSELECTOR_H
--- /dev/null
+++ b/include/bluebellkeel/Membership/PeerStatus.h
@@ -0,0 +1,29 @@
+#ifndef BLUEBELLKEEL_MEMBERSHIP_PEERSTATUS_H
+#define BLUEBELLKEEL_MEMBERSHIP_PEERSTATUS_H
+
+#include "bluebellkeel/Core/Time.h"
+#include "bluebellkeel/Membership/Heartbeat.h"
+#include <tuple>
+
+namespace bluebellkeel {
+
+/// The last answer of a peer, and when we had asked for it. What the answer
+/// says was true at some time after AskedAt, however long it was under way.
+class peer_status : public comparable<peer_status> {
+public:
+  peer_status() = default;
+  peer_status(monotonic_time AskedAt, heartbeat Answer)
+      : AskedAt(AskedAt), Answer(std::move(Answer)) {}
+
+  monotonic_time askedAt() const { return AskedAt; }
+  const heartbeat &answer() const { return Answer; }
+  auto key() const { return std::tie(AskedAt, Answer); }
+
+private:
+  monotonic_time AskedAt;
+  heartbeat Answer;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_MEMBERSHIP_PEERSTATUS_H
--- /dev/null
+++ b/include/bluebellkeel/Settings/RoutingSettings.h
@@ -0,0 +1,60 @@
+#ifndef BLUEBELLKEEL_SETTINGS_ROUTINGSETTINGS_H
+#define BLUEBELLKEEL_SETTINGS_ROUTINGSETTINGS_H
+
+#include "bluebellkeel/Core/DataCentreId.h"
+#include "bluebellkeel/Settings/AccountSettings.h"
+#include "bluebellkeel/Settings/ServiceOperation.h"
+#include "bluebellkeel/Settings/SettingsState.h"
+#include "bluebellkeel/Settings/VersionSettings.h"
+#include <map>
+#include <set>
+#include <tuple>
+
+namespace bluebellkeel {
+
+/// The settings in the form that routing asks for. Made from a state once,
+/// then only read.
+class routing_settings : public comparable<routing_settings> {
+public:
+  routing_settings() = default;
+  explicit routing_settings(const settings_state &State);
+
+  log_offset applied() const { return Applied; }
+  const account_settings *account(const account_id &Id) const;
+  /// The client account that presents \p ApiKey, or null.
+  const account_settings *accountByKey(const std::string &ApiKey) const;
+  const version_settings *version(const version_id &Id) const;
+  /// The operation, or null when operators have not named it.
+  const service_operation *operation(const service_id &Service,
+                                     const std::string &Name) const;
+  bool isOut(const data_centre_id &DataCentre) const;
+
+  const std::map<account_id, account_settings> &accounts() const {
+    return Accounts;
+  }
+  const std::map<version_id, version_settings> &versions() const {
+    return Versions;
+  }
+  const std::set<data_centre_id> &dataCentresOut() const { return Out; }
+
+  auto key() const {
+    return std::tie(Applied, Accounts, Versions, Operations, Out);
+  }
+
+private:
+  void readAccount(const settings_path &Path, const setting_value &Value);
+  void readVersion(const settings_path &Path, const setting_value &Value);
+  void readOperation(const settings_path &Path, const setting_value &Value);
+  void readDataCentre(const settings_path &Path, const setting_value &Value);
+
+  log_offset Applied;
+  std::map<account_id, account_settings> Accounts;
+  std::map<std::string, account_id> AccountsByKey;
+  std::map<version_id, version_settings> Versions;
+  std::map<std::pair<service_id, std::string>, service_operation> Operations;
+  std::set<data_centre_id> Out;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_SETTINGS_ROUTINGSETTINGS_H
--- /dev/null
+++ b/include/bluebellkeel/Upstream/GrantBook.h
@@ -0,0 +1,55 @@
+#ifndef BLUEBELLKEEL_UPSTREAM_GRANTBOOK_H
+#define BLUEBELLKEEL_UPSTREAM_GRANTBOOK_H
+
+#include "bluebellkeel/Core/Clock.h"
+#include "bluebellkeel/Core/Sharded.h"
+#include "bluebellkeel/Upstream/Grant.h"
+#include "bluebellkeel/Upstream/GrantRequest.h"
+#include "bluebellkeel/Upstream/UpstreamSlot.h"
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace bluebellkeel {
+
+/// The grants that this instance holds and what runs under them.
+class grant_book : private slot_owner {
+public:
+  grant_book(instance_id Self, const clock &Clock)
+      : Self(std::move(Self)), Clock(Clock) {}
+
+  /// Takes \p Need of what is granted; empty when no live grant has room. The
+  /// wish is noted either way, so that the next request asks for enough.
+  std::optional<upstream_slot> tryAcquire(const upstream_id &Upstream,
+                                          const load_share &Need);
+
+  /// Takes a grant whose request was sent at \p SentAt.
+  void noteGrant(const grant &Grant, monotonic_time SentAt);
+
+  /// What to ask the owners for now: one request for each upstream that has
+  /// work running or was wished for within the last seconds.
+  std::vector<grant_request> requests();
+
+  load_share inFlight(const upstream_id &Upstream);
+
+private:
+  struct entry {
+    load_share Granted;
+    monotonic_time Ends;
+    load_share InFlight;
+    load_share Peak;
+    monotonic_time WishedAt;
+  };
+
+  using entry_map = std::map<upstream_id, entry>;
+
+  void releaseSlot(const upstream_id &Upstream, const load_share &Need) override;
+
+  instance_id Self;
+  const clock &Clock;
+  sharded<entry_map> Entries;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_UPSTREAM_GRANTBOOK_H
--- /dev/null
+++ b/include/bluebellkeel/Upstream/GrantRequest.h
@@ -0,0 +1,37 @@
+#ifndef BLUEBELLKEEL_UPSTREAM_GRANTREQUEST_H
+#define BLUEBELLKEEL_UPSTREAM_GRANTREQUEST_H
+
+#include "bluebellkeel/Core/InstanceId.h"
+#include "bluebellkeel/Core/UpstreamId.h"
+#include "bluebellkeel/Upstream/LoadShare.h"
+#include <tuple>
+
+namespace bluebellkeel {
+
+/// What an instance asks of the owner of an upstream.
+class grant_request : public comparable<grant_request> {
+public:
+  grant_request() = default;
+  grant_request(instance_id From, upstream_id Upstream, load_share InFlight,
+                load_share Wanted)
+      : From(std::move(From)), Upstream(std::move(Upstream)),
+        InFlight(InFlight), Wanted(Wanted) {}
+
+  const instance_id &from() const { return From; }
+  const upstream_id &upstream() const { return Upstream; }
+  /// What the instance has running on the upstream.
+  const load_share &inFlight() const { return InFlight; }
+  /// What it would have running if it could, InFlight included.
+  const load_share &wanted() const { return Wanted; }
+  auto key() const { return std::tie(From, Upstream, InFlight, Wanted); }
+
+private:
+  instance_id From;
+  upstream_id Upstream;
+  load_share InFlight;
+  load_share Wanted;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_UPSTREAM_GRANTREQUEST_H
--- /dev/null
+++ b/include/bluebellkeel/Upstream/HealthBook.h
@@ -0,0 +1,37 @@
+#ifndef BLUEBELLKEEL_UPSTREAM_HEALTHBOOK_H
+#define BLUEBELLKEEL_UPSTREAM_HEALTHBOOK_H
+
+#include "bluebellkeel/Core/Clock.h"
+#include "bluebellkeel/Core/Sharded.h"
+#include "bluebellkeel/Core/UpstreamId.h"
+#include <map>
+
+namespace bluebellkeel {
+
+/// What this instance's own attempts say of the upstreams. One that failed
+/// several times in a row is passed over for a while, then tried again.
+class health_book {
+public:
+  explicit health_book(const clock &Clock) : Clock(Clock) {}
+
+  void noteSuccess(const upstream_id &Upstream);
+  void noteFailure(const upstream_id &Upstream);
+
+  /// False while the upstream is passed over.
+  bool healthy(const upstream_id &Upstream);
+
+private:
+  struct entry {
+    unsigned Failures = 0;
+    monotonic_time PassedOverUntil;
+  };
+
+  using entry_map = std::map<upstream_id, entry>;
+
+  const clock &Clock;
+  sharded<entry_map> Entries;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_UPSTREAM_HEALTHBOOK_H
--- /dev/null
+++ b/include/bluebellkeel/Upstream/LoadReport.h
@@ -0,0 +1,28 @@
+#ifndef BLUEBELLKEEL_UPSTREAM_LOADREPORT_H
+#define BLUEBELLKEEL_UPSTREAM_LOADREPORT_H
+
+#include "bluebellkeel/Core/Comparable.h"
+#include "bluebellkeel/Upstream/LoadShare.h"
+#include <tuple>
+
+namespace bluebellkeel {
+
+/// What an upstream says of its own load; it may lag.
+class load_report : public comparable<load_report> {
+public:
+  load_report() = default;
+  load_report(bool Warm, load_share Held) : Warm(Warm), Held(Held) {}
+
+  /// False after a start, until the upstream bears its full load.
+  bool warm() const { return Warm; }
+  const load_share &held() const { return Held; }
+  auto key() const { return std::tie(Warm, Held); }
+
+private:
+  bool Warm = false;
+  load_share Held;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_UPSTREAM_LOADREPORT_H
--- /dev/null
+++ b/include/bluebellkeel/Upstream/SlotOwner.h
@@ -0,0 +1,20 @@
+#ifndef BLUEBELLKEEL_UPSTREAM_SLOTOWNER_H
+#define BLUEBELLKEEL_UPSTREAM_SLOTOWNER_H
+
+#include "bluebellkeel/Core/UpstreamId.h"
+#include "bluebellkeel/Upstream/LoadShare.h"
+
+namespace bluebellkeel {
+
+/// Where a slot goes back to.
+class slot_owner {
+public:
+  virtual ~slot_owner() = default;
+
+  virtual void releaseSlot(const upstream_id &Upstream,
+                           const load_share &Need) = 0;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_UPSTREAM_SLOTOWNER_H
--- /dev/null
+++ b/lib/Journal/ClaimCoordinator.cpp
@@ -0,0 +1,156 @@
+#include "bluebellkeel/Journal/ClaimCoordinator.h"
+#include "bluebellkeel/Journal/ClaimLedger.h"
+#include <algorithm>
+#include <thread>
+
+using namespace bluebellkeel;
+
+using verdict = claim_verdict::kind;
+
+/// Records that one read of the claims stream asks for.
+static constexpr std::size_t ReadPage = 1000;
+
+/// How long the thread rests after the log failed.
+static constexpr milliseconds FailurePause{100};
+
+claim_coordinator::claim_coordinator(claim_log &Log, const clock &Clock,
+                                     milliseconds Patience,
+                                     milliseconds AppendInterval)
+    : Log(Log), Clock(Clock), Patience(Patience), Pacer(AppendInterval),
+      Queue(MaxWaiting) {}
+
+void claim_coordinator::claim(const ticket &Ticket,
+                              const std::string &AttemptId, callback Done) {
+  work_item Item{
+      claim_entry(claim_entry::kind::Claim, Ticket.id(), AttemptId),
+      Ticket.floor(), Clock.monotonicNow() + Patience, Done};
+  if (!Queue.push(std::move(Item)))
+    Done(claim_verdict(verdict::QueueFull));
+}
+
+void claim_coordinator::release(const std::string &TicketId,
+                                const std::string &AttemptId) {
+  Queue.push({claim_entry(claim_entry::kind::Release, TicketId, AttemptId),
+              log_offset(), monotonic_time::max(), nullptr});
+}
+
+void claim_coordinator::finish(const std::string &TicketId,
+                               const std::string &AttemptId,
+                               const recorded_outcome &Outcome) {
+  Queue.push(
+      {claim_entry(claim_entry::kind::Outcome, TicketId, AttemptId, Outcome),
+       log_offset(), monotonic_time::max(), nullptr});
+}
+
+void claim_coordinator::commitOnce(milliseconds Wait) {
+  auto Batch = Queue.take(MaxBatch, absl::FromChrono(Wait));
+  if (Batch.empty())
+    return;
+  std::vector<claim_entry> Entries;
+  for (const auto &Item : Batch)
+    Entries.push_back(Item.Entry);
+  auto First = Log.append(Entries);
+  Pacer.appended(Clock.monotonicNow());
+  if (First)
+    finishBatch(Batch, *First);
+  else
+    failBatch(std::move(Batch));
+}
+
+void claim_coordinator::run() {
+  while (!Queue.closed()) {
+    auto Rest = Pacer.waitAt(Clock.monotonicNow());
+    if (Rest.count() > 0)
+      std::this_thread::sleep_for(Rest);
+    commitOnce(seconds(1));
+  }
+  commitOnce(milliseconds(0));
+}
+
+void claim_coordinator::finishBatch(const std::vector<work_item> &Batch,
+                                    log_offset First) {
+  log_offset Last(First.value() + Batch.size() - 1);
+  noteHead(Last);
+  log_offset Floor = First;
+  bool HasClaim = false;
+  for (const auto &Item : Batch) {
+    if (!Item.Done)
+      continue;
+    HasClaim = true;
+    Floor = std::min(Floor, Item.Floor.next());
+  }
+  if (!HasClaim)
+    return;
+  auto Ledger = readBack(Floor, Last);
+  for (const auto &Item : Batch) {
+    if (!Item.Done)
+      continue;
+    if (Ledger)
+      Item.Done(Ledger->verdictFor(Item.Entry.ticketId(),
+                                   Item.Entry.attemptId()));
+    else
+      abandon(Item, Ledger.error() == journal_error::Trimmed
+                        ? verdict::Trimmed
+                        : verdict::LogUnavailable);
+  }
+}
+
+tl::expected<claim_ledger, journal_error>
+claim_coordinator::readBack(log_offset Floor, log_offset Last) {
+  claim_ledger Ledger;
+  log_offset From = Floor;
+  while (From <= Last) {
+    auto Page = Log.read(From, ReadPage);
+    if (!Page)
+      return tl::unexpected(Page.error());
+    if (Page->firstRetained() > From)
+      return tl::unexpected(journal_error::Trimmed);
+    if (Page->readTo() < From)
+      return tl::unexpected(journal_error::Unavailable);
+    for (const auto &Record : Page->records())
+      Ledger.apply(Record.entry());
+    From = Page->readTo().next();
+  }
+  return Ledger;
+}
+
+void claim_coordinator::failBatch(std::vector<work_item> Batch) {
+  std::vector<work_item> Again;
+  monotonic_time Now = Clock.monotonicNow();
+  for (auto &Item : Batch) {
+    if (Now < Item.Deadline)
+      Again.push_back(std::move(Item));
+    else
+      abandon(Item, verdict::LogUnavailable);
+  }
+  Queue.pushFront(std::move(Again));
+  Pacer.appended(Now + FailurePause);
+}
+
+void claim_coordinator::abandon(const work_item &Item,
+                                claim_verdict::kind Kind) {
+  // The claim may stand in the log; without the release a resend would be
+  // told that another attempt holds the ticket.
+  release(Item.Entry.ticketId(), Item.Entry.attemptId());
+  Item.Done(claim_verdict(Kind));
+}
+
+std::optional<log_offset> claim_coordinator::knownHead() const {
+  if (!HeadKnown)
+    return std::nullopt;
+  return log_offset(Head);
+}
+
+void claim_coordinator::refreshHead() {
+  auto Page = Log.read(log_offset(Head).next(), 1);
+  if (Page)
+    noteHead(Page->head());
+}
+
+void claim_coordinator::noteHead(log_offset NewHead) {
+  std::uint64_t Known = Head;
+  while (Known < NewHead.value() &&
+         !Head.compare_exchange_weak(Known, NewHead.value())) {
+  }
+  HeadKnown = true;
+}
--- /dev/null
+++ b/lib/Journal/SettingsFollower.cpp
@@ -0,0 +1,94 @@
+#include "bluebellkeel/Journal/SettingsFollower.h"
+
+using namespace bluebellkeel;
+
+/// Records that one read of the settings stream asks for.
+static constexpr std::size_t ReadPage = 500;
+
+settings_follower::settings_follower(settings_log &Log, settings_store &Store,
+                                     const clock &Clock)
+    : Log(Log), Store(Store), Clock(Clock),
+      SnapshotSeen(Clock.monotonicNow()) {}
+
+bool settings_follower::pollOnce() {
+  while (true) {
+    monotonic_time Started = Clock.monotonicNow();
+    log_offset From = Store.state()->applied().next();
+    auto Page = Log.read(From, ReadPage);
+    if (!Page)
+      return false;
+    if (!takePage(*Page))
+      return false;
+    if (Store.state()->applied() < Page->head())
+      continue;
+    absl::MutexLock Lock(&Mutex);
+    CaughtUp = Started;
+    FirstRetained = Page->firstRetained();
+    return true;
+  }
+}
+
+bool settings_follower::takePage(const log_page<settings_record> &Page) {
+  log_offset Needed = Store.state()->applied().next();
+  if (Page.firstRetained() > Needed && !startFromSnapshot(Page))
+    return false;
+  for (const auto &Record : Page.records())
+    takeRecord(Record);
+  if (Page.readTo() > Store.state()->applied())
+    Store.skip(Page.readTo());
+  return Page.readTo() >= Needed || Page.head() < Needed;
+}
+
+/// The changes between what is applied and what is retained are gone, so only
+/// a snapshot that reaches up to the retained part can stand in for them.
+bool settings_follower::startFromSnapshot(
+    const log_page<settings_record> &FirstPage) {
+  log_page<settings_record> Page = FirstPage;
+  while (true) {
+    for (const auto &Record : Page.records()) {
+      const auto *Snapshot = std::get_if<settings_snapshot>(&Record.entry());
+      if (!Snapshot)
+        continue;
+      if (Snapshot->state().applied().next() < FirstPage.firstRetained())
+        continue;
+      Store.adopt(Snapshot->state());
+      return true;
+    }
+    if (Page.readTo() >= Page.head())
+      return false;
+    auto Next = Log.read(Page.readTo().next(), ReadPage);
+    if (!Next || Next->readTo() <= Page.readTo())
+      return false;
+    Page = *Next;
+  }
+}
+
+void settings_follower::takeRecord(const log_record<settings_record> &Record) {
+  if (const auto *Change = std::get_if<settings_change>(&Record.entry())) {
+    Store.apply(Record.offset(), *Change);
+    return;
+  }
+  const auto &Snapshot = std::get<settings_snapshot>(Record.entry());
+  Store.skip(Record.offset());
+  absl::MutexLock Lock(&Mutex);
+  if (Snapshot.state().applied() > Covered)
+    Covered = Snapshot.state().applied();
+  SnapshotSeen = Clock.monotonicNow();
+}
+
+bool settings_follower::snapshotIfDue(seconds Interval) {
+  auto State = Store.state();
+  {
+    absl::MutexLock Lock(&Mutex);
+    bool Old = Clock.monotonicNow() - SnapshotSeen >= Interval;
+    bool Dropping = FirstRetained > Covered.next();
+    if (!CaughtUp || State->values().empty() || (!Old && !Dropping))
+      return false;
+  }
+  return Log.append({settings_snapshot(*State)}).has_value();
+}
+
+std::optional<monotonic_time> settings_follower::lastCaughtUp() const {
+  absl::MutexLock Lock(&Mutex);
+  return CaughtUp;
+}
--- /dev/null
+++ b/lib/Membership/FreshnessJudge.cpp
@@ -0,0 +1,48 @@
+#include "bluebellkeel/Membership/FreshnessJudge.h"
+#include <algorithm>
+
+using namespace bluebellkeel;
+
+static milliseconds ageAt(monotonic_time Now, monotonic_time Then) {
+  return std::chrono::ceil<milliseconds>(Now - Then);
+}
+
+std::optional<milliseconds>
+freshness_judge::logAge(monotonic_time Now, const log_contact &Own,
+                        const std::vector<peer_status> &Peers) const {
+  std::optional<milliseconds> Youngest;
+  if (Own.caughtUp())
+    Youngest = ageAt(Now, *Own.caughtUp());
+  for (const auto &Peer : Peers) {
+    const heartbeat &Answer = Peer.answer();
+    if (!Answer.logAge() || Answer.settingsApplied() > Own.applied())
+      continue;
+    milliseconds Age = ageAt(Now, Peer.askedAt()) + *Answer.logAge();
+    Youngest = Youngest ? std::min(*Youngest, Age) : Age;
+  }
+  return Youngest;
+}
+
+serving_verdict freshness_judge::judge(monotonic_time Now,
+                                       const log_contact &Own,
+                                       const std::vector<peer_status> &Peers,
+                                       std::size_t Asked) const {
+  if (Own.applied() == log_offset())
+    return serving_verdict::NoSettings;
+  auto Age = logAge(Now, Own, Peers);
+  if (Age && *Age <= Rules.maxLogAge())
+    return serving_verdict::Fresh;
+  std::size_t Answering = 0;
+  for (const auto &Peer : Peers) {
+    if (isSilent(Now, Peer))
+      continue;
+    if (Peer.answer().settingsApplied() > Own.applied())
+      return serving_verdict::CutOff;
+    ++Answering;
+  }
+  // This instance counts as one of the Asked + 1.
+  bool Majority = 2 * (Answering + 1) > Asked + 1;
+  if (Majority || Rules.continueWhenCutOff())
+    return serving_verdict::LogOutage;
+  return serving_verdict::CutOff;
+}
--- /dev/null
+++ b/lib/Upstream/GrantIssuer.cpp
@@ -0,0 +1,151 @@
+#include "bluebellkeel/Upstream/GrantIssuer.h"
+#include <algorithm>
+
+using namespace bluebellkeel;
+
+/// Each step of a warm-up multiplies the load by this.
+static constexpr std::uint32_t WarmFactor = 2;
+
+void grant_issuer::setOwned(const std::vector<upstream_record> &Records,
+                            monotonic_time Now) {
+  std::set<upstream_id> Ids;
+  for (const auto &Record : Records) {
+    Ids.insert(Record.id());
+    Owned.withShard(Record.id().text(), [&](owned_map &Shard) {
+      auto [Entry, New] = Shard.try_emplace(Record.id());
+      owned_upstream &Upstream = Entry->second;
+      if (New) {
+        Upstream.OwnedSince = Now;
+        Upstream.StepSince = Now;
+        Upstream.ReportedAt = Now;
+        Upstream.Bears = Record.cold();
+      }
+      Upstream.Record = Record;
+      if (Record.leaving())
+        Upstream.Lifecycle.listedLeaving();
+    });
+  }
+  Owned.forEachShard([&](owned_map &Shard) {
+    for (auto It = Shard.begin(); It != Shard.end();) {
+      if (Ids.count(It->first) > 0)
+        ++It;
+      else
+        It = Shard.erase(It);
+    }
+  });
+}
+
+void grant_issuer::noteReport(const upstream_id &Id, const load_report &Report,
+                              monotonic_time Now) {
+  Owned.withShard(Id.text(), [&](owned_map &Shard) {
+    auto Found = Shard.find(Id);
+    if (Found != Shard.end())
+      takeReport(Found->second, Report, Now);
+  });
+}
+
+void grant_issuer::takeReport(owned_upstream &Upstream,
+                              const load_report &Report, monotonic_time Now) {
+  Upstream.Report = Report;
+  Upstream.ReportedAt = Now;
+  upstream_phase Before = Upstream.Lifecycle.phase();
+  if (!Report.warm()) {
+    Upstream.Lifecycle.reportedCold();
+    Upstream.Bears = Upstream.Record.cold();
+    Upstream.StepSince = Now;
+    return;
+  }
+  Upstream.Lifecycle.reportedWarm();
+  if (Upstream.Lifecycle.phase() != upstream_phase::Warming)
+    return;
+  if (Before != upstream_phase::Warming) {
+    Upstream.Bears = Upstream.Record.cold();
+    Upstream.StepSince = Now;
+    return;
+  }
+  if (Now - Upstream.StepSince < Rules.warmStep())
+    return;
+  Upstream.StepSince = Now;
+  const load_share &Full = Upstream.Record.warm();
+  load_share Raised(
+      std::max<std::uint32_t>(1, Upstream.Bears.requests() * WarmFactor),
+      std::max<std::uint64_t>(1, Upstream.Bears.tokens() * WarmFactor));
+  Upstream.Bears = Raised.atMost(Full);
+  if (Full.fitsIn(Upstream.Bears))
+    Upstream.Lifecycle.reachedFullLoad();
+}
+
+load_share grant_issuer::freeFor(const owned_upstream &Upstream,
+                                 const instance_id &Holder) const {
+  load_share Out;
+  load_share Accounted;
+  for (const auto &[Id, Holding] : Upstream.Holders) {
+    Accounted = Accounted.plus(Holding.Share);
+    if (Id != Holder)
+      Out = Out.plus(Holding.Share);
+  }
+  load_share Foreign = Upstream.Report.held().minus(Accounted);
+  return Upstream.Bears.minus(Out).minus(Foreign);
+}
+
+/// An equal part for each of \p Count holders, but at least one request.
+static load_share fairPart(const load_share &Whole, std::size_t Count) {
+  auto Divisor = static_cast<std::uint32_t>(std::max<std::size_t>(1, Count));
+  std::uint32_t Requests = std::max(1U, Whole.requests() / Divisor);
+  std::uint64_t Tokens =
+      Whole.requests() == 0 ? 0 : Whole.tokens() * Requests / Whole.requests();
+  return load_share(Requests, Tokens);
+}
+
+grant grant_issuer::issueFrom(owned_upstream &Upstream,
+                              const grant_request &Request,
+                              monotonic_time Now) {
+  if (Now - Upstream.ReportedAt > Rules.maxReportAge())
+    Upstream.Lifecycle.reportsFailed();
+  for (auto It = Upstream.Holders.begin(); It != Upstream.Holders.end();) {
+    if (It->second.Ends <= Now)
+      It = Upstream.Holders.erase(It);
+    else
+      ++It;
+  }
+  upstream_phase Phase = Upstream.Lifecycle.phase();
+  bool Closed = Phase == upstream_phase::Unknown ||
+                Phase == upstream_phase::Suspect ||
+                Phase == upstream_phase::Draining ||
+                Now - Upstream.OwnedSince < Rules.term();
+  load_share Share;
+  if (!Closed) {
+    std::size_t Others = Upstream.Holders.size() -
+                         Upstream.Holders.count(Request.from());
+    load_share Fair = fairPart(Upstream.Bears, Others + 1);
+    Share = Request.wanted().atMost(Fair).atMost(
+        freeFor(Upstream, Request.from()));
+  }
+  // What already runs counts until the holder says that it has ended.
+  load_share Counted(
+      std::max(Share.requests(), Request.inFlight().requests()),
+      std::max(Share.tokens(), Request.inFlight().tokens()));
+  if (Counted == load_share())
+    Upstream.Holders.erase(Request.from());
+  else
+    Upstream.Holders[Request.from()] = {Counted, Request.wanted(),
+                                        Now + Rules.term()};
+  return grant(Request.upstream(), Share, Rules.term());
+}
+
+grant grant_issuer::issue(const grant_request &Request, monotonic_time Now) {
+  return Owned.withShard(Request.upstream().text(), [&](owned_map &Shard) {
+    auto Found = Shard.find(Request.upstream());
+    if (Found == Shard.end())
+      return grant(Request.upstream(), load_share(), Rules.term());
+    return issueFrom(Found->second, Request, Now);
+  });
+}
+
+upstream_phase grant_issuer::phaseOf(const upstream_id &Id) {
+  return Owned.withShard(Id.text(), [&](owned_map &Shard) {
+    auto Found = Shard.find(Id);
+    return Found == Shard.end() ? upstream_phase::Unknown
+                                : Found->second.Lifecycle.phase();
+  });
+}
--- /dev/null
+++ b/lib/Upstream/HealthBook.cpp
@@ -0,0 +1,36 @@
+#include "bluebellkeel/Upstream/HealthBook.h"
+#include <algorithm>
+
+using namespace bluebellkeel;
+
+/// Failures in a row before an upstream is passed over.
+static constexpr unsigned FailureLimit = 3;
+static constexpr milliseconds FirstPause{1000};
+static constexpr milliseconds LongestPause{16000};
+
+void health_book::noteSuccess(const upstream_id &Upstream) {
+  Entries.withShard(Upstream.text(),
+                    [&](entry_map &Shard) { Shard.erase(Upstream); });
+}
+
+void health_book::noteFailure(const upstream_id &Upstream) {
+  monotonic_time Now = Clock.monotonicNow();
+  Entries.withShard(Upstream.text(), [&](entry_map &Shard) {
+    entry &Entry = Shard[Upstream];
+    ++Entry.Failures;
+    if (Entry.Failures < FailureLimit)
+      return;
+    constexpr unsigned MaxDoublings = 4;
+    unsigned Doublings = std::min(Entry.Failures - FailureLimit, MaxDoublings);
+    Entry.PassedOverUntil =
+        Now + std::min(FirstPause * (1U << Doublings), LongestPause);
+  });
+}
+
+bool health_book::healthy(const upstream_id &Upstream) {
+  monotonic_time Now = Clock.monotonicNow();
+  return Entries.withShard(Upstream.text(), [&](entry_map &Shard) {
+    auto Found = Shard.find(Upstream);
+    return Found == Shard.end() || Now >= Found->second.PassedOverUntil;
+  });
+}
