--- a/include/bluebellkeel/Journal/ClaimCoordinator.h
+++ b/include/bluebellkeel/Journal/ClaimCoordinator.h
@@ -5,11 +5,13 @@
 #include "bluebellkeel/Journal/AppendPacer.h"
 #include "bluebellkeel/Journal/BatchQueue.h"
 #include "bluebellkeel/Journal/ClaimEntry.h"
+#include "bluebellkeel/Journal/ClaimLedger.h"
 #include "bluebellkeel/Journal/ClaimVerdict.h"
 #include "bluebellkeel/Journal/RecordLog.h"
 #include "bluebellkeel/Journal/Ticket.h"
 #include <atomic>
 #include <functional>
+#include <optional>
 
 namespace bluebellkeel {
 
--- a/include/bluebellkeel/Membership/FreshnessRules.h
+++ b/include/bluebellkeel/Membership/FreshnessRules.h
@@ -1,6 +1,7 @@
 #ifndef BLUEBELLKEEL_MEMBERSHIP_FRESHNESSRULES_H
 #define BLUEBELLKEEL_MEMBERSHIP_FRESHNESSRULES_H
 
+#include "bluebellkeel/Core/Comparable.h"
 #include "bluebellkeel/Core/Time.h"
 #include <tuple>
 
--- /dev/null
+++ b/include/bluebellkeel/Policy/AlwaysBestPlanner.h
@@ -0,0 +1,18 @@
+#ifndef BLUEBELLKEEL_POLICY_ALWAYSBESTPLANNER_H
+#define BLUEBELLKEEL_POLICY_ALWAYSBESTPLANNER_H
+
+#include "bluebellkeel/Policy/VersionPlanner.h"
+
+namespace bluebellkeel {
+
+/// The version with the highest expected quality, whatever it costs; a
+/// baseline for measurements.
+class always_best_planner final : public version_planner {
+public:
+  tl::expected<version_plan, plan_error>
+  plan(const route_query &Query) override;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_POLICY_ALWAYSBESTPLANNER_H
--- /dev/null
+++ b/include/bluebellkeel/Policy/LeastRequestsChooser.h
@@ -0,0 +1,19 @@
+#ifndef BLUEBELLKEEL_POLICY_LEASTREQUESTSCHOOSER_H
+#define BLUEBELLKEEL_POLICY_LEASTREQUESTSCHOOSER_H
+
+#include "bluebellkeel/Policy/UpstreamChooser.h"
+
+namespace bluebellkeel {
+
+/// The upstream with the fewest requests of this instance first; a baseline,
+/// and the choice for plain services, which have no prompt cache.
+class least_requests_chooser final : public upstream_chooser {
+public:
+  std::vector<upstream_candidate>
+  order(std::vector<upstream_candidate> Candidates,
+        const fingerprint &Prefix) override;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_POLICY_LEASTREQUESTSCHOOSER_H
--- /dev/null
+++ b/include/bluebellkeel/Policy/PlanStep.h
@@ -0,0 +1,33 @@
+#ifndef BLUEBELLKEEL_POLICY_PLANSTEP_H
+#define BLUEBELLKEEL_POLICY_PLANSTEP_H
+
+#include "bluebellkeel/Core/VersionId.h"
+#include <tuple>
+
+namespace bluebellkeel {
+
+/// One version to try, and why it stands where it does.
+class plan_step : public comparable<plan_step> {
+public:
+  plan_step(version_id Version, double Cost, double Quality, bool MeetsTarget)
+      : Version(std::move(Version)), Cost(Cost), Quality(Quality),
+        MeetsTarget(MeetsTarget) {}
+
+  const version_id &version() const { return Version; }
+  /// Price for 1,000 tokens, in millionths of the currency unit.
+  double cost() const { return Cost; }
+  /// The lower bound of the share of good answers.
+  double quality() const { return Quality; }
+  bool meetsTarget() const { return MeetsTarget; }
+  auto key() const { return std::tie(Version, Cost, Quality, MeetsTarget); }
+
+private:
+  version_id Version;
+  double Cost;
+  double Quality;
+  bool MeetsTarget;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_POLICY_PLANSTEP_H
--- /dev/null
+++ b/include/bluebellkeel/Policy/RouteQuery.h
@@ -0,0 +1,39 @@
+#ifndef BLUEBELLKEEL_POLICY_ROUTEQUERY_H
+#define BLUEBELLKEEL_POLICY_ROUTEQUERY_H
+
+#include "bluebellkeel/Policy/Session.h"
+#include "bluebellkeel/Settings/AccountSettings.h"
+#include "bluebellkeel/Settings/RoutingSettings.h"
+#include <optional>
+#include <string>
+#include <tuple>
+
+namespace bluebellkeel {
+
+/// What is asked of a planner. Lives no longer than the settings it refers to.
+class route_query {
+public:
+  /// The model name that leaves the choice to the router.
+  static constexpr const char *AnyModel = "auto";
+
+  route_query(const routing_settings &Settings, const account_settings &Account,
+              std::string Model, std::optional<session> Session)
+      : Settings(Settings), Account(Account), Model(std::move(Model)),
+        Session(std::move(Session)) {}
+
+  const routing_settings &settings() const { return Settings; }
+  const account_settings &account() const { return Account; }
+  /// `auto`, a model, or a model and version as `model@version`.
+  const std::string &model() const { return Model; }
+  const std::optional<session> &keptSession() const { return Session; }
+
+private:
+  const routing_settings &Settings;
+  const account_settings &Account;
+  std::string Model;
+  std::optional<session> Session;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_POLICY_ROUTEQUERY_H
--- /dev/null
+++ b/include/bluebellkeel/Relay.h
@@ -0,0 +1,30 @@
+#ifndef BLUEBELLKEEL_RELAY_H
+#define BLUEBELLKEEL_RELAY_H
+
+#include "bluebellkeel/Relay/AdmissionError.h"
+#include "bluebellkeel/Relay/AnswerChunk.h"
+#include "bluebellkeel/Relay/AnswerSink.h"
+#include "bluebellkeel/Relay/AnswerSummary.h"
+#include "bluebellkeel/Relay/AttemptError.h"
+#include "bluebellkeel/Relay/CandidateFinder.h"
+#include "bluebellkeel/Relay/ChatAttempt.h"
+#include "bluebellkeel/Relay/ChatRelay.h"
+#include "bluebellkeel/Relay/ChatRequest.h"
+#include "bluebellkeel/Relay/ChatUpstream.h"
+#include "bluebellkeel/Relay/CrashReporter.h"
+#include "bluebellkeel/Relay/HoldbackSink.h"
+#include "bluebellkeel/Relay/Refusal.h"
+#include "bluebellkeel/Relay/RefusalReason.h"
+#include "bluebellkeel/Relay/RelayMonitor.h"
+#include "bluebellkeel/Relay/RelayPorts.h"
+#include "bluebellkeel/Relay/RetryBudget.h"
+#include "bluebellkeel/Relay/RunState.h"
+#include "bluebellkeel/Relay/ServiceAttempt.h"
+#include "bluebellkeel/Relay/ServiceCall.h"
+#include "bluebellkeel/Relay/ServiceRelay.h"
+#include "bluebellkeel/Relay/ServiceReply.h"
+#include "bluebellkeel/Relay/ServiceUpstream.h"
+#include "bluebellkeel/Relay/ServingGate.h"
+#include "bluebellkeel/Relay/SlotGateway.h"
+
+#endif // BLUEBELLKEEL_RELAY_H
--- /dev/null
+++ b/include/bluebellkeel/Relay/AttemptError.h
@@ -0,0 +1,45 @@
+#ifndef BLUEBELLKEEL_RELAY_ATTEMPTERROR_H
+#define BLUEBELLKEEL_RELAY_ATTEMPTERROR_H
+
+#include <string_view>
+#include <vector>
+
+namespace bluebellkeel {
+
+/// Why one attempt at an upstream gave no whole answer.
+enum class attempt_error {
+  /// No connection was made; nothing was sent.
+  ConnectFailed,
+  /// The upstream answered that it takes no more; it did not run the request.
+  TurnedAway,
+  /// No first byte in time.
+  FirstByteTimeout,
+  /// The answer stopped coming, though the connection stayed open.
+  Silent,
+  /// The connection ended before the answer did.
+  Truncated,
+  /// The answer belongs to another request.
+  Crossed,
+  /// The answer could not be read.
+  Malformed,
+  /// The answer grew past its bound.
+  TooLarge,
+  /// The upstream reported an error of its own.
+  Failed,
+  /// The caller went away or read too slowly.
+  CallerGone,
+};
+
+/// The stable code that counters see.
+std::string_view toString(attempt_error Error);
+const std::vector<attempt_error> &allAttemptErrors();
+
+/// True when the upstream surely did not run the request.
+constexpr bool surelyNotRun(attempt_error Error) {
+  return Error == attempt_error::ConnectFailed ||
+         Error == attempt_error::TurnedAway;
+}
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_RELAY_ATTEMPTERROR_H
--- /dev/null
+++ b/include/bluebellkeel/Relay/CandidateFinder.h
@@ -0,0 +1,44 @@
+#ifndef BLUEBELLKEEL_RELAY_CANDIDATEFINDER_H
+#define BLUEBELLKEEL_RELAY_CANDIDATEFINDER_H
+
+#include "bluebellkeel/Core/DataCentreId.h"
+#include "bluebellkeel/Policy/UpstreamChooser.h"
+#include "bluebellkeel/Settings/RoutingSettings.h"
+#include "bluebellkeel/Upstream/GrantBook.h"
+#include "bluebellkeel/Upstream/HealthBook.h"
+#include "bluebellkeel/Upstream/UpstreamDirectory.h"
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace bluebellkeel {
+
+/// Finds the upstreams of a pool that may take new work now.
+class candidate_finder {
+public:
+  candidate_finder(const upstream_directory &Directory, grant_book &Grants,
+                   health_book &Health, data_centre_id Home)
+      : Directory(Directory), Grants(Grants), Health(Health),
+        Home(std::move(Home)) {}
+
+  /// Best first; leaving upstreams and those in a data centre that is out are
+  /// left out, and so are those in \p Tried unless no other is left.
+  std::vector<upstream_record> find(const pool_id &Pool,
+                                    const routing_settings &Settings,
+                                    const std::set<upstream_id> &Tried,
+                                    upstream_chooser &Chooser,
+                                    const fingerprint &Prefix) const;
+
+  /// The upstream as the platform lists it now; empty when it is gone.
+  std::optional<upstream_record> record(const upstream_id &Id) const;
+
+private:
+  const upstream_directory &Directory;
+  grant_book &Grants;
+  health_book &Health;
+  data_centre_id Home;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_RELAY_CANDIDATEFINDER_H
--- /dev/null
+++ b/include/bluebellkeel/Relay/ChatOutcome.h
@@ -0,0 +1,27 @@
+#ifndef BLUEBELLKEEL_RELAY_CHATOUTCOME_H
+#define BLUEBELLKEEL_RELAY_CHATOUTCOME_H
+
+#include "bluebellkeel/Policy/PlanStep.h"
+#include "bluebellkeel/Relay/AnswerSummary.h"
+#include <tuple>
+
+namespace bluebellkeel {
+
+/// A whole answer: which version gave it and what it took.
+class chat_outcome : public comparable<chat_outcome> {
+public:
+  chat_outcome(plan_step Step, answer_summary Summary)
+      : Step(std::move(Step)), Summary(Summary) {}
+
+  const plan_step &step() const { return Step; }
+  const answer_summary &summary() const { return Summary; }
+  auto key() const { return std::tie(Step, Summary); }
+
+private:
+  plan_step Step;
+  answer_summary Summary;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_RELAY_CHATOUTCOME_H
--- /dev/null
+++ b/include/bluebellkeel/Relay/ChatUpstream.h
@@ -0,0 +1,26 @@
+#ifndef BLUEBELLKEEL_RELAY_CHATUPSTREAM_H
+#define BLUEBELLKEEL_RELAY_CHATUPSTREAM_H
+
+#include "bluebellkeel/Relay/AnswerSink.h"
+#include "bluebellkeel/Relay/AnswerSummary.h"
+#include "bluebellkeel/Relay/AttemptError.h"
+#include "bluebellkeel/Relay/ChatAttempt.h"
+#include <tl/expected.hpp>
+
+namespace bluebellkeel {
+
+/// Runs attempts at model engines.
+class chat_upstream {
+public:
+  virtual ~chat_upstream() = default;
+
+  /// Runs \p Attempt and puts the answer's pieces into \p Sink, the final one
+  /// last. A summary is returned only for an answer that was whole and that
+  /// belongs to this attempt.
+  virtual tl::expected<answer_summary, attempt_error>
+  run(const chat_attempt &Attempt, answer_sink &Sink) = 0;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_RELAY_CHATUPSTREAM_H
--- /dev/null
+++ b/include/bluebellkeel/Relay/RelayPorts.h
@@ -0,0 +1,47 @@
+#ifndef BLUEBELLKEEL_RELAY_RELAYPORTS_H
+#define BLUEBELLKEEL_RELAY_RELAYPORTS_H
+
+#include "bluebellkeel/Core/RandomSource.h"
+#include "bluebellkeel/Journal/BillGateway.h"
+#include "bluebellkeel/Journal/ClaimGateway.h"
+#include "bluebellkeel/Journal/TicketOffice.h"
+#include "bluebellkeel/Policy/CrashBook.h"
+#include "bluebellkeel/Policy/UpstreamChooser.h"
+#include "bluebellkeel/Policy/VersionPlanner.h"
+#include "bluebellkeel/Relay/CandidateFinder.h"
+#include "bluebellkeel/Relay/ChatUpstream.h"
+#include "bluebellkeel/Relay/CrashReporter.h"
+#include "bluebellkeel/Relay/RelayMonitor.h"
+#include "bluebellkeel/Relay/RetryBudget.h"
+#include "bluebellkeel/Relay/ServiceUpstream.h"
+#include "bluebellkeel/Relay/ServingGate.h"
+#include "bluebellkeel/Relay/SlotGateway.h"
+#include "bluebellkeel/Settings/SettingsStore.h"
+
+namespace bluebellkeel {
+
+/// What a relay works with. The gateways and upstreams may make their caller
+/// wait; the rest answers at once.
+struct relay_ports {
+  const settings_store &Settings;
+  const serving_gate &Gate;
+  version_planner &Planner;
+  upstream_chooser &Chooser;
+  const candidate_finder &Candidates;
+  crash_book &Crashes;
+  crash_reporter &CrashReports;
+  health_book &Health;
+  retry_budget &Retries;
+  const ticket_office &Tickets;
+  random_source &Random;
+  relay_monitor &Monitor;
+  slot_gateway &Slots;
+  bill_gateway &Bills;
+  claim_gateway &Claims;
+  chat_upstream &Engines;
+  service_upstream &Services;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_RELAY_RELAYPORTS_H
--- /dev/null
+++ b/include/bluebellkeel/Relay/ServiceRelay.h
@@ -0,0 +1,48 @@
+#ifndef BLUEBELLKEEL_RELAY_SERVICERELAY_H
+#define BLUEBELLKEEL_RELAY_SERVICERELAY_H
+
+#include "bluebellkeel/Relay/Refusal.h"
+#include "bluebellkeel/Relay/RelayPorts.h"
+#include "bluebellkeel/Relay/ServiceCall.h"
+#include "bluebellkeel/Relay/ServiceReply.h"
+#include <set>
+#include <tl/expected.hpp>
+
+namespace bluebellkeel {
+
+/// Takes one service call from check to bill. A call that may not be repeated
+/// is dispatched only under a claim that stands first in the log; from its
+/// dispatch on, each doubt is said to be one.
+class service_relay {
+public:
+  /// Most attempts of a call that may be repeated.
+  static constexpr unsigned MaxAttempts = 3;
+
+  explicit service_relay(relay_ports &Ports) : Ports(Ports) {}
+
+  tl::expected<service_reply, refusal> relay(const service_call &Call);
+
+private:
+  using reply_result = tl::expected<service_reply, refusal>;
+  using slot_result = tl::expected<upstream_slot, refusal>;
+
+  std::optional<refusal> checkCall(const service_call &Call) const;
+  std::optional<refusal> recheck(const service_call &Call) const;
+  std::optional<refusal> checkTicket(const service_call &Call) const;
+  reply_result runRepeatable(const service_call &Call);
+  reply_result runOnce(const service_call &Call);
+  reply_result runClaimed(const service_call &Call,
+                          const std::string &AttemptId);
+  slot_result takeSlot(const service_call &Call);
+  tl::expected<service_reply, attempt_error>
+  dispatch(const service_call &Call, const upstream_id &Upstream,
+           const std::string &AttemptId);
+  reply_result settle(const service_call &Call, const service_reply &Reply);
+
+  relay_ports &Ports;
+  std::set<upstream_id> Tried;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_RELAY_SERVICERELAY_H
--- /dev/null
+++ b/include/bluebellkeel/Relay/ServiceReply.h
@@ -0,0 +1,30 @@
+#ifndef BLUEBELLKEEL_RELAY_SERVICEREPLY_H
+#define BLUEBELLKEEL_RELAY_SERVICEREPLY_H
+
+#include "bluebellkeel/Core/Comparable.h"
+#include <string>
+#include <tuple>
+#include <utility>
+
+namespace bluebellkeel {
+
+/// What a plain service answered.
+class service_reply : public comparable<service_reply> {
+public:
+  service_reply() = default;
+  service_reply(int Status, std::string Body)
+      : Status(Status), Body(std::move(Body)) {}
+
+  /// The HTTP status.
+  int status() const { return Status; }
+  const std::string &body() const { return Body; }
+  auto key() const { return std::tie(Status, Body); }
+
+private:
+  int Status = 0;
+  std::string Body;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_RELAY_SERVICEREPLY_H
--- /dev/null
+++ b/include/bluebellkeel/Relay/ServiceUpstream.h
@@ -0,0 +1,22 @@
+#ifndef BLUEBELLKEEL_RELAY_SERVICEUPSTREAM_H
+#define BLUEBELLKEEL_RELAY_SERVICEUPSTREAM_H
+
+#include "bluebellkeel/Relay/AttemptError.h"
+#include "bluebellkeel/Relay/ServiceAttempt.h"
+#include "bluebellkeel/Relay/ServiceReply.h"
+#include <tl/expected.hpp>
+
+namespace bluebellkeel {
+
+/// Runs attempts at plain services.
+class service_upstream {
+public:
+  virtual ~service_upstream() = default;
+
+  virtual tl::expected<service_reply, attempt_error>
+  call(const service_attempt &Attempt) = 0;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_RELAY_SERVICEUPSTREAM_H
--- a/include/bluebellkeel/Upstream/GrantRules.h
+++ b/include/bluebellkeel/Upstream/GrantRules.h
@@ -1,6 +1,7 @@
 #ifndef BLUEBELLKEEL_UPSTREAM_GRANTRULES_H
 #define BLUEBELLKEEL_UPSTREAM_GRANTRULES_H
 
+#include "bluebellkeel/Core/Comparable.h"
 #include "bluebellkeel/Core/Time.h"
 #include <tuple>
 
--- /dev/null
+++ b/lib/Policy/CheapestAtTargetPlanner.cpp
@@ -0,0 +1,50 @@
+#include "bluebellkeel/Policy/CheapestAtTargetPlanner.h"
+#include "bluebellkeel/Policy/QualityEstimate.h"
+#include "bluebellkeel/Policy/RollOutGate.h"
+#include "bluebellkeel/Policy/VersionEligibility.h"
+#include <algorithm>
+
+using namespace bluebellkeel;
+
+plan_step
+cheapest_at_target_planner::stepFor(const version_settings &Version,
+                                    double Target) {
+  quality_estimate Estimate(Version.quality(), Book.counts(Version.id()));
+  return plan_step(Version.id(), Version.cost(), Estimate.lowerBound(),
+                   Estimate.lowerBound() >= Target);
+}
+
+/// Versions that meet the target by price, then the others by quality.
+static bool goesBefore(const plan_step &L, const plan_step &R) {
+  if (L.meetsTarget() != R.meetsTarget())
+    return L.meetsTarget();
+  if (L.meetsTarget())
+    return L.cost() < R.cost();
+  return L.quality() > R.quality();
+}
+
+tl::expected<version_plan, plan_error>
+cheapest_at_target_planner::plan(const route_query &Query) {
+  auto Eligible = eligibleVersions(Query);
+  if (!Eligible)
+    return tl::unexpected(Eligible.error());
+  double Target = Query.account().qualityTarget();
+  std::vector<plan_step> Steps;
+  std::vector<plan_step> Trials;
+  bool Pinned = Query.keptSession() || Eligible->size() == 1;
+  for (const auto &Version : *Eligible) {
+    plan_step Step = stepFor(Version, Target);
+    if (Pinned || Version.stage() == version_stage::Active) {
+      Steps.push_back(Step);
+      continue;
+    }
+    if (roll_out_gate::admits(Version, Book.counts(Version.id()), Random))
+      Trials.push_back(Step);
+  }
+  if (Steps.empty() && Trials.empty())
+    return tl::unexpected(plan_error::NoAllowedVersion);
+  std::stable_sort(Steps.begin(), Steps.end(), goesBefore);
+  if (!Trials.empty())
+    Steps.insert(Steps.begin(), Trials.front());
+  return version_plan(std::move(Steps));
+}
--- /dev/null
+++ b/lib/Relay/CandidateFinder.cpp
@@ -0,0 +1,43 @@
+#include "bluebellkeel/Relay/CandidateFinder.h"
+#include <map>
+
+using namespace bluebellkeel;
+
+std::vector<upstream_record>
+candidate_finder::find(const pool_id &Pool, const routing_settings &Settings,
+                       const std::set<upstream_id> &Tried,
+                       upstream_chooser &Chooser,
+                       const fingerprint &Prefix) const {
+  std::map<upstream_id, upstream_record> Records;
+  std::vector<upstream_candidate> Preferred;
+  std::vector<upstream_candidate> LastResort;
+  auto List = Directory.list();
+  for (const auto &Record : *List) {
+    if (Record.pool() != Pool || Record.leaving())
+      continue;
+    if (Settings.isOut(Record.dataCentre()))
+      continue;
+    Records[Record.id()] = Record;
+    bool Avoided =
+        Tried.count(Record.id()) > 0 || !Health.healthy(Record.id());
+    auto &Group = Avoided ? LastResort : Preferred;
+    Group.emplace_back(Record.id(), Grants.inFlight(Record.id()).requests(),
+                       Record.dataCentre() == Home);
+  }
+  auto Ordered = Chooser.order(
+      Preferred.empty() ? std::move(LastResort) : std::move(Preferred), Prefix);
+  std::vector<upstream_record> Result;
+  for (const auto &Candidate : Ordered)
+    Result.push_back(Records[Candidate.id()]);
+  return Result;
+}
+
+std::optional<upstream_record>
+candidate_finder::record(const upstream_id &Id) const {
+  auto List = Directory.list();
+  for (const auto &Record : *List) {
+    if (Record.id() == Id)
+      return Record;
+  }
+  return std::nullopt;
+}
--- /dev/null
+++ b/lib/Relay/PoolNames.h
@@ -0,0 +1,22 @@
+#ifndef BLUEBELLKEEL_LIB_RELAY_POOLNAMES_H
+#define BLUEBELLKEEL_LIB_RELAY_POOLNAMES_H
+
+#include "bluebellkeel/Core/ServiceId.h"
+#include "bluebellkeel/Core/VersionId.h"
+#include "bluebellkeel/Upstream/PoolId.h"
+
+namespace bluebellkeel {
+
+/// The pool of all engines of \p Version, as the platform's list names it.
+inline pool_id enginePool(const version_id &Version) {
+  return pool_id(Version.text());
+}
+
+/// The pool of all processes of \p Service.
+inline pool_id servicePool(const service_id &Service) {
+  return pool_id(Service.text());
+}
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_LIB_RELAY_POOLNAMES_H
--- a/lib/Upstream/UpstreamLifecycle.cpp
+++ b/lib/Upstream/UpstreamLifecycle.cpp
@@ -1,4 +1,5 @@
 #include "bluebellkeel/Upstream/UpstreamLifecycle.h"
+#include <boost/mpl/vector/vector30.hpp>
 #include <boost/msm/back/state_machine.hpp>
 #include <boost/msm/front/functor_row.hpp>
 #include <boost/msm/front/state_machine_def.hpp>
@@ -25,37 +26,37 @@
 struct gone_state : msm::front::state<> {};
 
 template <typename source_t, typename event_t, typename target_t>
-using row = msm::front::Row<source_t, event_t, target_t, msm::front::none,
+using transition = msm::front::Row<source_t, event_t, target_t, msm::front::none,
                             msm::front::none>;
 
 struct lifecycle_def : msm::front::state_machine_def<lifecycle_def> {
   using initial_state = unknown_state;
 
   struct transition_table
-      : boost::mpl::vector<
-            row<unknown_state, cold_report, cold_state>,
-            row<unknown_state, warm_report, warming_state>,
-            row<unknown_state, report_failure, suspect_state>,
-            row<cold_state, warm_report, warming_state>,
-            row<cold_state, report_failure, suspect_state>,
-            row<warming_state, cold_report, cold_state>,
-            row<warming_state, full_load, ready_state>,
-            row<warming_state, report_failure, suspect_state>,
-            row<ready_state, cold_report, cold_state>,
-            row<ready_state, report_failure, suspect_state>,
-            row<suspect_state, cold_report, cold_state>,
-            row<suspect_state, warm_report, warming_state>,
-            row<unknown_state, leaving_listed, draining_state>,
-            row<cold_state, leaving_listed, draining_state>,
-            row<warming_state, leaving_listed, draining_state>,
-            row<ready_state, leaving_listed, draining_state>,
-            row<suspect_state, leaving_listed, draining_state>,
-            row<unknown_state, not_listed, gone_state>,
-            row<cold_state, not_listed, gone_state>,
-            row<warming_state, not_listed, gone_state>,
-            row<ready_state, not_listed, gone_state>,
-            row<suspect_state, not_listed, gone_state>,
-            row<draining_state, not_listed, gone_state>> {};
+      : boost::mpl::vector23<
+            transition<unknown_state, cold_report, cold_state>,
+            transition<unknown_state, warm_report, warming_state>,
+            transition<unknown_state, report_failure, suspect_state>,
+            transition<cold_state, warm_report, warming_state>,
+            transition<cold_state, report_failure, suspect_state>,
+            transition<warming_state, cold_report, cold_state>,
+            transition<warming_state, full_load, ready_state>,
+            transition<warming_state, report_failure, suspect_state>,
+            transition<ready_state, cold_report, cold_state>,
+            transition<ready_state, report_failure, suspect_state>,
+            transition<suspect_state, cold_report, cold_state>,
+            transition<suspect_state, warm_report, warming_state>,
+            transition<unknown_state, leaving_listed, draining_state>,
+            transition<cold_state, leaving_listed, draining_state>,
+            transition<warming_state, leaving_listed, draining_state>,
+            transition<ready_state, leaving_listed, draining_state>,
+            transition<suspect_state, leaving_listed, draining_state>,
+            transition<unknown_state, not_listed, gone_state>,
+            transition<cold_state, not_listed, gone_state>,
+            transition<warming_state, not_listed, gone_state>,
+            transition<ready_state, not_listed, gone_state>,
+            transition<suspect_state, not_listed, gone_state>,
+            transition<draining_state, not_listed, gone_state>> {};
 
   /// An event without a row, such as a warm report in Ready, changes nothing.
   template <typename fsm_t, typename event_t>
