--- /dev/null
+++ b/include/bluebellkeel/Backend/EngineClient.h
@@ -0,0 +1,27 @@
+#ifndef BLUEBELLKEEL_BACKEND_ENGINECLIENT_H
+#define BLUEBELLKEEL_BACKEND_ENGINECLIENT_H
+
+#include "bluebellkeel/Http/HttpTimeouts.h"
+#include "bluebellkeel/Relay/ChatUpstream.h"
+#include <boost/asio/spawn.hpp>
+
+namespace bluebellkeel {
+
+/// Runs chat completions at engines that speak the usual HTTP and server-sent
+/// events, from within the coroutine of one request.
+class engine_client final : public chat_upstream {
+public:
+  engine_client(boost::asio::yield_context Yield, http_timeouts Timeouts)
+      : Yield(Yield), Timeouts(Timeouts) {}
+
+  tl::expected<answer_summary, attempt_error>
+  run(const chat_attempt &Attempt, answer_sink &Sink) override;
+
+private:
+  boost::asio::yield_context Yield;
+  http_timeouts Timeouts;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_BACKEND_ENGINECLIENT_H
--- /dev/null
+++ b/include/bluebellkeel/Backend/LoadReader.h
@@ -0,0 +1,25 @@
+#ifndef BLUEBELLKEEL_BACKEND_LOADREADER_H
+#define BLUEBELLKEEL_BACKEND_LOADREADER_H
+
+#include "bluebellkeel/Http/HttpClient.h"
+#include "bluebellkeel/Upstream/LoadReport.h"
+#include "bluebellkeel/Upstream/UpstreamRecord.h"
+#include <optional>
+
+namespace bluebellkeel {
+
+/// Asks upstreams for their load.
+class load_reader {
+public:
+  explicit load_reader(http_timeouts Timeouts) : Client(Timeouts) {}
+
+  /// Empty when the upstream did not answer.
+  std::optional<load_report> read(const upstream_record &Upstream) const;
+
+private:
+  http_client Client;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_BACKEND_LOADREADER_H
--- /dev/null
+++ b/include/bluebellkeel/Codec.h
@@ -0,0 +1,9 @@
+#ifndef BLUEBELLKEEL_CODEC_H
+#define BLUEBELLKEEL_CODEC_H
+
+#include "bluebellkeel/Codec/CodecError.h"
+#include "bluebellkeel/Codec/JsonForms.h"
+#include "bluebellkeel/Codec/JsonText.h"
+#include "bluebellkeel/Codec/RecordCodec.h"
+
+#endif // BLUEBELLKEEL_CODEC_H
--- /dev/null
+++ b/include/bluebellkeel/Codec/FieldReader.h
@@ -0,0 +1,40 @@
+#ifndef BLUEBELLKEEL_CODEC_FIELDREADER_H
+#define BLUEBELLKEEL_CODEC_FIELDREADER_H
+
+#include "bluebellkeel/Codec/CodecError.h"
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <string>
+
+namespace bluebellkeel {
+
+/// Reads the fields of one JSON object and keeps the first fault, so that the
+/// reader checks once at the end.
+class field_reader {
+public:
+  explicit field_reader(const nlohmann::json &Json);
+
+  std::string text(const char *Name);
+  std::uint64_t number(const char *Name);
+  double real(const char *Name);
+  bool flag(const char *Name);
+  /// The array, or an empty one.
+  const nlohmann::json &array(const char *Name);
+  /// The field, or null when it is missing.
+  const nlohmann::json &optional(const char *Name) const;
+
+  void fail(std::string Message);
+  bool failed() const { return !Fault.empty(); }
+  codec_error error() const { return codec_error(Fault); }
+
+private:
+  const nlohmann::json *find(const char *Name, const char *Expected,
+                             bool (nlohmann::json::*IsKind)() const noexcept);
+
+  const nlohmann::json &Json;
+  std::string Fault;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_CODEC_FIELDREADER_H
--- /dev/null
+++ b/include/bluebellkeel/Http.h
@@ -0,0 +1,15 @@
+#ifndef BLUEBELLKEEL_HTTP_H
+#define BLUEBELLKEEL_HTTP_H
+
+#include "bluebellkeel/Http/HttpClient.h"
+#include "bluebellkeel/Http/HttpError.h"
+#include "bluebellkeel/Http/HttpHandler.h"
+#include "bluebellkeel/Http/HttpHeaders.h"
+#include "bluebellkeel/Http/HttpRequest.h"
+#include "bluebellkeel/Http/HttpResponder.h"
+#include "bluebellkeel/Http/HttpResponse.h"
+#include "bluebellkeel/Http/HttpServer.h"
+#include "bluebellkeel/Http/HttpTimeouts.h"
+#include "bluebellkeel/Http/ThreadPool.h"
+
+#endif // BLUEBELLKEEL_HTTP_H
--- /dev/null
+++ b/include/bluebellkeel/Http/HttpClient.h
@@ -0,0 +1,28 @@
+#ifndef BLUEBELLKEEL_HTTP_HTTPCLIENT_H
+#define BLUEBELLKEEL_HTTP_HTTPCLIENT_H
+
+#include "bluebellkeel/Core/NetworkAddress.h"
+#include "bluebellkeel/Http/HttpError.h"
+#include "bluebellkeel/Http/HttpRequest.h"
+#include "bluebellkeel/Http/HttpResponse.h"
+#include "bluebellkeel/Http/HttpTimeouts.h"
+#include <tl/expected.hpp>
+
+namespace bluebellkeel {
+
+/// Makes whole exchanges from threads that may wait. Each exchange has a
+/// connection of its own, so none can be caught on one that went silent.
+class http_client {
+public:
+  explicit http_client(http_timeouts Timeouts) : Timeouts(Timeouts) {}
+
+  tl::expected<http_response, http_error>
+  send(const network_address &Address, const http_request &Request) const;
+
+private:
+  http_timeouts Timeouts;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_HTTP_HTTPCLIENT_H
--- /dev/null
+++ b/include/bluebellkeel/Http/HttpHandler.h
@@ -0,0 +1,21 @@
+#ifndef BLUEBELLKEEL_HTTP_HTTPHANDLER_H
+#define BLUEBELLKEEL_HTTP_HTTPHANDLER_H
+
+#include "bluebellkeel/Http/HttpRequest.h"
+#include "bluebellkeel/Http/HttpResponder.h"
+#include <boost/asio/spawn.hpp>
+
+namespace bluebellkeel {
+
+/// Handles the requests of a server, each in a coroutine of its own.
+class http_handler {
+public:
+  virtual ~http_handler() = default;
+
+  virtual void handle(const http_request &Request, http_responder &Responder,
+                      boost::asio::yield_context Yield) = 0;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_HTTP_HTTPHANDLER_H
--- /dev/null
+++ b/include/bluebellkeel/Http/HttpHeaders.h
@@ -0,0 +1,34 @@
+#ifndef BLUEBELLKEEL_HTTP_HTTPHEADERS_H
+#define BLUEBELLKEEL_HTTP_HTTPHEADERS_H
+
+#include "bluebellkeel/Core/Comparable.h"
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace bluebellkeel {
+
+/// The header fields of a message, in order; names are compared without case.
+class http_headers : public comparable<http_headers> {
+public:
+  using field = std::pair<std::string, std::string>;
+
+  http_headers() = default;
+  explicit http_headers(std::vector<field> Fields)
+      : Fields(std::move(Fields)) {}
+
+  /// The value of the first field of that name; empty when there is none.
+  std::string get(std::string_view Name) const;
+  http_headers with(std::string Name, std::string Value) const;
+
+  const std::vector<field> &fields() const { return Fields; }
+  const std::vector<field> &key() const { return Fields; }
+
+private:
+  std::vector<field> Fields;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_HTTP_HTTPHEADERS_H
--- /dev/null
+++ b/include/bluebellkeel/Http/HttpRequest.h
@@ -0,0 +1,37 @@
+#ifndef BLUEBELLKEEL_HTTP_HTTPREQUEST_H
+#define BLUEBELLKEEL_HTTP_HTTPREQUEST_H
+
+#include "bluebellkeel/Http/HttpHeaders.h"
+#include <tuple>
+
+namespace bluebellkeel {
+
+/// A request as it stands on the wire.
+class http_request : public comparable<http_request> {
+public:
+  http_request() = default;
+  http_request(std::string Method, std::string Target, http_headers Headers,
+               std::string Body)
+      : Method(std::move(Method)), Target(std::move(Target)),
+        Headers(std::move(Headers)), Body(std::move(Body)) {}
+
+  const std::string &method() const { return Method; }
+  /// Path and query.
+  const std::string &target() const { return Target; }
+  std::string path() const { return Target.substr(0, Target.find('?')); }
+  /// The decoded value of a query parameter; empty when there is none.
+  std::string query(std::string_view Name) const;
+  const http_headers &headers() const { return Headers; }
+  const std::string &body() const { return Body; }
+  auto key() const { return std::tie(Method, Target, Headers, Body); }
+
+private:
+  std::string Method;
+  std::string Target;
+  http_headers Headers;
+  std::string Body;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_HTTP_HTTPREQUEST_H
--- /dev/null
+++ b/include/bluebellkeel/Http/HttpTimeouts.h
@@ -0,0 +1,32 @@
+#ifndef BLUEBELLKEEL_HTTP_HTTPTIMEOUTS_H
+#define BLUEBELLKEEL_HTTP_HTTPTIMEOUTS_H
+
+#include "bluebellkeel/Core/Time.h"
+#include <tuple>
+#include "bluebellkeel/Core/Comparable.h"
+
+namespace bluebellkeel {
+
+/// How long each stage of an exchange may take.
+class http_timeouts : public comparable<http_timeouts> {
+public:
+  http_timeouts(milliseconds Connect, milliseconds FirstByte,
+                milliseconds Between)
+      : Connect(Connect), FirstByte(FirstByte), Between(Between) {}
+
+  milliseconds connect() const { return Connect; }
+  /// From the end of the request to the first byte of the answer.
+  milliseconds firstByte() const { return FirstByte; }
+  /// From one piece of the answer to the next.
+  milliseconds between() const { return Between; }
+  auto key() const { return std::tie(Connect, FirstByte, Between); }
+
+private:
+  milliseconds Connect;
+  milliseconds FirstByte;
+  milliseconds Between;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_HTTP_HTTPTIMEOUTS_H
--- /dev/null
+++ b/include/bluebellkeel/Http/ThreadPool.h
@@ -0,0 +1,31 @@
+#ifndef BLUEBELLKEEL_HTTP_THREADPOOL_H
+#define BLUEBELLKEEL_HTTP_THREADPOOL_H
+
+#include <boost/asio/io_context.hpp>
+#include <memory>
+#include <thread>
+#include <vector>
+
+namespace bluebellkeel {
+
+/// Threads that run the coroutines of servers.
+class thread_pool {
+public:
+  explicit thread_pool(std::size_t Count);
+  ~thread_pool();
+
+  boost::asio::io_context &context() { return Context; }
+
+  /// Ends the threads without waiting for coroutines that still run.
+  void stop();
+
+private:
+  boost::asio::io_context Context;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+      Work;
+  std::vector<std::thread> Threads;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_HTTP_THREADPOOL_H
--- /dev/null
+++ b/include/bluebellkeel/Platform/PlatformError.h
@@ -0,0 +1,25 @@
+#ifndef BLUEBELLKEEL_PLATFORM_PLATFORMERROR_H
+#define BLUEBELLKEEL_PLATFORM_PLATFORMERROR_H
+
+#include <string_view>
+
+namespace bluebellkeel {
+
+/// Why a service of the platform did not answer as asked.
+enum class platform_error { Unreachable, Refused, Malformed };
+
+inline std::string_view toString(platform_error Error) {
+  switch (Error) {
+  case platform_error::Unreachable:
+    return "unreachable";
+  case platform_error::Refused:
+    return "refused";
+  case platform_error::Malformed:
+    return "malformed";
+  }
+  return "";
+}
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_PLATFORM_PLATFORMERROR_H
--- /dev/null
+++ b/include/bluebellkeel/Startup.h
@@ -0,0 +1,10 @@
+#ifndef BLUEBELLKEEL_STARTUP_H
+#define BLUEBELLKEEL_STARTUP_H
+
+#include "bluebellkeel/Startup/PlatformAddresses.h"
+#include "bluebellkeel/Startup/StartupLimits.h"
+#include "bluebellkeel/Startup/StartupReader.h"
+#include "bluebellkeel/Startup/StartupSettings.h"
+#include "bluebellkeel/Startup/TeamKey.h"
+
+#endif // BLUEBELLKEEL_STARTUP_H
--- /dev/null
+++ b/include/bluebellkeel/Telemetry.h
@@ -0,0 +1,8 @@
+#ifndef BLUEBELLKEEL_TELEMETRY_H
+#define BLUEBELLKEEL_TELEMETRY_H
+
+#include "bluebellkeel/Telemetry/LogPart.h"
+#include "bluebellkeel/Telemetry/LogSetup.h"
+#include "bluebellkeel/Telemetry/Metrics.h"
+
+#endif // BLUEBELLKEEL_TELEMETRY_H
--- /dev/null
+++ b/lib/Backend/AnswerReader.h
@@ -0,0 +1,44 @@
+#ifndef BLUEBELLKEEL_LIB_BACKEND_ANSWERREADER_H
+#define BLUEBELLKEEL_LIB_BACKEND_ANSWERREADER_H
+
+#include "bluebellkeel/Relay/AnswerSink.h"
+#include "bluebellkeel/Relay/AnswerSummary.h"
+#include "bluebellkeel/Relay/AttemptError.h"
+#include "bluebellkeel/Relay/ChatAttempt.h"
+#include <nlohmann/json_fwd.hpp>
+#include <optional>
+#include <string>
+
+namespace bluebellkeel {
+
+/// Reads the events of one answer: checks that each belongs to the attempt,
+/// gives it the request's own id, and tells when the answer is whole.
+class answer_reader {
+public:
+  answer_reader(const chat_attempt &Attempt, answer_sink &Sink)
+      : Attempt(Attempt), Sink(Sink) {}
+
+  /// Takes the data of one event; an error ends the attempt.
+  std::optional<attempt_error> take(const std::string &Data);
+
+  /// True after the last event of a whole answer.
+  bool whole() const { return Ended && Finished; }
+  bool ended() const { return Ended; }
+  answer_summary summary() const {
+    return answer_summary(PromptTokens, AnswerTokens);
+  }
+
+private:
+  void takeUsage(const nlohmann::json &Usage);
+
+  const chat_attempt &Attempt;
+  answer_sink &Sink;
+  bool Finished = false;
+  bool Ended = false;
+  std::uint64_t PromptTokens = 0;
+  std::uint64_t AnswerTokens = 0;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_LIB_BACKEND_ANSWERREADER_H
--- /dev/null
+++ b/lib/Backend/EngineClient.cpp
@@ -0,0 +1,79 @@
+#include "bluebellkeel/Backend/EngineClient.h"
+#include "AnswerReader.h"
+#include "AttemptErrorOf.h"
+#include "EventReader.h"
+#include "bluebellkeel/Codec/JsonText.h"
+#include "bluebellkeel/Http/ClientStream.h"
+#include <nlohmann/json.hpp>
+
+using namespace bluebellkeel;
+
+using nlohmann::json;
+
+/// Largest answer that is passed on, in bytes.
+static constexpr std::size_t MaxAnswerBytes = 16UL * 1024 * 1024;
+
+/// The caller's request with the version filled in, asked for as a stream
+/// that ends with a count of its tokens.
+static std::optional<http_request> requestFor(const chat_attempt &Attempt) {
+  auto Body = parseJson(Attempt.request().body());
+  if (!Body || !Body->is_object())
+    return std::nullopt;
+  (*Body)["model"] = Attempt.version().text();
+  (*Body)["stream"] = true;
+  (*Body)["stream_options"] = {{"include_usage", true}};
+  auto Headers = http_headers()
+                     .with("Content-Type", "application/json")
+                     .with("X-Request-Id", Attempt.id());
+  return http_request("POST", "/v1/chat/completions", Headers, Body->dump());
+}
+
+static std::optional<attempt_error> drainEvents(event_reader &Events,
+                                                answer_reader &Answer) {
+  while (auto Data = Events.next()) {
+    auto Fault = Answer.take(*Data);
+    if (Fault)
+      return Fault;
+    if (Answer.ended())
+      break;
+  }
+  return std::nullopt;
+}
+
+static tl::expected<answer_summary, attempt_error>
+readAnswer(client_stream &Stream, answer_reader &Answer) {
+  event_reader Events;
+  std::size_t Bytes = 0;
+  while (!Answer.ended()) {
+    auto Piece = Stream.readSome();
+    if (!Piece)
+      return tl::unexpected(attemptErrorOf(Piece.error()));
+    if (Piece->empty())
+      return tl::unexpected(attempt_error::Truncated);
+    Bytes += Piece->size();
+    if (Bytes > MaxAnswerBytes || !Events.feed(*Piece))
+      return tl::unexpected(attempt_error::TooLarge);
+    auto Fault = drainEvents(Events, Answer);
+    if (Fault)
+      return tl::unexpected(*Fault);
+  }
+  if (!Answer.whole())
+    return tl::unexpected(attempt_error::Truncated);
+  return Answer.summary();
+}
+
+tl::expected<answer_summary, attempt_error>
+engine_client::run(const chat_attempt &Attempt, answer_sink &Sink) {
+  auto Request = requestFor(Attempt);
+  if (!Request)
+    return tl::unexpected(attempt_error::Malformed);
+  client_stream Stream(Yield, Timeouts);
+  auto Head = Stream.open(Attempt.upstream().address(), *Request);
+  if (!Head)
+    return tl::unexpected(attemptErrorOf(Head.error()));
+  auto Fault = attemptErrorOfStatus(Head->status());
+  if (Fault)
+    return tl::unexpected(*Fault);
+  answer_reader Answer(Attempt, Sink);
+  return readAnswer(Stream, Answer);
+}
--- /dev/null
+++ b/lib/Http/HttpServer.cpp
@@ -0,0 +1,108 @@
+#include "bluebellkeel/Http/HttpServer.h"
+#include "ServerConnection.h"
+#include <atomic>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/strand.hpp>
+
+using namespace bluebellkeel;
+
+namespace asio = boost::asio;
+
+using asio::ip::tcp;
+using boost::system::error_code;
+
+class http_server::impl : public std::enable_shared_from_this<impl> {
+public:
+  impl(thread_pool &Pool, http_handler &Handler, http_limits Limits)
+      : Pool(Pool), Handler(Handler), Limits(Limits),
+        Acceptor(asio::make_strand(Pool.context())) {}
+
+  tl::expected<void, std::string> listen(const network_address &Address);
+  void drain();
+  std::size_t active() const { return State.Active; }
+
+private:
+  void acceptLoop(asio::yield_context Yield);
+  void serve(tcp::socket Socket);
+
+  thread_pool &Pool;
+  http_handler &Handler;
+  http_limits Limits;
+  tcp::acceptor Acceptor;
+  server_state State;
+};
+
+tl::expected<void, std::string>
+http_server::impl::listen(const network_address &Address) {
+  error_code Code;
+  auto Ip = asio::ip::make_address(Address.host(), Code);
+  if (Code)
+    return tl::unexpected(Address.host() + " is no IP number");
+  tcp::endpoint Endpoint(Ip, Address.port());
+  Acceptor.open(Endpoint.protocol(), Code);
+  if (!Code)
+    Acceptor.set_option(asio::socket_base::reuse_address(true), Code);
+  if (!Code)
+    Acceptor.bind(Endpoint, Code);
+  if (!Code)
+    Acceptor.listen(asio::socket_base::max_listen_connections, Code);
+  if (Code)
+    return tl::unexpected(Address.text() + ": " + Code.message());
+  auto Self = shared_from_this();
+  asio::spawn(
+      Acceptor.get_executor(),
+      [Self](asio::yield_context Yield) { Self->acceptLoop(Yield); },
+      asio::detached);
+  return {};
+}
+
+void http_server::impl::acceptLoop(asio::yield_context Yield) {
+  while (Acceptor.is_open()) {
+    error_code Code;
+    tcp::socket Socket(asio::make_strand(Pool.context()));
+    Acceptor.async_accept(Socket, Yield[Code]);
+    if (Code)
+      continue;
+    if (State.Connections >= Limits.connections())
+      continue;
+    serve(std::move(Socket));
+  }
+}
+
+void http_server::impl::serve(tcp::socket Socket) {
+  auto Self = shared_from_this();
+  auto Executor = Socket.get_executor();
+  auto Shared = std::make_shared<tcp::socket>(std::move(Socket));
+  asio::spawn(
+      Executor,
+      [Self, Shared](asio::yield_context Yield) {
+        server_connection Connection(std::move(*Shared), Self->Handler,
+                                     Self->Limits, Self->State, Yield);
+        Connection.run();
+      },
+      asio::detached);
+}
+
+void http_server::impl::drain() {
+  State.Draining = true;
+  auto Self = shared_from_this();
+  asio::post(Acceptor.get_executor(), [Self] {
+    error_code Ignored;
+    Self->Acceptor.close(Ignored);
+  });
+}
+
+http_server::http_server(thread_pool &Pool, http_handler &Handler,
+                         http_limits Limits)
+    : Impl(std::make_shared<impl>(Pool, Handler, Limits)) {}
+
+http_server::~http_server() = default;
+
+tl::expected<void, std::string>
+http_server::listen(const network_address &Address) {
+  return Impl->listen(Address);
+}
+
+void http_server::drain() { Impl->drain(); }
+
+std::size_t http_server::active() const { return Impl->active(); }
--- /dev/null
+++ b/lib/Http/ServerConnection.h
@@ -0,0 +1,50 @@
+#ifndef BLUEBELLKEEL_LIB_HTTP_SERVERCONNECTION_H
+#define BLUEBELLKEEL_LIB_HTTP_SERVERCONNECTION_H
+
+#include "ServerState.h"
+#include "bluebellkeel/Http/HttpHandler.h"
+#include "bluebellkeel/Http/HttpLimits.h"
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/spawn.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <optional>
+
+namespace bluebellkeel {
+
+/// One connection of a server, from its first request to its end.
+class server_connection final : private http_responder {
+public:
+  server_connection(boost::asio::ip::tcp::socket Socket, http_handler &Handler,
+                    http_limits Limits, server_state &State,
+                    boost::asio::yield_context Yield);
+  ~server_connection() override;
+
+  void run();
+
+private:
+  using message = boost::beast::http::request<boost::beast::http::string_body>;
+
+  std::optional<message> readRequest();
+  void answer(const message &Message);
+  void refuse(int Status, const char *Text);
+
+  bool send(const http_response &Response) override;
+  bool begin(int Status, const http_headers &Headers) override;
+  bool write(std::string_view Piece) override;
+  bool end() override;
+  bool started() const override { return Started; }
+
+  boost::beast::tcp_stream Stream;
+  http_handler &Handler;
+  http_limits Limits;
+  server_state &State;
+  boost::asio::yield_context Yield;
+  boost::beast::flat_buffer Buffer;
+  bool Started = false;
+  bool KeepAlive = true;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_LIB_HTTP_SERVERCONNECTION_H
--- /dev/null
+++ b/lib/Startup/ObjectReader.h
@@ -0,0 +1,54 @@
+#ifndef BLUEBELLKEEL_LIB_STARTUP_OBJECTREADER_H
+#define BLUEBELLKEEL_LIB_STARTUP_OBJECTREADER_H
+
+#include "bluebellkeel/Core/NetworkAddress.h"
+#include "bluebellkeel/Settings/SettingsError.h"
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace bluebellkeel {
+
+/// Reads the fields of one object of a settings file. Each fault is added to a
+/// common list; fields that were never asked for are faults too.
+class object_reader {
+public:
+  using error_list = std::vector<settings_error>;
+
+  object_reader(const nlohmann::json &Json, std::string Path,
+                error_list &Errors);
+
+  std::string text(const std::string &Name, std::size_t MinBytes);
+  network_address address(const std::string &Name);
+  std::optional<network_address> optionalAddress(const std::string &Name);
+  /// A whole number from \p Low to \p High; \p Default when it is missing.
+  std::uint64_t numberOr(const std::string &Name, std::uint64_t Default,
+                         std::uint64_t Low, std::uint64_t High);
+  std::string choiceOr(const std::string &Name, const std::string &Default,
+                       const std::vector<std::string> &Choices);
+  /// The object below \p Name; an empty one, with a fault if \p Required.
+  object_reader object(const std::string &Name, bool Required);
+  /// The objects in the array below \p Name.
+  std::vector<object_reader> objects(const std::string &Name);
+
+  /// Adds a fault for each field that nobody asked for.
+  void finish() const;
+
+private:
+  const nlohmann::json *find(const std::string &Name);
+  std::string pathOf(const std::string &Name) const;
+  void fail(const std::string &Name, const std::string &Expected,
+            const nlohmann::json *Found);
+
+  nlohmann::json Json;
+  std::string Path;
+  error_list *Errors;
+  std::set<std::string> Known;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_LIB_STARTUP_OBJECTREADER_H
--- /dev/null
+++ b/lib/Telemetry/LogPart.cpp
@@ -0,0 +1,30 @@
+#include "bluebellkeel/Telemetry/LogPart.h"
+#include <log4cxx/logger.h>
+
+using namespace bluebellkeel;
+
+static log4cxx::LoggerPtr loggerOf(const std::string &Prefix) {
+  return log4cxx::Logger::getLogger("bluebellkeel." + Prefix);
+}
+
+static std::string line(const std::string &Prefix, std::string_view Sentence) {
+  return Prefix + ": " + std::string(Sentence);
+}
+
+log_part::log_part(std::string Prefix) : Prefix(std::move(Prefix)) {}
+
+void log_part::debug(std::string_view Sentence) const {
+  LOG4CXX_DEBUG(loggerOf(Prefix), line(Prefix, Sentence));
+}
+
+void log_part::info(std::string_view Sentence) const {
+  LOG4CXX_INFO(loggerOf(Prefix), line(Prefix, Sentence));
+}
+
+void log_part::warn(std::string_view Sentence) const {
+  LOG4CXX_WARN(loggerOf(Prefix), line(Prefix, Sentence));
+}
+
+void log_part::error(std::string_view Sentence) const {
+  LOG4CXX_ERROR(loggerOf(Prefix), line(Prefix, Sentence));
+}
