--- /dev/null
+++ b/include/bluebellkeel/Frontend/AnswerSampler.h
@@ -0,0 +1,21 @@
+#ifndef BLUEBELLKEEL_FRONTEND_ANSWERSAMPLER_H
+#define BLUEBELLKEEL_FRONTEND_ANSWERSAMPLER_H
+
+#include "bluebellkeel/Core/VersionId.h"
+#include <string>
+
+namespace bluebellkeel {
+
+/// Takes whole answers, a sample of which is rated.
+class answer_sampler {
+public:
+  virtual ~answer_sampler() = default;
+
+  /// False when answers are not rated; sample() then need not be called.
+  virtual bool wanted() const = 0;
+  virtual void sample(const version_id &Version, const std::string &Answer) = 0;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_FRONTEND_ANSWERSAMPLER_H
--- /dev/null
+++ b/include/bluebellkeel/Frontend/FrontendHandler.h
@@ -0,0 +1,28 @@
+#ifndef BLUEBELLKEEL_FRONTEND_FRONTENDHANDLER_H
+#define BLUEBELLKEEL_FRONTEND_FRONTENDHANDLER_H
+
+#include "bluebellkeel/Frontend/FrontendParts.h"
+#include "bluebellkeel/Http/HttpHandler.h"
+#include <memory>
+#include <vector>
+
+namespace bluebellkeel {
+
+class endpoint;
+
+/// Gives each request of a caller or an operator to its endpoint.
+class frontend_handler final : public http_handler {
+public:
+  explicit frontend_handler(frontend_parts &Parts);
+  ~frontend_handler() override;
+
+  void handle(const http_request &Request, http_responder &Responder,
+              boost::asio::yield_context Yield) override;
+
+private:
+  std::vector<std::unique_ptr<endpoint>> Endpoints;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_FRONTEND_FRONTENDHANDLER_H
--- /dev/null
+++ b/include/bluebellkeel/Frontend/FrontendParts.h
@@ -0,0 +1,51 @@
+#ifndef BLUEBELLKEEL_FRONTEND_FRONTENDPARTS_H
+#define BLUEBELLKEEL_FRONTEND_FRONTENDPARTS_H
+
+#include "bluebellkeel/Frontend/AnswerSampler.h"
+#include "bluebellkeel/Frontend/GrantWaker.h"
+#include "bluebellkeel/Frontend/InstanceFacts.h"
+#include "bluebellkeel/Journal.h"
+#include "bluebellkeel/Membership.h"
+#include "bluebellkeel/Policy.h"
+#include "bluebellkeel/Relay.h"
+#include "bluebellkeel/Startup.h"
+#include "bluebellkeel/Telemetry.h"
+#include "bluebellkeel/Upstream.h"
+
+namespace bluebellkeel {
+
+/// The long-lived parts of an instance that its front end works with.
+struct frontend_parts {
+  const startup_settings &Startup;
+  const clock &Clock;
+  random_source &Random;
+  settings_store &Settings;
+  settings_publisher &Publisher;
+  const serving_gate &Gate;
+  instance_facts &Facts;
+  instance_directory &Instances;
+  peer_table &Peers;
+  upstream_directory &Upstreams;
+  grant_book &Grants;
+  grant_waker &Waker;
+  admission_queue &Admission;
+  health_book &Health;
+  quality_book &Quality;
+  crash_book &Crashes;
+  crash_reporter &CrashReports;
+  version_planner &Planner;
+  upstream_chooser &Chooser;
+  candidate_finder &Candidates;
+  retry_budget &Retries;
+  ticket_office &Tickets;
+  session_office &Sessions;
+  claim_coordinator &Claims;
+  bill_ledger &Bills;
+  record_log<bill> &BillLog;
+  answer_sampler &Sampler;
+  metrics &Metrics;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_FRONTEND_FRONTENDPARTS_H
--- /dev/null
+++ b/include/bluebellkeel/Frontend/InstanceFacts.h
@@ -0,0 +1,28 @@
+#ifndef BLUEBELLKEEL_FRONTEND_INSTANCEFACTS_H
+#define BLUEBELLKEEL_FRONTEND_INSTANCEFACTS_H
+
+#include "bluebellkeel/Core/InstanceId.h"
+#include "bluebellkeel/Core/UpstreamId.h"
+#include "bluebellkeel/Membership/AddressAdvice.h"
+#include "bluebellkeel/Membership/ServingVerdict.h"
+#include "bluebellkeel/Upstream/UpstreamPhase.h"
+#include <optional>
+
+namespace bluebellkeel {
+
+/// What the front end tells of this instance beyond the shared parts.
+class instance_facts {
+public:
+  virtual ~instance_facts() = default;
+
+  virtual address_advice advise() = 0;
+  virtual serving_verdict verdict() = 0;
+  /// False from the moment callers are led away.
+  virtual bool serving() = 0;
+  virtual std::optional<instance_id> ownerOf(const upstream_id &Upstream) = 0;
+  virtual upstream_phase phaseOf(const upstream_id &Upstream) = 0;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_FRONTEND_INSTANCEFACTS_H
--- a/include/bluebellkeel/Http/HttpResponder.h
+++ b/include/bluebellkeel/Http/HttpResponder.h
@@ -17,6 +17,9 @@
   virtual bool begin(int Status, const http_headers &Headers) = 0;
   virtual bool write(std::string_view Piece) = 0;
   virtual bool end() = 0;
+  /// Closes the connection without a further byte, so that the other end sees
+  /// that the answer is not whole.
+  virtual void abandon() = 0;
   /// True once send() or begin() was called.
   virtual bool started() const = 0;
 };
--- a/include/bluebellkeel/Journal.h
+++ b/include/bluebellkeel/Journal.h
@@ -19,6 +19,7 @@
 #include "bluebellkeel/Journal/RecordedOutcome.h"
 #include "bluebellkeel/Journal/SettingsFollower.h"
 #include "bluebellkeel/Journal/SettingsLog.h"
+#include "bluebellkeel/Journal/SettingsPublisher.h"
 #include "bluebellkeel/Journal/SettingsRecord.h"
 #include "bluebellkeel/Journal/Ticket.h"
 #include "bluebellkeel/Journal/TicketOffice.h"
--- /dev/null
+++ b/include/bluebellkeel/Peer/BillCopy.h
@@ -0,0 +1,24 @@
+#ifndef BLUEBELLKEEL_PEER_BILLCOPY_H
+#define BLUEBELLKEEL_PEER_BILLCOPY_H
+
+#include "bluebellkeel/Journal/Bill.h"
+#include <vector>
+
+namespace bluebellkeel {
+
+/// Bills that the receiver shall append as well once the log is back.
+class bill_copy : public comparable<bill_copy> {
+public:
+  bill_copy() = default;
+  explicit bill_copy(std::vector<bill> Bills) : Bills(std::move(Bills)) {}
+
+  const std::vector<bill> &bills() const { return Bills; }
+  const std::vector<bill> &key() const { return Bills; }
+
+private:
+  std::vector<bill> Bills;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_PEER_BILLCOPY_H
--- /dev/null
+++ b/include/bluebellkeel/Peer/BillCopyAck.h
@@ -0,0 +1,23 @@
+#ifndef BLUEBELLKEEL_PEER_BILLCOPYACK_H
+#define BLUEBELLKEEL_PEER_BILLCOPYACK_H
+
+#include "bluebellkeel/Core/Comparable.h"
+
+namespace bluebellkeel {
+
+/// Says whether the copies are held.
+class bill_copy_ack : public comparable<bill_copy_ack> {
+public:
+  bill_copy_ack() = default;
+  explicit bill_copy_ack(bool Held) : Held(Held) {}
+
+  bool held() const { return Held; }
+  bool key() const { return Held; }
+
+private:
+  bool Held = false;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_PEER_BILLCOPYACK_H
--- /dev/null
+++ b/include/bluebellkeel/Peer/GrantAsk.h
@@ -0,0 +1,25 @@
+#ifndef BLUEBELLKEEL_PEER_GRANTASK_H
+#define BLUEBELLKEEL_PEER_GRANTASK_H
+
+#include "bluebellkeel/Upstream/GrantRequest.h"
+#include <vector>
+
+namespace bluebellkeel {
+
+/// Asks an owner for grants of several upstreams at once.
+class grant_ask : public comparable<grant_ask> {
+public:
+  grant_ask() = default;
+  explicit grant_ask(std::vector<grant_request> Requests)
+      : Requests(std::move(Requests)) {}
+
+  const std::vector<grant_request> &requests() const { return Requests; }
+  const std::vector<grant_request> &key() const { return Requests; }
+
+private:
+  std::vector<grant_request> Requests;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_PEER_GRANTASK_H
--- /dev/null
+++ b/include/bluebellkeel/Peer/HeartbeatAnswer.h
@@ -0,0 +1,32 @@
+#ifndef BLUEBELLKEEL_PEER_HEARTBEATANSWER_H
+#define BLUEBELLKEEL_PEER_HEARTBEATANSWER_H
+
+#include "bluebellkeel/Core/VersionId.h"
+#include "bluebellkeel/Membership/Heartbeat.h"
+#include "bluebellkeel/Policy/QualityCounts.h"
+#include <map>
+#include <tuple>
+
+namespace bluebellkeel {
+
+/// A peer's heartbeat, with its own ratings of versions so far.
+class heartbeat_answer : public comparable<heartbeat_answer> {
+public:
+  using rating_map = std::map<version_id, quality_counts>;
+
+  heartbeat_answer() = default;
+  heartbeat_answer(heartbeat Beat, rating_map Ratings)
+      : Beat(std::move(Beat)), Ratings(std::move(Ratings)) {}
+
+  const heartbeat &beat() const { return Beat; }
+  const rating_map &ratings() const { return Ratings; }
+  auto key() const { return std::tie(Beat, Ratings); }
+
+private:
+  heartbeat Beat;
+  rating_map Ratings;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_PEER_HEARTBEATANSWER_H
--- /dev/null
+++ b/include/bluebellkeel/Peer/PeerBody.h
@@ -0,0 +1,29 @@
+#ifndef BLUEBELLKEEL_PEER_PEERBODY_H
+#define BLUEBELLKEEL_PEER_PEERBODY_H
+
+#include "bluebellkeel/Peer/BillCopy.h"
+#include "bluebellkeel/Peer/BillCopyAck.h"
+#include "bluebellkeel/Peer/CrashNotice.h"
+#include "bluebellkeel/Peer/GrantAsk.h"
+#include "bluebellkeel/Peer/GrantReply.h"
+#include "bluebellkeel/Peer/HeartbeatAnswer.h"
+#include "bluebellkeel/Peer/HeartbeatQuery.h"
+#include "bluebellkeel/Peer/StateAnswer.h"
+#include "bluebellkeel/Peer/StateQuery.h"
+#include <string_view>
+#include <variant>
+
+namespace bluebellkeel {
+
+/// What instances say to each other.
+using peer_body =
+    std::variant<heartbeat_query, heartbeat_answer, grant_ask, grant_reply,
+                 bill_copy, bill_copy_ack, crash_notice, state_query,
+                 state_answer>;
+
+/// A short name of the kind of \p Body, also for counters.
+std::string_view kindOf(const peer_body &Body);
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_PEER_PEERBODY_H
--- /dev/null
+++ b/include/bluebellkeel/Peer/PeerLink.h
@@ -0,0 +1,29 @@
+#ifndef BLUEBELLKEEL_PEER_PEERLINK_H
+#define BLUEBELLKEEL_PEER_PEERLINK_H
+
+#include "bluebellkeel/Membership/InstanceRecord.h"
+#include "bluebellkeel/Peer/PeerBody.h"
+#include <functional>
+#include <optional>
+
+namespace bluebellkeel {
+
+/// Sends messages to other instances.
+class peer_link {
+public:
+  /// Takes the answer; empty when none came in time.
+  using callback = std::function<void(std::optional<peer_body>)>;
+
+  virtual ~peer_link() = default;
+
+  /// Asks \p Peer; \p Done is called once, from a thread of the link.
+  virtual void ask(const instance_record &Peer, peer_body Question,
+                   callback Done) = 0;
+
+  /// Sends without an answer; may be lost.
+  virtual void tell(const instance_record &Peer, peer_body Message) = 0;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_PEER_PEERLINK_H
--- /dev/null
+++ b/include/bluebellkeel/Peer/PeerResponder.h
@@ -0,0 +1,23 @@
+#ifndef BLUEBELLKEEL_PEER_PEERRESPONDER_H
+#define BLUEBELLKEEL_PEER_PEERRESPONDER_H
+
+#include "bluebellkeel/Core/InstanceId.h"
+#include "bluebellkeel/Peer/PeerBody.h"
+#include <optional>
+
+namespace bluebellkeel {
+
+/// Answers what peers ask.
+class peer_responder {
+public:
+  virtual ~peer_responder() = default;
+
+  /// The answer to \p Body; empty for a message that wants none. Must not
+  /// block.
+  virtual std::optional<peer_body> answer(const instance_id &From,
+                                          const peer_body &Body) = 0;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_PEER_PEERRESPONDER_H
--- a/include/bluebellkeel/Relay/CandidateFinder.h
+++ b/include/bluebellkeel/Relay/CandidateFinder.h
@@ -29,8 +29,10 @@
                                     upstream_chooser &Chooser,
                                     const fingerprint &Prefix) const;
 
-  /// The upstream as the platform lists it now; empty when it is gone.
-  std::optional<upstream_record> record(const upstream_id &Id) const;
+  /// The upstream as the platform lists it now; empty when it is gone or may
+  /// no longer take new work.
+  std::optional<upstream_record>
+  dispatchable(const upstream_id &Id, const routing_settings &Settings) const;
 
 private:
   const upstream_directory &Directory;
--- a/include/bluebellkeel/Upstream/GrantBook.h
+++ b/include/bluebellkeel/Upstream/GrantBook.h
@@ -5,6 +5,7 @@
 #include "bluebellkeel/Core/Sharded.h"
 #include "bluebellkeel/Upstream/Grant.h"
 #include "bluebellkeel/Upstream/GrantRequest.h"
+#include "bluebellkeel/Upstream/RoomListener.h"
 #include "bluebellkeel/Upstream/UpstreamSlot.h"
 #include <map>
 #include <optional>
@@ -15,8 +16,9 @@
 /// The grants that this instance holds and what runs under them.
 class grant_book : private slot_owner {
 public:
-  grant_book(instance_id Self, const clock &Clock)
-      : Self(std::move(Self)), Clock(Clock) {}
+  /// \p Listener is told when room comes free.
+  grant_book(instance_id Self, const clock &Clock, room_listener &Listener)
+      : Self(std::move(Self)), Clock(Clock), Listener(Listener) {}
 
   /// Takes \p Need of what is granted; empty when no live grant has room. The
   /// wish is noted either way, so that the next request asks for enough.
@@ -47,6 +49,7 @@
 
   instance_id Self;
   const clock &Clock;
+  room_listener &Listener;
   sharded<entry_map> Entries;
 };
 
--- a/include/bluebellkeel/Upstream/GrantIssuer.h
+++ b/include/bluebellkeel/Upstream/GrantIssuer.h
@@ -10,6 +10,7 @@
 #include "bluebellkeel/Upstream/UpstreamLifecycle.h"
 #include "bluebellkeel/Upstream/UpstreamRecord.h"
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -29,9 +30,10 @@
   void noteReport(const upstream_id &Id, const load_report &Report,
                   monotonic_time Now);
 
-  /// Answers \p Request; an empty share when the upstream is not owned, has
-  /// nothing left, or takes no new work.
-  grant issue(const grant_request &Request, monotonic_time Now);
+  /// Answers \p Request; an empty share when the upstream has nothing left or
+  /// takes no new work. No answer when the upstream is not owned, or not for
+  /// long enough: what the holder has from a former owner then stays.
+  std::optional<grant> issue(const grant_request &Request, monotonic_time Now);
 
   /// The phase of an owned upstream; Unknown for others.
   upstream_phase phaseOf(const upstream_id &Id);
@@ -39,7 +41,6 @@
 private:
   struct holding {
     load_share Share;
-    load_share Demand;
     monotonic_time Ends;
   };
 
@@ -60,7 +61,8 @@
                   monotonic_time Now);
   load_share freeFor(const owned_upstream &Upstream,
                      const instance_id &Holder) const;
-  grant issueFrom(owned_upstream &Upstream, const grant_request &Request,
+  static void dropEnded(owned_upstream &Upstream, monotonic_time Now);
+  std::optional<grant> issueFrom(owned_upstream &Upstream, const grant_request &Request,
                   monotonic_time Now);
 
   grant_rules Rules;
--- /dev/null
+++ b/lib/Frontend/AddressesEndpoint.cpp
@@ -0,0 +1,37 @@
+#include "Endpoints.h"
+#include "JsonAnswers.h"
+#include <nlohmann/json.hpp>
+
+using namespace bluebellkeel;
+
+namespace {
+
+/// GET /v1/addresses: which addresses a caller shall use, and for how long.
+class addresses_endpoint final : public endpoint {
+public:
+  explicit addresses_endpoint(frontend_parts &Parts) : Parts(Parts) {}
+
+  bool matches(const http_request &Request) const override {
+    return Request.method() == "GET" && Request.path() == "/v1/addresses";
+  }
+  void handle(const http_request & /*Request*/, http_responder &Responder,
+              boost::asio::yield_context /*Yield*/) override {
+    address_advice Advice = Parts.Facts.advise();
+    nlohmann::json Addresses = nlohmann::json::array();
+    for (const auto &Address : Advice.addresses())
+      Addresses.push_back(Address.text());
+    sendJson(Responder, 200,
+             {{"addresses", std::move(Addresses)},
+              {"valid_for_s", Advice.lifetime().count()}});
+  }
+
+private:
+  frontend_parts &Parts;
+};
+
+} // namespace
+
+std::unique_ptr<endpoint>
+bluebellkeel::makeAddressesEndpoint(frontend_parts &Parts) {
+  return std::make_unique<addresses_endpoint>(Parts);
+}
--- /dev/null
+++ b/lib/Frontend/ChatEndpoint.cpp
@@ -0,0 +1,141 @@
+#include "Authentication.h"
+#include "ChatBody.h"
+#include "Endpoints.h"
+#include "JsonAnswers.h"
+#include "ObservedSink.h"
+#include "RequestIdentity.h"
+#include "RequestPorts.h"
+#include "StreamSink.h"
+#include "WholeSink.h"
+#include "absl/strings/str_cat.h"
+
+using namespace bluebellkeel;
+
+/// Bytes of the messages that stand for the start of a prompt.
+static constexpr std::size_t PrefixBytes = 512;
+
+namespace {
+
+/// POST /v1/chat/completions, streamed or whole.
+class chat_endpoint final : public endpoint {
+public:
+  explicit chat_endpoint(frontend_parts &Parts) : Parts(Parts) {}
+
+  bool matches(const http_request &Request) const override {
+    return Request.method() == "POST" &&
+           Request.path() == "/v1/chat/completions";
+  }
+  void handle(const http_request &Request, http_responder &Responder,
+              boost::asio::yield_context Yield) override;
+
+private:
+  tl::expected<chat_request, refusal> read(const http_request &Request,
+                                           const chat_body &Body) const;
+  void run(const chat_request &Chat, chat_sink &Sink,
+           boost::asio::yield_context Yield);
+  http_headers headersFor(const chat_request &Chat,
+                          const plan_step &Step) const;
+  void refuse(http_responder &Responder, const refusal &Refusal);
+
+  frontend_parts &Parts;
+};
+
+} // namespace
+
+static refusal badRequest(std::string Detail) {
+  return refusal(refusal_reason::BadRequest, run_state::NotRun,
+                 std::move(Detail));
+}
+
+static std::string hashText(const std::string &Text) {
+  return absl::StrCat(absl::Hex(stableHash(Text), absl::kZeroPad16));
+}
+
+tl::expected<chat_request, refusal>
+chat_endpoint::read(const http_request &Request, const chat_body &Body) const {
+  auto Account = callerOf(Parts, Request);
+  if (!Account)
+    return tl::unexpected(refusal(refusal_reason::Unauthenticated,
+                                  run_state::NotRun,
+                                  "The API key is missing or unknown."));
+  auto Id = requestIdOf(Request, Parts.Random);
+  if (!Id)
+    return tl::unexpected(badRequest("The Idempotency-Key is malformed."));
+  fingerprint Content(hashText(Account->text() + "|" + Body.messages()));
+  fingerprint Prefix(hashText(Body.messages().substr(0, PrefixBytes)));
+  auto Chat = chat_request(*Id, *Account, Body.model(), Request.body(),
+                           Body.maxTokens())
+                  .withFingerprints(Content, Prefix);
+  std::string Token = Request.headers().get("Bluebellkeel-Session");
+  if (Token.empty())
+    return Chat;
+  auto Session = Parts.Sessions.decode(Token);
+  if (!Session || Session->account() != *Account)
+    return tl::unexpected(refusal(refusal_reason::SessionInvalid,
+                                  run_state::NotRun,
+                                  "The session token is not one of ours."));
+  return Chat.withSession(*Session);
+}
+
+http_headers chat_endpoint::headersFor(const chat_request &Chat,
+                                       const plan_step &Step) const {
+  session Session(Chat.account(), Step.version());
+  return http_headers()
+      .with("Bluebellkeel-Request", Chat.id().text())
+      .with("Bluebellkeel-Version", Step.version().text())
+      .with("Bluebellkeel-Session", Parts.Sessions.encode(Session))
+      .with("Bluebellkeel-Quality-Target",
+            Step.meetsTarget() ? "met" : "missed");
+}
+
+void chat_endpoint::refuse(http_responder &Responder, const refusal &Refusal) {
+  Parts.Metrics.countRefusal(Refusal.reason());
+  sendRefusal(Responder, Refusal);
+}
+
+void chat_endpoint::run(const chat_request &Chat, chat_sink &Sink,
+                        boost::asio::yield_context Yield) {
+  observed_sink Observed(Sink, Parts.Clock, Parts.Metrics,
+                         Parts.Sampler.wanted());
+  request_ports Ports(Parts, Parts.Chooser, Yield);
+  chat_relay Relay(Ports.ports());
+  auto Outcome = Relay.relay(Chat, Observed, [&](const plan_step &Step) {
+    Observed.forgetText();
+    Sink.setHeaders(headersFor(Chat, Step));
+  });
+  if (!Outcome) {
+    Parts.Metrics.countRefusal(Outcome.error().reason());
+    Sink.refuse(Outcome.error());
+    return;
+  }
+  Sink.finish();
+  Observed.finish();
+  if (Parts.Sampler.wanted())
+    Parts.Sampler.sample(Outcome->step().version(), Observed.text());
+}
+
+void chat_endpoint::handle(const http_request &Request,
+                           http_responder &Responder,
+                           boost::asio::yield_context Yield) {
+  auto Body = chat_body::parse(Request.body());
+  if (!Body) {
+    refuse(Responder, badRequest(Body.error().message()));
+    return;
+  }
+  auto Chat = read(Request, *Body);
+  if (!Chat) {
+    refuse(Responder, Chat.error());
+    return;
+  }
+  if (Body->stream()) {
+    stream_sink Sink(Responder);
+    run(*Chat, Sink, Yield);
+    return;
+  }
+  whole_sink Sink(Responder);
+  run(*Chat, Sink, Yield);
+}
+
+std::unique_ptr<endpoint> bluebellkeel::makeChatEndpoint(frontend_parts &Parts) {
+  return std::make_unique<chat_endpoint>(Parts);
+}
--- /dev/null
+++ b/lib/Frontend/ExplainEndpoint.cpp
@@ -0,0 +1,80 @@
+#include "Endpoints.h"
+#include "OperatorEndpoint.h"
+
+using namespace bluebellkeel;
+
+using nlohmann::json;
+
+namespace {
+
+/// GET /admin/explain?account=A&model=M: why a request of that client account
+/// would go where it goes, as this instance sees it now.
+class explain_endpoint final : public operator_endpoint {
+public:
+  explicit explain_endpoint(frontend_parts &Parts)
+      : operator_endpoint(Parts, "GET", "/admin/explain") {}
+
+private:
+  void handleFor(const team_id &Team, const http_request &Request,
+                 http_responder &Responder,
+                 boost::asio::yield_context Yield) override;
+  json describe(const plan_step &Step, const routing_settings &Settings);
+};
+
+} // namespace
+
+json explain_endpoint::describe(const plan_step &Step,
+                                const routing_settings &Settings) {
+  json Upstreams = json::array();
+  auto Found = Parts.Candidates.find(pool_id(Step.version().text()), Settings,
+                                     {}, Parts.Chooser, fingerprint("explain"));
+  for (const auto &Upstream : Found)
+    Upstreams.push_back(
+        {{"upstream", Upstream.id().text()},
+         {"data_centre", Upstream.dataCentre().text()},
+         {"in_flight_here", Parts.Grants.inFlight(Upstream.id()).requests()},
+         {"healthy_here", Parts.Health.healthy(Upstream.id())}});
+  return {{"version", Step.version().text()},
+          {"cost", Step.cost()},
+          {"quality_lower_bound", Step.quality()},
+          {"meets_target", Step.meetsTarget()},
+          {"upstreams", std::move(Upstreams)}};
+}
+
+void explain_endpoint::handleFor(const team_id & /*Team*/,
+                                 const http_request &Request,
+                                 http_responder &Responder,
+                                 boost::asio::yield_context /*Yield*/) {
+  auto Settings = Parts.Settings.routing();
+  const auto *Account = Settings->account(account_id(Request.query("account")));
+  if (!Account) {
+    sendError(Responder, 404, "unknown_account",
+              "There is no such client account.");
+    return;
+  }
+  std::string Model = Request.query("model");
+  if (Model.empty())
+    Model = route_query::AnyModel;
+  json Answer = {{"account", Account->id().text()},
+                 {"model", Model},
+                 {"quality_target", Account->qualityTarget()}};
+  auto Closed = Parts.Gate.closed();
+  if (Closed)
+    Answer["instance_refuses"] = std::string(toString(*Closed));
+  auto Plan = Parts.Planner.plan(
+      route_query(*Settings, *Account, Model, std::nullopt));
+  if (!Plan) {
+    Answer["refused"] = std::string(toString(Plan.error()));
+    sendJson(Responder, 200, Answer);
+    return;
+  }
+  Answer["steps"] = json::array();
+  for (const auto &Step : Plan->steps())
+    Answer["steps"].push_back(describe(Step, *Settings));
+  sendJson(Responder, 200, Answer);
+}
+
+std::unique_ptr<endpoint>
+bluebellkeel::makeExplainEndpoint(frontend_parts &Parts) {
+  return std::make_unique<explain_endpoint>(Parts);
+}
--- /dev/null
+++ b/lib/Frontend/MetricsEndpoint.cpp
@@ -0,0 +1,31 @@
+#include "Endpoints.h"
+
+using namespace bluebellkeel;
+
+namespace {
+
+/// GET /metrics, in the form that Prometheus reads.
+class metrics_endpoint final : public endpoint {
+public:
+  explicit metrics_endpoint(frontend_parts &Parts) : Parts(Parts) {}
+
+  bool matches(const http_request &Request) const override {
+    return Request.method() == "GET" && Request.path() == "/metrics";
+  }
+  void handle(const http_request & /*Request*/, http_responder &Responder,
+              boost::asio::yield_context /*Yield*/) override {
+    auto Headers =
+        http_headers().with("Content-Type", "text/plain; version=0.0.4");
+    Responder.send(http_response(200, Headers, Parts.Metrics.render()));
+  }
+
+private:
+  frontend_parts &Parts;
+};
+
+} // namespace
+
+std::unique_ptr<endpoint>
+bluebellkeel::makeMetricsEndpoint(frontend_parts &Parts) {
+  return std::make_unique<metrics_endpoint>(Parts);
+}
--- /dev/null
+++ b/lib/Frontend/ObservedSink.cpp
@@ -0,0 +1,19 @@
+#include "ObservedSink.h"
+#include "DeltaText.h"
+
+using namespace bluebellkeel;
+
+double observed_sink::elapsed() const {
+  return std::chrono::duration<double>(Clock.monotonicNow() - Started).count();
+}
+
+bool observed_sink::put(const answer_chunk &Chunk) {
+  if (!HadFirst)
+    Metrics.observeFirstByte(elapsed());
+  HadFirst = true;
+  if (KeepText && Text.size() < MaxTextBytes)
+    Text += deltaText(Chunk.payload());
+  return Next.put(Chunk);
+}
+
+void observed_sink::finish() { Metrics.observeWhole(elapsed()); }
--- /dev/null
+++ b/lib/Frontend/OperatorEndpoint.h
@@ -0,0 +1,47 @@
+#ifndef BLUEBELLKEEL_LIB_FRONTEND_OPERATORENDPOINT_H
+#define BLUEBELLKEEL_LIB_FRONTEND_OPERATORENDPOINT_H
+
+#include "Authentication.h"
+#include "Endpoint.h"
+#include "JsonAnswers.h"
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+
+namespace bluebellkeel {
+
+/// An endpoint for operators: it asks for a team's key before anything else.
+class operator_endpoint : public endpoint {
+public:
+  operator_endpoint(frontend_parts &Parts, std::string Method, std::string Path)
+      : Parts(Parts), Method(std::move(Method)), Path(std::move(Path)) {}
+
+  bool matches(const http_request &Request) const final {
+    return Request.method() == Method && Request.path() == Path;
+  }
+
+  void handle(const http_request &Request, http_responder &Responder,
+              boost::asio::yield_context Yield) final {
+    auto Team = teamOf(Parts, Request);
+    if (Team)
+      handleFor(*Team, Request, Responder, Yield);
+    else
+      sendError(Responder, 401, "unauthenticated",
+                "The team key is missing or unknown.");
+  }
+
+protected:
+  virtual void handleFor(const team_id &Team, const http_request &Request,
+                         http_responder &Responder,
+                         boost::asio::yield_context Yield) = 0;
+
+  frontend_parts &Parts;
+
+private:
+  std::string Method;
+  std::string Path;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_LIB_FRONTEND_OPERATORENDPOINT_H
--- /dev/null
+++ b/lib/Frontend/RequestPorts.h
@@ -0,0 +1,31 @@
+#ifndef BLUEBELLKEEL_LIB_FRONTEND_REQUESTPORTS_H
+#define BLUEBELLKEEL_LIB_FRONTEND_REQUESTPORTS_H
+
+#include "WaitingBillGateway.h"
+#include "WaitingClaimGateway.h"
+#include "WaitingSlotGateway.h"
+#include "bluebellkeel/Backend.h"
+#include "bluebellkeel/Frontend/FrontendParts.h"
+
+namespace bluebellkeel {
+
+/// The relay's ports for one request, whose coroutine waits on them.
+class request_ports {
+public:
+  request_ports(frontend_parts &Parts, upstream_chooser &Chooser,
+                boost::asio::yield_context Yield);
+
+  relay_ports &ports() { return Ports; }
+
+private:
+  waiting_slot_gateway Slots;
+  waiting_bill_gateway Bills;
+  waiting_claim_gateway Claims;
+  engine_client Engines;
+  service_client Services;
+  relay_ports Ports;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_LIB_FRONTEND_REQUESTPORTS_H
--- /dev/null
+++ b/lib/Frontend/ServiceEndpoint.cpp
@@ -0,0 +1,96 @@
+#include "Authentication.h"
+#include "Endpoints.h"
+#include "JsonAnswers.h"
+#include "RequestIdentity.h"
+#include "RequestPorts.h"
+#include "absl/strings/str_split.h"
+
+using namespace bluebellkeel;
+
+namespace {
+
+/// POST /v1/services/SERVICE/OPERATION. A call that may run once only brings
+/// its ticket in Bluebellkeel-Ticket; Bluebellkeel-Attempt: 1 says that the
+/// ticket was never sent before.
+class service_endpoint final : public endpoint {
+public:
+  explicit service_endpoint(frontend_parts &Parts) : Parts(Parts) {}
+
+  bool matches(const http_request &Request) const override {
+    return Request.method() == "POST" &&
+           Request.path().compare(0, Prefix.size(), Prefix) == 0;
+  }
+  void handle(const http_request &Request, http_responder &Responder,
+              boost::asio::yield_context Yield) override;
+
+private:
+  tl::expected<service_call, refusal> read(const http_request &Request) const;
+
+  inline static const std::string Prefix = "/v1/services/";
+
+  frontend_parts &Parts;
+};
+
+} // namespace
+
+static refusal notRunRefusal(refusal_reason Reason, std::string Detail) {
+  return refusal(Reason, run_state::NotRun, std::move(Detail));
+}
+
+tl::expected<service_call, refusal>
+service_endpoint::read(const http_request &Request) const {
+  std::vector<std::string> Names =
+      absl::StrSplit(Request.path().substr(Prefix.size()), '/');
+  if (Names.size() != 2)
+    return tl::unexpected(
+        notRunRefusal(refusal_reason::BadRequest,
+                      "The path is /v1/services/SERVICE/OPERATION."));
+  auto Account = callerOf(Parts, Request);
+  if (!Account)
+    return tl::unexpected(notRunRefusal(refusal_reason::Unauthenticated,
+                                        "The API key is missing or unknown."));
+  auto Id = requestIdOf(Request, Parts.Random);
+  if (!Id)
+    return tl::unexpected(notRunRefusal(refusal_reason::BadRequest,
+                                        "The Idempotency-Key is malformed."));
+  service_call Call(*Id, *Account, service_id(Names[0]), Names[1],
+                    Request.body());
+  std::string Token = Request.headers().get("Bluebellkeel-Ticket");
+  if (Token.empty())
+    return Call;
+  auto Ticket = Parts.Tickets.decode(Token);
+  if (!Ticket)
+    return tl::unexpected(notRunRefusal(refusal_reason::TicketInvalid,
+                                        "The ticket is not one of ours."));
+  bool First = Request.headers().get("Bluebellkeel-Attempt") == "1";
+  return Call.withTicket(*Ticket, /*MayBeResend=*/!First);
+}
+
+void service_endpoint::handle(const http_request &Request,
+                              http_responder &Responder,
+                              boost::asio::yield_context Yield) {
+  auto Call = read(Request);
+  if (!Call) {
+    Parts.Metrics.countRefusal(Call.error().reason());
+    sendRefusal(Responder, Call.error());
+    return;
+  }
+  least_requests_chooser Chooser;
+  request_ports Ports(Parts, Chooser, Yield);
+  service_relay Relay(Ports.ports());
+  auto Reply = Relay.relay(*Call);
+  if (!Reply) {
+    Parts.Metrics.countRefusal(Reply.error().reason());
+    sendRefusal(Responder, Reply.error());
+    return;
+  }
+  auto Headers = http_headers()
+                     .with("Content-Type", "application/json")
+                     .with("Bluebellkeel-Request", Call->id().text());
+  Responder.send(http_response(Reply->status(), Headers, Reply->body()));
+}
+
+std::unique_ptr<endpoint>
+bluebellkeel::makeServiceEndpoint(frontend_parts &Parts) {
+  return std::make_unique<service_endpoint>(Parts);
+}
--- /dev/null
+++ b/lib/Frontend/SettingsChangeEndpoint.cpp
@@ -0,0 +1,128 @@
+#include "Endpoints.h"
+#include "OperatorEndpoint.h"
+#include "bluebellkeel/Codec.h"
+#include "bluebellkeel/Http/Await.h"
+#include "bluebellkeel/Settings/SettingsSchema.h"
+
+using namespace bluebellkeel;
+
+using nlohmann::json;
+
+/// How long a change may take to be read back.
+static constexpr milliseconds ReadBackPatience{8000};
+static constexpr milliseconds ReadBackStep{20};
+
+namespace {
+
+/// POST /admin/settings: a change of the team's subtree. It is reported as
+/// accepted only after it was read back from the log. With `dry_run` it is
+/// only checked.
+class settings_change_endpoint final : public operator_endpoint {
+public:
+  explicit settings_change_endpoint(frontend_parts &Parts)
+      : operator_endpoint(Parts, "POST", "/admin/settings") {}
+
+private:
+  using publish_result = tl::expected<log_offset, journal_error>;
+
+  void handleFor(const team_id &Team, const http_request &Request,
+                 http_responder &Responder,
+                 boost::asio::yield_context Yield) override;
+  void publish(const settings_change &Change, http_responder &Responder,
+               boost::asio::yield_context Yield);
+  void answer(const change_outcome &Outcome, http_responder &Responder);
+  void check(const settings_change &Change, http_responder &Responder);
+};
+
+} // namespace
+
+static int statusOf(change_outcome::verdict Verdict) {
+  switch (Verdict) {
+  case change_outcome::verdict::Accepted:
+    return 200;
+  case change_outcome::verdict::Conflict:
+    return 409;
+  case change_outcome::verdict::Forbidden:
+    return 403;
+  case change_outcome::verdict::Invalid:
+    return 422;
+  }
+  return 500;
+}
+
+void settings_change_endpoint::answer(const change_outcome &Outcome,
+                                      http_responder &Responder) {
+  sendJson(Responder, statusOf(Outcome.result()), toJson(Outcome));
+}
+
+/// Says what the fold would decide now, without writing anything.
+void settings_change_endpoint::check(const settings_change &Change,
+                                     http_responder &Responder) {
+  settings_fold Fold(*Parts.Settings.state());
+  answer(Fold.apply(Fold.state().applied().next(), Change), Responder);
+}
+
+void settings_change_endpoint::publish(const settings_change &Change,
+                                       http_responder &Responder,
+                                       boost::asio::yield_context Yield) {
+  auto Known = Parts.Settings.outcomeOf(Change.id());
+  if (Known) {
+    answer(*Known, Responder);
+    return;
+  }
+  auto Offset = awaitCallback<publish_result>(
+      Yield, [&](std::function<void(publish_result)> Done) {
+        Parts.Publisher.publish(Change, std::move(Done));
+      });
+  bool Nothing = !Offset && (Offset.error() == journal_error::Unavailable ||
+                             Offset.error() == journal_error::QueueFull);
+  if (Nothing) {
+    sendError(Responder, 503, "log_unavailable",
+              "The change was not written. Send it again later.");
+    return;
+  }
+  for (auto Waited = milliseconds(0); Waited < ReadBackPatience;
+       Waited += ReadBackStep) {
+    auto Outcome = Parts.Settings.outcomeOf(Change.id());
+    if (Outcome) {
+      answer(*Outcome, Responder);
+      return;
+    }
+    awaitTime(Yield, ReadBackStep);
+  }
+  sendError(Responder, 504, "change_in_doubt",
+            "The change may take effect. Send it again with the same id.");
+}
+
+void settings_change_endpoint::handleFor(const team_id &Team,
+                                         const http_request &Request,
+                                         http_responder &Responder,
+                                         boost::asio::yield_context Yield) {
+  auto Json = parseJson(Request.body());
+  if (!Json || !Json->is_object()) {
+    sendError(Responder, 400, "bad_request", "The body is not a JSON object.");
+    return;
+  }
+  bool DryRun = Json->value("dry_run", json(false)) == json(true);
+  // The key says which team it is, whatever the body says.
+  (*Json)["team"] = Team.text();
+  auto Change = settingsChangeFrom(*Json);
+  if (!Change) {
+    sendError(Responder, 400, "bad_request", Change.error().message());
+    return;
+  }
+  if (Change->id().empty() || Change->edits().empty()) {
+    sendError(Responder, 400, "bad_request",
+              "A change needs an id and at least one edit.");
+    return;
+  }
+  if (DryRun)
+    check(*Change, Responder);
+  else
+    publish(*Change, Responder, Yield);
+}
+
+std::unique_ptr<endpoint>
+bluebellkeel::makeSettingsChangeEndpoint(frontend_parts &Parts) {
+  return std::make_unique<settings_change_endpoint>(Parts);
+}
--- /dev/null
+++ b/lib/Frontend/SettingsReadEndpoint.cpp
@@ -0,0 +1,63 @@
+#include "Endpoints.h"
+#include "OperatorEndpoint.h"
+#include "bluebellkeel/Codec.h"
+
+using namespace bluebellkeel;
+
+using nlohmann::json;
+
+namespace {
+
+/// GET /admin/settings?path=PREFIX: the settings below a path, with the
+/// revision of each subtree. Keys of other teams' accounts are not shown.
+class settings_read_endpoint final : public operator_endpoint {
+public:
+  explicit settings_read_endpoint(frontend_parts &Parts)
+      : operator_endpoint(Parts, "GET", "/admin/settings") {}
+
+private:
+  void handleFor(const team_id &Team, const http_request &Request,
+                 http_responder &Responder,
+                 boost::asio::yield_context Yield) override;
+};
+
+} // namespace
+
+static bool isSecretOfOther(const settings_path &Path, const team_id &Team) {
+  return Path.segments().back() == "api-key" && Path.team() != Team;
+}
+
+void settings_read_endpoint::handleFor(const team_id &Team,
+                                       const http_request &Request,
+                                       http_responder &Responder,
+                                       boost::asio::yield_context /*Yield*/) {
+  std::string Text = Request.query("path");
+  std::optional<settings_path> Prefix = settings_path();
+  if (!Text.empty() && Text != "/")
+    Prefix = settings_path::parse(Text);
+  if (!Prefix) {
+    sendError(Responder, 400, "bad_request", "The path is malformed.");
+    return;
+  }
+  auto State = Parts.Settings.state();
+  json Values = json::object();
+  for (const auto &[Path, Value] : State->values()) {
+    if (!Path.startsWith(*Prefix))
+      continue;
+    Values[Path.text()] =
+        isSecretOfOther(Path, Team) ? json("(hidden)") : toJson(Value);
+  }
+  json Revisions = json::object();
+  for (const auto &[Owner, Revision] : State->revisions())
+    Revisions[Owner.text()] = Revision.offset().value();
+  sendJson(Responder, 200,
+           {{"team", Team.text()},
+            {"applied", State->applied().value()},
+            {"revisions", std::move(Revisions)},
+            {"values", std::move(Values)}});
+}
+
+std::unique_ptr<endpoint>
+bluebellkeel::makeSettingsReadEndpoint(frontend_parts &Parts) {
+  return std::make_unique<settings_read_endpoint>(Parts);
+}
--- /dev/null
+++ b/lib/Frontend/TicketEndpoint.cpp
@@ -0,0 +1,60 @@
+#include "Authentication.h"
+#include "Endpoints.h"
+#include "JsonAnswers.h"
+#include <nlohmann/json.hpp>
+
+using namespace bluebellkeel;
+
+namespace {
+
+/// POST /v1/tickets: a ticket for one call that may run at most once.
+class ticket_endpoint final : public endpoint {
+public:
+  explicit ticket_endpoint(frontend_parts &Parts) : Parts(Parts) {}
+
+  bool matches(const http_request &Request) const override {
+    return Request.method() == "POST" && Request.path() == "/v1/tickets";
+  }
+  void handle(const http_request &Request, http_responder &Responder,
+              boost::asio::yield_context Yield) override;
+
+private:
+  void refuse(http_responder &Responder, refusal_reason Reason,
+              std::string Detail);
+
+  frontend_parts &Parts;
+};
+
+} // namespace
+
+void ticket_endpoint::refuse(http_responder &Responder, refusal_reason Reason,
+                             std::string Detail) {
+  Parts.Metrics.countRefusal(Reason);
+  sendRefusal(Responder, refusal(Reason, run_state::NotRun, std::move(Detail)));
+}
+
+void ticket_endpoint::handle(const http_request &Request,
+                             http_responder &Responder,
+                             boost::asio::yield_context /*Yield*/) {
+  auto Account = callerOf(Parts, Request);
+  if (!Account) {
+    refuse(Responder, refusal_reason::Unauthenticated,
+           "The API key is missing or unknown.");
+    return;
+  }
+  auto Floor = Parts.Claims.knownHead();
+  if (!Floor) {
+    refuse(Responder, refusal_reason::LogUnavailable,
+           "This instance has not reached the log yet.");
+    return;
+  }
+  ticket Ticket = Parts.Tickets.issue(*Account, *Floor);
+  sendJson(Responder, 200,
+           {{"ticket", Parts.Tickets.encode(Ticket)},
+            {"expires_in_s", Parts.Startup.Limits.TicketLifetime.count()}});
+}
+
+std::unique_ptr<endpoint>
+bluebellkeel::makeTicketEndpoint(frontend_parts &Parts) {
+  return std::make_unique<ticket_endpoint>(Parts);
+}
--- /dev/null
+++ b/lib/Frontend/WaitingBillGateway.h
@@ -0,0 +1,26 @@
+#ifndef BLUEBELLKEEL_LIB_FRONTEND_WAITINGBILLGATEWAY_H
+#define BLUEBELLKEEL_LIB_FRONTEND_WAITINGBILLGATEWAY_H
+
+#include "bluebellkeel/Journal/BillGateway.h"
+#include "bluebellkeel/Journal/BillLedger.h"
+#include <boost/asio/spawn.hpp>
+
+namespace bluebellkeel {
+
+/// Lets the coroutine of one request wait for the bill ledger.
+class waiting_bill_gateway final : public bill_gateway {
+public:
+  waiting_bill_gateway(bill_ledger &Ledger, boost::asio::yield_context Yield)
+      : Ledger(Ledger), Yield(Yield) {}
+
+  bool hasRoom() const override { return Ledger.hasRoom(); }
+  tl::expected<void, journal_error> commit(const bill &Bill) override;
+
+private:
+  bill_ledger &Ledger;
+  boost::asio::yield_context Yield;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_LIB_FRONTEND_WAITINGBILLGATEWAY_H
--- /dev/null
+++ b/lib/Frontend/WholeSink.cpp
@@ -0,0 +1,37 @@
+#include "WholeSink.h"
+#include "DeltaText.h"
+#include "JsonAnswers.h"
+#include "bluebellkeel/Codec/JsonText.h"
+#include <nlohmann/json.hpp>
+
+using namespace bluebellkeel;
+
+using nlohmann::json;
+
+static constexpr int StatusOk = 200;
+
+bool whole_sink::put(const answer_chunk &Chunk) {
+  Content += deltaText(Chunk.payload());
+  LastPayload = Chunk.payload();
+  return true;
+}
+
+void whole_sink::finish() {
+  json Last = parseJson(LastPayload).value_or(json::object());
+  json Reason = "stop";
+  if (Last.contains("choices") && !Last["choices"].empty())
+    Reason = Last["choices"][0].value("finish_reason", json("stop"));
+  json Message = {{"role", "assistant"}, {"content", Content}};
+  json Answer = {{"id", Last.value("id", "")},
+                 {"object", "chat.completion"},
+                 {"model", Last.value("model", "")},
+                 {"choices",
+                  {{{"index", 0},
+                    {"message", std::move(Message)},
+                    {"finish_reason", std::move(Reason)}}}}};
+  sendJson(Responder, StatusOk, Answer, Headers);
+}
+
+void whole_sink::refuse(const refusal &Refusal) {
+  sendRefusal(Responder, Refusal, Headers);
+}
--- a/lib/Http/ServerConnection.cpp
+++ b/lib/Http/ServerConnection.cpp
@@ -74,6 +74,16 @@
   Handler.handle(Request, *this, Yield);
   if (!Started)
     refuse(500, "no answer");
+  // An answer that was begun and not ended must not look whole.
+  if (Open)
+    abandon();
+}
+
+void server_connection::abandon() {
+  Started = true;
+  Open = false;
+  KeepAlive = false;
+  Stream.close();
 }
 
 bool server_connection::send(const http_response &Response) {
@@ -95,6 +105,7 @@
 
 bool server_connection::begin(int Status, const http_headers &Headers) {
   Started = true;
+  Open = true;
   http::response<http::empty_body> Message;
   Message.version(Http11);
   Message.result(static_cast<unsigned>(Status));
@@ -126,6 +137,7 @@
   Stream.expires_after(Limits.write());
   error_code Code;
   asio::async_write(Stream, http::make_chunk_last(), Yield[Code]);
+  Open = false;
   KeepAlive = KeepAlive && !Code;
   return !Code;
 }
--- a/lib/Http/ServerConnection.h
+++ b/lib/Http/ServerConnection.h
@@ -33,6 +33,7 @@
   bool begin(int Status, const http_headers &Headers) override;
   bool write(std::string_view Piece) override;
   bool end() override;
+  void abandon() override;
   bool started() const override { return Started; }
 
   boost::beast::tcp_stream Stream;
@@ -42,6 +43,8 @@
   boost::asio::yield_context Yield;
   boost::beast::flat_buffer Buffer;
   bool Started = false;
+  /// True while a streamed answer has begun and not ended.
+  bool Open = false;
   bool KeepAlive = true;
 };
 
--- a/lib/Journal/BillLedger.cpp
+++ b/lib/Journal/BillLedger.cpp
@@ -32,6 +32,9 @@
   std::vector<bill> Bills;
   for (const auto &Item : Batch)
     Bills.push_back(Item.Bill);
+  // While the log is known to be down, callers wait for the copy alone.
+  if (LogFailed)
+    mirror(Batch);
   auto First = Log.append(Bills);
   LogFailed = !First;
   Pacer.appended(Clock.monotonicNow());
--- /dev/null
+++ b/lib/Peer/BodyForms.cpp
@@ -0,0 +1,202 @@
+#include "BodyForms.h"
+#include "bluebellkeel/Codec.h"
+#include "bluebellkeel/Codec/FieldReader.h"
+#include <nlohmann/json.hpp>
+
+using namespace bluebellkeel;
+
+using nlohmann::json;
+
+template <typename body_t>
+using body_result = tl::expected<body_t, codec_error>;
+
+/// Finishes a body: the reader's fault if there was one.
+template <typename body_t>
+static body_result<peer_body> finished(const field_reader &Fields,
+                                       body_t Body) {
+  if (Fields.failed())
+    return tl::unexpected(Fields.error());
+  return peer_body(std::move(Body));
+}
+
+static json formOf(const heartbeat_query & /*Body*/) { return json::object(); }
+
+static json formOf(const heartbeat_answer &Body) {
+  const heartbeat &Beat = Body.beat();
+  json Ratings = json::array();
+  for (const auto &[Version, Counts] : Body.ratings())
+    Ratings.push_back(
+        {{"v", Version.text()}, {"g", Counts.good()}, {"b", Counts.bad()}});
+  json Form = {{"i", Beat.incarnation()},
+               {"s", Beat.serving()},
+               {"o", Beat.settingsApplied().value()},
+               {"r", std::move(Ratings)}};
+  if (Beat.logAge())
+    Form["a"] = static_cast<std::uint64_t>(Beat.logAge()->count());
+  return Form;
+}
+
+static heartbeat_answer::rating_map ratingsFrom(field_reader &Fields) {
+  heartbeat_answer::rating_map Ratings;
+  for (const auto &Item : Fields.array("r")) {
+    field_reader Rating(Item);
+    version_id Version(Rating.text("v"));
+    quality_counts Counts(Rating.number("g"), Rating.number("b"));
+    if (Rating.failed())
+      Fields.fail(Rating.error().message());
+    Ratings[Version] = Counts;
+  }
+  return Ratings;
+}
+
+static body_result<peer_body> heartbeatFrom(const json &Form) {
+  // The sender stands in the envelope and is filled in there.
+  field_reader Fields(Form);
+  std::uint64_t Incarnation = Fields.number("i");
+  bool Serving = Fields.flag("s");
+  log_offset Applied(Fields.number("o"));
+  std::optional<milliseconds> Age;
+  if (!Fields.optional("a").is_null())
+    Age = milliseconds(Fields.number("a"));
+  heartbeat Beat(instance_id(), Incarnation, Serving, Applied, Age);
+  auto Ratings = ratingsFrom(Fields);
+  return finished(Fields, heartbeat_answer(Beat, std::move(Ratings)));
+}
+
+static json formOf(const grant_ask &Body) {
+  json Requests = json::array();
+  for (const auto &Request : Body.requests())
+    Requests.push_back({{"u", Request.upstream().text()},
+                        {"fr", Request.inFlight().requests()},
+                        {"ft", Request.inFlight().tokens()},
+                        {"wr", Request.wanted().requests()},
+                        {"wt", Request.wanted().tokens()}});
+  return {{"q", std::move(Requests)}};
+}
+
+static load_share shareFrom(field_reader &Fields, const char *Requests,
+                            const char *Tokens) {
+  constexpr std::uint64_t MaxRequests = 100000;
+  std::uint64_t Count = Fields.number(Requests);
+  if (Count > MaxRequests)
+    Fields.fail("too many requests");
+  return load_share(static_cast<std::uint32_t>(Count), Fields.number(Tokens));
+}
+
+static body_result<peer_body> grantAskFrom(const json &Form) {
+  field_reader Fields(Form);
+  std::vector<grant_request> Requests;
+  for (const auto &Item : Fields.array("q")) {
+    field_reader Request(Item);
+    upstream_id Upstream(Request.text("u"));
+    load_share InFlight = shareFrom(Request, "fr", "ft");
+    load_share Wanted = shareFrom(Request, "wr", "wt");
+    if (Request.failed())
+      Fields.fail(Request.error().message());
+    Requests.emplace_back(instance_id(), Upstream, InFlight, Wanted);
+  }
+  return finished(Fields, grant_ask(std::move(Requests)));
+}
+
+static json formOf(const grant_reply &Body) {
+  json Grants = json::array();
+  for (const auto &Grant : Body.grants())
+    Grants.push_back({{"u", Grant.upstream().text()},
+                      {"r", Grant.share().requests()},
+                      {"t", Grant.share().tokens()},
+                      {"m", Grant.term().count()}});
+  return {{"g", std::move(Grants)}};
+}
+
+static body_result<peer_body> grantReplyFrom(const json &Form) {
+  constexpr std::uint64_t MaxTermMs = 60000;
+  field_reader Fields(Form);
+  std::vector<grant> Grants;
+  for (const auto &Item : Fields.array("g")) {
+    field_reader Grant(Item);
+    upstream_id Upstream(Grant.text("u"));
+    load_share Share = shareFrom(Grant, "r", "t");
+    std::uint64_t Term = Grant.number("m");
+    if (Term > MaxTermMs)
+      Grant.fail("term too long");
+    if (Grant.failed())
+      Fields.fail(Grant.error().message());
+    Grants.emplace_back(Upstream, Share, milliseconds(Term));
+  }
+  return finished(Fields, grant_reply(std::move(Grants)));
+}
+
+static json formOf(const bill_copy &Body) {
+  json Bills = json::array();
+  for (const auto &Bill : Body.bills())
+    Bills.push_back(toJson(Bill));
+  return {{"b", std::move(Bills)}};
+}
+
+static body_result<peer_body> billCopyFrom(const json &Form) {
+  field_reader Fields(Form);
+  std::vector<bill> Bills;
+  for (const auto &Item : Fields.array("b")) {
+    auto Bill = billFrom(Item);
+    if (!Bill)
+      return tl::unexpected(Bill.error());
+    Bills.push_back(*Bill);
+  }
+  return finished(Fields, bill_copy(std::move(Bills)));
+}
+
+static json formOf(const bill_copy_ack &Body) { return {{"h", Body.held()}}; }
+
+static body_result<peer_body> billCopyAckFrom(const json &Form) {
+  field_reader Fields(Form);
+  bool Held = Fields.flag("h");
+  return finished(Fields, bill_copy_ack(Held));
+}
+
+static json formOf(const crash_notice &Body) {
+  return {{"f", Body.request().text()}, {"u", Body.upstream().text()}};
+}
+
+static body_result<peer_body> crashNoticeFrom(const json &Form) {
+  field_reader Fields(Form);
+  fingerprint Request(Fields.text("f"));
+  upstream_id Upstream(Fields.text("u"));
+  return finished(Fields, crash_notice(Request, Upstream));
+}
+
+static json formOf(const state_query & /*Body*/) { return json::object(); }
+
+static json formOf(const state_answer &Body) { return toJson(Body.state()); }
+
+static body_result<peer_body> stateAnswerFrom(const json &Form) {
+  return settingsStateFrom(Form).map([](settings_state State) {
+    return peer_body(state_answer(std::move(State)));
+  });
+}
+
+json bluebellkeel::bodyToForm(const peer_body &Body) {
+  return std::visit([](const auto &Held) { return formOf(Held); }, Body);
+}
+
+body_result<peer_body> bluebellkeel::bodyFromForm(std::string_view Kind,
+                                                  const json &Form) {
+  if (Kind == "heartbeat_query")
+    return peer_body(heartbeat_query());
+  if (Kind == "heartbeat_answer")
+    return heartbeatFrom(Form);
+  if (Kind == "grant_ask")
+    return grantAskFrom(Form);
+  if (Kind == "grant_reply")
+    return grantReplyFrom(Form);
+  if (Kind == "bill_copy")
+    return billCopyFrom(Form);
+  if (Kind == "bill_copy_ack")
+    return billCopyAckFrom(Form);
+  if (Kind == "crash_notice")
+    return crashNoticeFrom(Form);
+  if (Kind == "state_query")
+    return peer_body(state_query());
+  if (Kind == "state_answer")
+    return stateAnswerFrom(Form);
+  return tl::unexpected(codec_error("unknown kind of message"));
+}
--- /dev/null
+++ b/lib/Peer/BodyForms.h
@@ -0,0 +1,19 @@
+#ifndef BLUEBELLKEEL_LIB_PEER_BODYFORMS_H
+#define BLUEBELLKEEL_LIB_PEER_BODYFORMS_H
+
+#include "bluebellkeel/Codec/CodecError.h"
+#include "bluebellkeel/Peer/PeerBody.h"
+#include <nlohmann/json_fwd.hpp>
+#include <tl/expected.hpp>
+
+namespace bluebellkeel {
+
+/// The forms of message bodies that CBOR carries. Field names are short, since
+/// heartbeats and grants make up most of the control traffic.
+nlohmann::json bodyToForm(const peer_body &Body);
+tl::expected<peer_body, codec_error> bodyFromForm(std::string_view Kind,
+                                                  const nlohmann::json &Form);
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_LIB_PEER_BODYFORMS_H
--- /dev/null
+++ b/lib/Peer/PeerCodec.cpp
@@ -0,0 +1,93 @@
+#include "bluebellkeel/Peer/PeerCodec.h"
+#include "BodyForms.h"
+#include "bluebellkeel/Codec.h"
+#include "bluebellkeel/Codec/FieldReader.h"
+#include <nlohmann/json.hpp>
+
+using namespace bluebellkeel;
+
+using nlohmann::json;
+
+/// Hexadecimal digits of the signature that a message starts with; 128 bits.
+static constexpr std::size_t SignatureDigits = 32;
+
+static std::string signatureOf(const signer &Signer, std::string_view Bytes) {
+  return Signer.sign("p1|" + std::string(Bytes)).substr(0, SignatureDigits);
+}
+
+static bool equalDigits(std::string_view L, std::string_view R) {
+  unsigned Difference = L.size() == R.size() ? 0 : 1;
+  for (std::size_t I = 0; I < L.size() && I < R.size(); ++I)
+    Difference |= static_cast<unsigned>(L[I] ^ R[I]);
+  return Difference == 0;
+}
+
+std::string peer_codec::encode(const peer_envelope &Envelope) const {
+  auto SentAt = std::chrono::duration_cast<milliseconds>(
+      Envelope.sentAt().time_since_epoch());
+  json Form = {{"f", Envelope.from().text()},
+               {"t", Envelope.to().text()},
+               {"n", Envelope.number()},
+               {"w", static_cast<std::uint64_t>(SentAt.count())},
+               {"k", std::string(kindOf(Envelope.body()))},
+               {"b", bodyToForm(Envelope.body())}};
+  std::string Bytes;
+  json::to_cbor(Form, Bytes);
+  return signatureOf(Signer, Bytes) + Bytes;
+}
+
+/// Puts the authenticated sender where bodies leave it out.
+static peer_body withSender(peer_body Body, const instance_id &From) {
+  if (auto *Answer = std::get_if<heartbeat_answer>(&Body)) {
+    const heartbeat &Beat = Answer->beat();
+    heartbeat Named(From, Beat.incarnation(), Beat.serving(),
+                    Beat.settingsApplied(), Beat.logAge());
+    return heartbeat_answer(Named, Answer->ratings());
+  }
+  if (auto *Ask = std::get_if<grant_ask>(&Body)) {
+    std::vector<grant_request> Named;
+    for (const auto &Request : Ask->requests())
+      Named.emplace_back(From, Request.upstream(), Request.inFlight(),
+                         Request.wanted());
+    return grant_ask(std::move(Named));
+  }
+  return Body;
+}
+
+static tl::expected<peer_envelope, peer_error> envelopeFrom(const json &Form) {
+  field_reader Fields(Form);
+  instance_id From(Fields.text("f"));
+  instance_id To(Fields.text("t"));
+  std::uint64_t Number = Fields.number("n");
+  wall_time SentAt{milliseconds(Fields.number("w"))};
+  std::string Kind = Fields.text("k");
+  if (Fields.failed())
+    return tl::unexpected(peer_error::Malformed);
+  auto Body = bodyFromForm(Kind, Fields.optional("b"));
+  if (!Body)
+    return tl::unexpected(peer_error::Malformed);
+  return peer_envelope(From, To, Number, SentAt, withSender(*Body, From));
+}
+
+tl::expected<peer_envelope, peer_error>
+peer_codec::decode(std::string_view Bytes, const instance_id &Self,
+                   wall_time Now) const {
+  if (Bytes.size() > MaxBytes)
+    return tl::unexpected(peer_error::TooLarge);
+  if (Bytes.size() < SignatureDigits)
+    return tl::unexpected(peer_error::Malformed);
+  std::string_view Signed = Bytes.substr(SignatureDigits);
+  if (!equalDigits(signatureOf(Signer, Signed),
+                   Bytes.substr(0, SignatureDigits)))
+    return tl::unexpected(peer_error::BadSignature);
+  auto Form = parseCbor(Signed);
+  if (!Form)
+    return tl::unexpected(peer_error::Malformed);
+  auto Envelope = envelopeFrom(*Form);
+  if (!Envelope)
+    return Envelope;
+  auto Age = Now - Envelope->sentAt();
+  if (Envelope->to() != Self || Age > MaxAge || Age < -MaxAge)
+    return tl::unexpected(peer_error::Stale);
+  return Envelope;
+}
--- /dev/null
+++ b/lib/Peer/WebsocketPeerLink.cpp
@@ -0,0 +1,327 @@
+#include "bluebellkeel/Peer/WebsocketPeerLink.h"
+#include "PeerChannel.h"
+#include "bluebellkeel/Peer/PeerCodec.h"
+#include <boost/asio/steady_timer.hpp>
+#include <thread>
+#include <websocketpp/client.hpp>
+#include <websocketpp/config/asio_no_tls.hpp>
+#include <websocketpp/config/asio_no_tls_client.hpp>
+#include <websocketpp/server.hpp>
+
+using namespace bluebellkeel;
+
+using websocketpp::connection_hdl;
+using ws_client = websocketpp::client<websocketpp::config::asio_client>;
+using ws_server = websocketpp::server<websocketpp::config::asio>;
+
+static constexpr milliseconds QuestionTimeout{1000};
+static constexpr milliseconds SweepInterval{100};
+static constexpr long HandshakeTimeoutMs = 1000;
+
+/// Questions in a row without an answer after which the connection is taken
+/// for silent and replaced.
+static constexpr unsigned SilentLimit = 2;
+
+/// Frames that wait for one connection to open.
+static constexpr std::size_t MaxUnsent = 256;
+
+class websocket_peer_link::impl {
+public:
+  impl(instance_id Self, const signer &Signer, const clock &Clock,
+       peer_monitor &Monitor);
+
+  tl::expected<void, std::string> start(const network_address &Address,
+                                        peer_responder &NewResponder);
+  void stop();
+  void ask(const instance_record &Peer, peer_body Question, callback Done);
+  void tell(const instance_record &Peer, peer_body Message);
+
+private:
+  using message_ptr = ws_client::message_ptr;
+
+  template <typename endpoint_t> void setUp(endpoint_t &Endpoint);
+  std::string encode(const instance_id &To, std::uint64_t Number,
+                     const peer_body &Body);
+  std::optional<peer_envelope> decode(const std::string &Bytes);
+  peer_channel &channelOf(const instance_record &Peer);
+  void sendOn(peer_channel &Channel, const instance_id &Id, std::string Frame);
+  void dial(peer_channel &Channel, const instance_id &Id);
+  void onOpen(const instance_id &Id, std::uint64_t Dial);
+  void onClosed(const instance_id &Id, std::uint64_t Dial);
+  void onAnswer(const std::string &Bytes);
+  void onQuestion(connection_hdl Connection, const std::string &Bytes);
+  void reset(peer_channel &Channel);
+  void sweep();
+  void sweepChannel(peer_channel &Channel, monotonic_time Now);
+  void scheduleSweep();
+
+  instance_id Self;
+  peer_codec Codec;
+  const clock &Clock;
+  peer_responder *Responder = nullptr;
+  peer_monitor &Monitor;
+  boost::asio::io_context Io;
+  ws_client Client;
+  ws_server Server;
+  boost::asio::steady_timer SweepTimer;
+  std::map<instance_id, peer_channel> Channels;
+  std::uint64_t LastNumber = 0;
+  std::uint64_t LastDial = 0;
+  std::thread Thread;
+};
+
+websocket_peer_link::impl::impl(instance_id Self, const signer &Signer,
+                                const clock &Clock, peer_monitor &Monitor)
+    : Self(std::move(Self)), Codec(Signer), Clock(Clock), Monitor(Monitor),
+      SweepTimer(Io) {
+  setUp(Client);
+  setUp(Server);
+  Server.set_reuse_addr(true);
+  Server.set_message_handler(
+      [this](connection_hdl Connection, ws_server::message_ptr Message) {
+        onQuestion(Connection, Message->get_payload());
+      });
+}
+
+template <typename endpoint_t>
+void websocket_peer_link::impl::setUp(endpoint_t &Endpoint) {
+  Endpoint.clear_access_channels(websocketpp::log::alevel::all);
+  Endpoint.clear_error_channels(websocketpp::log::elevel::all);
+  Endpoint.init_asio(&Io);
+  Endpoint.set_max_message_size(peer_codec::MaxBytes);
+  Endpoint.set_open_handshake_timeout(HandshakeTimeoutMs);
+  Endpoint.set_close_handshake_timeout(HandshakeTimeoutMs);
+}
+
+tl::expected<void, std::string>
+websocket_peer_link::impl::start(const network_address &Address,
+                                 peer_responder &NewResponder) {
+  Responder = &NewResponder;
+  websocketpp::lib::error_code Code;
+  boost::system::error_code Ignored;
+  auto Ip = boost::asio::ip::make_address(Address.host(), Ignored);
+  Server.listen(boost::asio::ip::tcp::endpoint(Ip, Address.port()), Code);
+  if (!Code)
+    Server.start_accept(Code);
+  if (Code)
+    return tl::unexpected(Address.text() + ": " + Code.message());
+  scheduleSweep();
+  Thread = std::thread([this] { Io.run(); });
+  return {};
+}
+
+void websocket_peer_link::impl::stop() {
+  Io.stop();
+  if (Thread.joinable())
+    Thread.join();
+}
+
+std::string websocket_peer_link::impl::encode(const instance_id &To,
+                                              std::uint64_t Number,
+                                              const peer_body &Body) {
+  std::string Frame = Codec.encode(
+      peer_envelope(Self, To, Number, Clock.wallNow(), Body));
+  Monitor.countPeerMessage(std::string(kindOf(Body)), /*Sent=*/true,
+                           Frame.size());
+  return Frame;
+}
+
+std::optional<peer_envelope>
+websocket_peer_link::impl::decode(const std::string &Bytes) {
+  auto Envelope = Codec.decode(Bytes, Self, Clock.wallNow());
+  if (!Envelope) {
+    Monitor.countPeerFault(Envelope.error());
+    return std::nullopt;
+  }
+  Monitor.countPeerMessage(std::string(kindOf(Envelope->body())),
+                           /*Sent=*/false, Bytes.size());
+  return *Envelope;
+}
+
+peer_channel &
+websocket_peer_link::impl::channelOf(const instance_record &Peer) {
+  peer_channel &Channel = Channels[Peer.id()];
+  if (Channel.Address != Peer.peerAddress()) {
+    reset(Channel);
+    Channel.Address = Peer.peerAddress();
+  }
+  return Channel;
+}
+
+void websocket_peer_link::impl::ask(const instance_record &Peer,
+                                    peer_body Question, callback Done) {
+  boost::asio::post(Io, [=] {
+    peer_channel &Channel = channelOf(Peer);
+    std::uint64_t Number = ++LastNumber;
+    Channel.Questions[Number] = {Done, Clock.monotonicNow() + QuestionTimeout};
+    sendOn(Channel, Peer.id(), encode(Peer.id(), Number, Question));
+  });
+}
+
+void websocket_peer_link::impl::tell(const instance_record &Peer,
+                                     peer_body Message) {
+  boost::asio::post(Io, [=] {
+    sendOn(channelOf(Peer), Peer.id(),
+           encode(Peer.id(), ++LastNumber, Message));
+  });
+}
+
+void websocket_peer_link::impl::sendOn(peer_channel &Channel,
+                                       const instance_id &Id,
+                                       std::string Frame) {
+  if (Channel.Stage == peer_channel::stage::Open) {
+    websocketpp::lib::error_code Ignored;
+    Client.send(Channel.Connection, Frame,
+                websocketpp::frame::opcode::binary, Ignored);
+    return;
+  }
+  if (Channel.Unsent.size() < MaxUnsent)
+    Channel.Unsent.push_back(std::move(Frame));
+  if (Channel.Stage == peer_channel::stage::Closed)
+    dial(Channel, Id);
+}
+
+void websocket_peer_link::impl::dial(peer_channel &Channel,
+                                     const instance_id &Id) {
+  websocketpp::lib::error_code Code;
+  auto Connection =
+      Client.get_connection("ws://" + Channel.Address.text() + "/peer", Code);
+  if (Code)
+    return;
+  std::uint64_t Dial = ++LastDial;
+  Connection->set_open_handler(
+      [this, Id, Dial](connection_hdl) { onOpen(Id, Dial); });
+  Connection->set_fail_handler(
+      [this, Id, Dial](connection_hdl) { onClosed(Id, Dial); });
+  Connection->set_close_handler(
+      [this, Id, Dial](connection_hdl) { onClosed(Id, Dial); });
+  Connection->set_message_handler([this](connection_hdl, message_ptr Message) {
+    onAnswer(Message->get_payload());
+  });
+  Channel.Dial = Dial;
+  Channel.Stage = peer_channel::stage::Dialling;
+  Channel.Connection = Connection->get_handle();
+  Client.connect(Connection);
+}
+
+void websocket_peer_link::impl::onOpen(const instance_id &Id,
+                                       std::uint64_t Dial) {
+  peer_channel &Channel = Channels[Id];
+  if (Channel.Dial != Dial)
+    return;
+  Channel.Stage = peer_channel::stage::Open;
+  std::vector<std::string> Frames = std::move(Channel.Unsent);
+  Channel.Unsent.clear();
+  for (auto &Frame : Frames)
+    sendOn(Channel, Id, std::move(Frame));
+}
+
+void websocket_peer_link::impl::onClosed(const instance_id &Id,
+                                         std::uint64_t Dial) {
+  peer_channel &Channel = Channels[Id];
+  if (Channel.Dial == Dial)
+    reset(Channel);
+}
+
+/// Gives the connection up; what was asked on it gets no answer.
+void websocket_peer_link::impl::reset(peer_channel &Channel) {
+  if (Channel.Stage != peer_channel::stage::Closed) {
+    websocketpp::lib::error_code Ignored;
+    Client.close(Channel.Connection, websocketpp::close::status::going_away,
+                 "", Ignored);
+  }
+  Channel.Stage = peer_channel::stage::Closed;
+  Channel.Dial = 0;
+  Channel.Unanswered = 0;
+  Channel.Unsent.clear();
+  auto Questions = std::move(Channel.Questions);
+  Channel.Questions.clear();
+  for (auto &[Number, Question] : Questions)
+    Question.Done(std::nullopt);
+}
+
+void websocket_peer_link::impl::onAnswer(const std::string &Bytes) {
+  auto Envelope = decode(Bytes);
+  if (!Envelope)
+    return;
+  peer_channel &Channel = Channels[Envelope->from()];
+  auto Found = Channel.Questions.find(Envelope->number());
+  if (Found == Channel.Questions.end())
+    return;
+  callback Done = std::move(Found->second.Done);
+  Channel.Questions.erase(Found);
+  Channel.Unanswered = 0;
+  Done(Envelope->body());
+}
+
+void websocket_peer_link::impl::onQuestion(connection_hdl Connection,
+                                           const std::string &Bytes) {
+  auto Envelope = decode(Bytes);
+  if (!Envelope)
+    return;
+  auto Answer = Responder->answer(Envelope->from(), Envelope->body());
+  if (!Answer)
+    return;
+  websocketpp::lib::error_code Ignored;
+  Server.send(Connection, encode(Envelope->from(), Envelope->number(), *Answer),
+              websocketpp::frame::opcode::binary, Ignored);
+}
+
+void websocket_peer_link::impl::sweepChannel(peer_channel &Channel,
+                                             monotonic_time Now) {
+  std::vector<callback> Late;
+  for (auto It = Channel.Questions.begin(); It != Channel.Questions.end();) {
+    if (It->second.Deadline > Now) {
+      ++It;
+      continue;
+    }
+    Late.push_back(std::move(It->second.Done));
+    It = Channel.Questions.erase(It);
+  }
+  Channel.Unanswered += static_cast<unsigned>(Late.size());
+  if (Channel.Unanswered >= SilentLimit)
+    reset(Channel);
+  for (auto &Done : Late)
+    Done(std::nullopt);
+}
+
+void websocket_peer_link::impl::sweep() {
+  monotonic_time Now = Clock.monotonicNow();
+  for (auto &[Id, Channel] : Channels)
+    sweepChannel(Channel, Now);
+  scheduleSweep();
+}
+
+void websocket_peer_link::impl::scheduleSweep() {
+  SweepTimer.expires_after(SweepInterval);
+  SweepTimer.async_wait([this](const boost::system::error_code &Code) {
+    if (!Code)
+      sweep();
+  });
+}
+
+websocket_peer_link::websocket_peer_link(instance_id Self,
+                                         const signer &Signer,
+                                         const clock &Clock,
+                                         peer_monitor &Monitor)
+    : Impl(std::make_unique<impl>(std::move(Self), Signer, Clock, Monitor)) {}
+
+websocket_peer_link::~websocket_peer_link() { stop(); }
+
+tl::expected<void, std::string>
+websocket_peer_link::start(const network_address &Address,
+                           peer_responder &Responder) {
+  return Impl->start(Address, Responder);
+}
+
+void websocket_peer_link::stop() { Impl->stop(); }
+
+void websocket_peer_link::ask(const instance_record &Peer, peer_body Question,
+                              callback Done) {
+  Impl->ask(Peer, std::move(Question), std::move(Done));
+}
+
+void websocket_peer_link::tell(const instance_record &Peer,
+                               peer_body Message) {
+  Impl->tell(Peer, std::move(Message));
+}
--- a/lib/Relay/CandidateFinder.cpp
+++ b/lib/Relay/CandidateFinder.cpp
@@ -33,11 +33,15 @@
 }
 
 std::optional<upstream_record>
-candidate_finder::record(const upstream_id &Id) const {
+candidate_finder::dispatchable(const upstream_id &Id,
+                               const routing_settings &Settings) const {
   auto List = Directory.list();
   for (const auto &Record : *List) {
-    if (Record.id() == Id)
-      return Record;
+    if (Record.id() != Id)
+      continue;
+    if (Record.leaving() || Settings.isOut(Record.dataCentre()))
+      return std::nullopt;
+    return Record;
   }
   return std::nullopt;
 }
--- a/lib/Relay/ChatRelay.cpp
+++ b/lib/Relay/ChatRelay.cpp
@@ -140,7 +140,8 @@
                      const upstream_id &Upstream, holdback_sink &Sink) {
   ++Attempts;
   Tried.insert(Upstream);
-  auto Record = Ports.Candidates.record(Upstream);
+  auto Record = 
+      Ports.Candidates.dispatchable(Upstream, *Ports.Settings.routing());
   if (!Record)
     return tl::unexpected(attempt_error::ConnectFailed);
   chat_attempt Attempt(Ports.Random.token(), Request, Step.version(), *Record);
--- a/lib/Relay/ServiceRelay.cpp
+++ b/lib/Relay/ServiceRelay.cpp
@@ -180,7 +180,8 @@
 service_relay::dispatch(const service_call &Call, const upstream_id &Upstream,
                         const std::string &AttemptId) {
   Tried.insert(Upstream);
-  auto Record = Ports.Candidates.record(Upstream);
+  auto Record = 
+      Ports.Candidates.dispatchable(Upstream, *Ports.Settings.routing());
   if (!Record)
     return tl::unexpected(attempt_error::ConnectFailed);
   auto Reply =
--- /dev/null
+++ b/lib/Runtime/GrantRound.h
@@ -0,0 +1,36 @@
+#ifndef BLUEBELLKEEL_LIB_RUNTIME_GRANTROUND_H
+#define BLUEBELLKEEL_LIB_RUNTIME_GRANTROUND_H
+
+#include "OwnerBook.h"
+#include "bluebellkeel/Peer/PeerLink.h"
+#include "bluebellkeel/Upstream/GrantBook.h"
+#include "bluebellkeel/Upstream/GrantIssuer.h"
+
+namespace bluebellkeel {
+
+/// Asks the owners of upstreams for the grants that this instance wants.
+class grant_round {
+public:
+  grant_round(instance_id Self, const clock &Clock, const owner_book &Owners,
+              grant_book &Grants, grant_issuer &Issuer, peer_link &Link)
+      : Self(std::move(Self)), Clock(Clock), Owners(Owners), Grants(Grants),
+        Issuer(Issuer), Link(Link) {}
+
+  void run();
+
+private:
+  void askSelf(const std::vector<grant_request> &Requests);
+  void askPeer(const instance_record &Owner,
+               const std::vector<grant_request> &Requests);
+
+  instance_id Self;
+  const clock &Clock;
+  const owner_book &Owners;
+  grant_book &Grants;
+  grant_issuer &Issuer;
+  peer_link &Link;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_LIB_RUNTIME_GRANTROUND_H
--- /dev/null
+++ b/lib/Runtime/OwnerBook.h
@@ -0,0 +1,41 @@
+#ifndef BLUEBELLKEEL_LIB_RUNTIME_OWNERBOOK_H
+#define BLUEBELLKEEL_LIB_RUNTIME_OWNERBOOK_H
+
+#include "bluebellkeel/Core/Clock.h"
+#include "bluebellkeel/Membership.h"
+#include "bluebellkeel/Upstream/UpstreamRecord.h"
+#include <vector>
+
+namespace bluebellkeel {
+
+/// Which instance owns which upstream, as far as this one can see.
+class owner_book {
+public:
+  owner_book(instance_id Self, const clock &Clock,
+             const instance_directory &Instances, peer_table &Peers,
+             freshness_judge Judge)
+      : Self(std::move(Self)), Clock(Clock), Instances(Instances),
+        Peers(Peers), Judge(Judge) {}
+
+  /// The instances that may own: listed as live, and either this one or one
+  /// that answered lately and is serving.
+  std::vector<instance_id> candidates() const;
+
+  /// The record of the owner; empty when there is no candidate.
+  std::optional<instance_record> ownerOf(const upstream_id &Upstream) const;
+
+  /// Those of \p Upstreams that this instance owns.
+  std::vector<upstream_record>
+  ownedOf(const std::vector<upstream_record> &Upstreams) const;
+
+private:
+  instance_id Self;
+  const clock &Clock;
+  const instance_directory &Instances;
+  peer_table &Peers;
+  freshness_judge Judge;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_LIB_RUNTIME_OWNERBOOK_H
--- /dev/null
+++ b/lib/Runtime/PeerBillMirror.cpp
@@ -0,0 +1,44 @@
+#include "PeerBillMirror.h"
+#include "bluebellkeel/Peer/BillCopy.h"
+#include <algorithm>
+
+using namespace bluebellkeel;
+
+/// Peers that are tried for one copy.
+static constexpr std::size_t MaxTries = 3;
+
+std::vector<instance_record> peer_bill_mirror::choices() const {
+  auto Peers = selectPeers(Self, *Instances.list());
+  std::stable_partition(Peers.begin(), Peers.end(),
+                        [&](const instance_record &Peer) {
+                          return Peer.dataCentre() != Home;
+                        });
+  if (Peers.size() > MaxTries)
+    Peers.resize(MaxTries);
+  return Peers;
+}
+
+void peer_bill_mirror::copy(const std::vector<bill> &Bills,
+                            std::function<void(bool)> Done) {
+  tryNext(choices(), Bills, std::move(Done));
+}
+
+void peer_bill_mirror::tryNext(std::vector<instance_record> Left,
+                               std::vector<bill> Bills,
+                               std::function<void(bool)> Done) {
+  if (Left.empty()) {
+    Done(false);
+    return;
+  }
+  instance_record Peer = Left.front();
+  Left.erase(Left.begin());
+  Link.ask(Peer, bill_copy(Bills),
+           [this, Left, Bills, Done](std::optional<peer_body> Answer) {
+             const auto *Ack =
+                 Answer ? std::get_if<bill_copy_ack>(&*Answer) : nullptr;
+             if (Ack && Ack->held())
+               Done(true);
+             else
+               tryNext(Left, Bills, Done);
+           });
+}
--- /dev/null
+++ b/lib/Runtime/PeerBillMirror.h
@@ -0,0 +1,36 @@
+#ifndef BLUEBELLKEEL_LIB_RUNTIME_PEERBILLMIRROR_H
+#define BLUEBELLKEEL_LIB_RUNTIME_PEERBILLMIRROR_H
+
+#include "bluebellkeel/Journal/BillMirror.h"
+#include "bluebellkeel/Membership.h"
+#include "bluebellkeel/Peer/PeerLink.h"
+
+namespace bluebellkeel {
+
+/// Copies bills to a peer, in another data centre if there is one. The peer
+/// appends them too; readers drop the second of each.
+class peer_bill_mirror final : public bill_mirror {
+public:
+  peer_bill_mirror(instance_id Self, data_centre_id Home,
+                   const instance_directory &Instances, peer_link &Link)
+      : Self(std::move(Self)), Home(std::move(Home)), Instances(Instances),
+        Link(Link) {}
+
+  void copy(const std::vector<bill> &Bills,
+            std::function<void(bool)> Done) override;
+
+private:
+  /// Peers to try, in order.
+  std::vector<instance_record> choices() const;
+  void tryNext(std::vector<instance_record> Left, std::vector<bill> Bills,
+               std::function<void(bool)> Done);
+
+  instance_id Self;
+  data_centre_id Home;
+  const instance_directory &Instances;
+  peer_link &Link;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_LIB_RUNTIME_PEERBILLMIRROR_H
--- /dev/null
+++ b/lib/Runtime/PeerCrashReporter.h
@@ -0,0 +1,31 @@
+#ifndef BLUEBELLKEEL_LIB_RUNTIME_PEERCRASHREPORTER_H
+#define BLUEBELLKEEL_LIB_RUNTIME_PEERCRASHREPORTER_H
+
+#include "bluebellkeel/Membership.h"
+#include "bluebellkeel/Peer/PeerLink.h"
+#include "bluebellkeel/Relay/CrashReporter.h"
+
+namespace bluebellkeel {
+
+/// Tells the selected peers of crashes.
+class peer_crash_reporter final : public crash_reporter {
+public:
+  peer_crash_reporter(instance_id Self, const instance_directory &Instances,
+                      peer_link &Link)
+      : Self(std::move(Self)), Instances(Instances), Link(Link) {}
+
+  void reportCrash(const fingerprint &Request,
+                   const upstream_id &Upstream) override {
+    for (const auto &Peer : selectPeers(Self, *Instances.list()))
+      Link.tell(Peer, crash_notice(Request, Upstream));
+  }
+
+private:
+  instance_id Self;
+  const instance_directory &Instances;
+  peer_link &Link;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_LIB_RUNTIME_PEERCRASHREPORTER_H
--- /dev/null
+++ b/lib/Runtime/PeerDesk.h
@@ -0,0 +1,44 @@
+#ifndef BLUEBELLKEEL_LIB_RUNTIME_PEERDESK_H
+#define BLUEBELLKEEL_LIB_RUNTIME_PEERDESK_H
+
+#include "ServingState.h"
+#include "bluebellkeel/Journal/BillLedger.h"
+#include "bluebellkeel/Peer/PeerResponder.h"
+#include "bluebellkeel/Policy/CrashBook.h"
+#include "bluebellkeel/Policy/QualityBook.h"
+#include "bluebellkeel/Upstream/GrantIssuer.h"
+
+namespace bluebellkeel {
+
+/// Answers what peers ask of this instance.
+class peer_desk final : public peer_responder {
+public:
+  peer_desk(instance_id Self, std::uint64_t Incarnation, const clock &Clock,
+            const settings_store &Settings, const serving_state &Serving,
+            grant_issuer &Issuer, bill_ledger &Bills, crash_book &Crashes,
+            quality_book &Quality)
+      : Self(std::move(Self)), Incarnation(Incarnation), Clock(Clock),
+        Settings(Settings), Serving(Serving), Issuer(Issuer), Bills(Bills),
+        Crashes(Crashes), Quality(Quality) {}
+
+  std::optional<peer_body> answer(const instance_id &From,
+                                  const peer_body &Body) override;
+
+private:
+  peer_body beat() const;
+  peer_body grantsFor(const grant_ask &Ask);
+
+  instance_id Self;
+  std::uint64_t Incarnation;
+  const clock &Clock;
+  const settings_store &Settings;
+  const serving_state &Serving;
+  grant_issuer &Issuer;
+  bill_ledger &Bills;
+  crash_book &Crashes;
+  quality_book &Quality;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_LIB_RUNTIME_PEERDESK_H
--- /dev/null
+++ b/lib/Runtime/RatingQueue.h
@@ -0,0 +1,43 @@
+#ifndef BLUEBELLKEEL_LIB_RUNTIME_RATINGQUEUE_H
+#define BLUEBELLKEEL_LIB_RUNTIME_RATINGQUEUE_H
+
+#include "bluebellkeel/Frontend/AnswerSampler.h"
+#include "bluebellkeel/Journal/BatchQueue.h"
+#include "bluebellkeel/Platform/RaterClient.h"
+#include "bluebellkeel/Policy/QualityBook.h"
+#include <optional>
+
+namespace bluebellkeel {
+
+/// Hands a sample of the answers to the rating service and takes its ratings.
+class rating_queue final : public answer_sampler {
+public:
+  /// Answers that wait to be handed over; further ones are not rated.
+  static constexpr std::size_t MaxWaiting = 64;
+
+  rating_queue(std::optional<rater_client> Rater, quality_book &Quality)
+      : Rater(std::move(Rater)), Quality(Quality), Queue(MaxWaiting) {}
+
+  bool wanted() const override { return Rater && Queue.size() < MaxWaiting; }
+  void sample(const version_id &Version, const std::string &Answer) override {
+    Queue.push({Version, Answer});
+  }
+
+  /// Hands over what waits and fetches new ratings.
+  void run();
+
+private:
+  struct sampled_answer {
+    version_id Version;
+    std::string Text;
+  };
+
+  std::optional<rater_client> Rater;
+  quality_book &Quality;
+  batch_queue<sampled_answer> Queue;
+  std::uint64_t LastRating = 0;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_LIB_RUNTIME_RATINGQUEUE_H
--- /dev/null
+++ b/lib/Runtime/RuntimeFacts.h
@@ -0,0 +1,54 @@
+#ifndef BLUEBELLKEEL_LIB_RUNTIME_RUNTIMEFACTS_H
+#define BLUEBELLKEEL_LIB_RUNTIME_RUNTIMEFACTS_H
+
+#include "OwnerBook.h"
+#include "ServingState.h"
+#include "bluebellkeel/Frontend/InstanceFacts.h"
+#include "bluebellkeel/Upstream/GrantIssuer.h"
+
+namespace bluebellkeel {
+
+/// What the front end asks of the running instance.
+class runtime_facts final : public instance_facts {
+public:
+  runtime_facts(instance_id Self, const clock &Clock, random_source &Random,
+                const settings_store &Settings,
+                const instance_directory &Instances, peer_table &Peers,
+                const serving_state &Serving, const owner_book &Owners,
+                grant_issuer &Issuer, freshness_judge Judge)
+      : Advisor(std::move(Self), Judge), Clock(Clock), Random(Random),
+        Settings(Settings), Instances(Instances), Peers(Peers),
+        Serving(Serving), Owners(Owners), Issuer(Issuer) {}
+
+  address_advice advise() override {
+    return Advisor.advise(Clock.monotonicNow(), Serving.serving(),
+                          *Instances.list(), Peers.all(),
+                          Settings.routing()->dataCentresOut(), Random);
+  }
+  serving_verdict verdict() override { return Serving.verdict(); }
+  bool serving() override { return Serving.serving(); }
+  std::optional<instance_id> ownerOf(const upstream_id &Upstream) override {
+    auto Owner = Owners.ownerOf(Upstream);
+    if (!Owner)
+      return std::nullopt;
+    return Owner->id();
+  }
+  upstream_phase phaseOf(const upstream_id &Upstream) override {
+    return Issuer.phaseOf(Upstream);
+  }
+
+private:
+  address_advisor Advisor;
+  const clock &Clock;
+  random_source &Random;
+  const settings_store &Settings;
+  const instance_directory &Instances;
+  peer_table &Peers;
+  const serving_state &Serving;
+  const owner_book &Owners;
+  grant_issuer &Issuer;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_LIB_RUNTIME_RUNTIMEFACTS_H
--- /dev/null
+++ b/lib/Runtime/RuntimeParts.cpp
@@ -0,0 +1,64 @@
+#include "RuntimeParts.h"
+#include "absl/strings/str_cat.h"
+
+using namespace bluebellkeel;
+
+/// Exchanges with the platform's services.
+static const http_timeouts PlatformTimeouts{seconds(1), seconds(2), seconds(2)};
+
+/// Exchanges for load reports.
+static const http_timeouts LoadTimeouts{milliseconds(300), milliseconds(500),
+                                        milliseconds(500)};
+
+static freshness_rules rulesFor(const startup_settings &Startup) {
+  return freshness_rules(freshness_rules::DefaultMaxLogAge,
+                         freshness_rules::DefaultMaxPeerAge,
+                         Startup.ContinueWhenCutOff);
+}
+
+static std::optional<rater_client> raterFor(const startup_settings &Startup) {
+  if (!Startup.Platform.rater())
+    return std::nullopt;
+  return rater_client(*Startup.Platform.rater(), PlatformTimeouts,
+                      Startup.Instance);
+}
+
+/// Ratings are counted anew by each start of a process.
+static instance_id ratingOrigin(const startup_settings &Startup,
+                                std::uint64_t Incarnation) {
+  return instance_id(
+      absl::StrCat(Startup.Instance.text(), "/", Incarnation));
+}
+
+runtime_parts::runtime_parts(const startup_settings &GivenStartup)
+    : Startup(GivenStartup), Incarnation(Random.next()),
+      CallerSigner(Startup.SigningKey), PeerSigner(Startup.PeerKey),
+      Adapters(Metrics), Judge(rulesFor(Startup)),
+      SettingsLog(Startup.Platform.log(), PlatformTimeouts, Adapters),
+      ClaimLog(Startup.Platform.log(), PlatformTimeouts, Adapters),
+      BillLog(Startup.Platform.log(), PlatformTimeouts, Adapters),
+      ListReader(Startup.Platform.list(), PlatformTimeouts),
+      Follower(SettingsLog, Settings, Clock), Publisher(SettingsLog),
+      Serving(Startup.Instance, Startup.DataCentre, Clock, Settings, Follower,
+              Instances, Peers, Judge),
+      Owners(Startup.Instance, Clock, Instances, Peers, Judge),
+      Quality(ratingOrigin(Startup, Incarnation)), Crashes(Clock),
+      Health(Clock), Room(Admission), Grants(Startup.Instance, Clock, Room),
+      Issuer(grant_rules()),
+      Tickets(Clock, Random, CallerSigner, Startup.Limits.TicketLifetime),
+      Sessions(CallerSigner), Planner(Quality, Random),
+      Candidates(Upstreams, Grants, Health, Startup.DataCentre),
+      Ratings(raterFor(Startup), Quality),
+      Link(Startup.Instance, PeerSigner, Clock, Adapters),
+      Mirror(Startup.Instance, Startup.DataCentre, Instances, Link),
+      Bills(BillLog, Mirror, Clock, Startup.Limits.AppendInterval),
+      Claims(ClaimLog, Clock, Startup.Limits.ClaimPatience,
+             Startup.Limits.AppendInterval),
+      CrashReporter(Startup.Instance, Instances, Link),
+      Desk(Startup.Instance, Incarnation, Clock, Settings, Serving, Issuer,
+           Bills, Crashes, Quality),
+      Heartbeats(Startup.Instance, Clock, Instances, Peers, Quality, Link),
+      GrantAsks(Startup.Instance, Clock, Owners, Grants, Issuer, Link),
+      Loads(Clock, Owners, Upstreams, Issuer, load_reader(LoadTimeouts)),
+      Facts(Startup.Instance, Clock, Random, Settings, Instances, Peers,
+            Serving, Owners, Issuer, Judge) {}
--- /dev/null
+++ b/lib/Runtime/ServingState.cpp
@@ -0,0 +1,57 @@
+#include "ServingState.h"
+
+using namespace bluebellkeel;
+
+serving_state::serving_state(instance_id Self, data_centre_id Home,
+                             const clock &Clock, const settings_store &Settings,
+                             const settings_follower &Follower,
+                             const instance_directory &Instances,
+                             peer_table &Peers, freshness_judge Judge)
+    : Self(std::move(Self)), Home(std::move(Home)), Clock(Clock),
+      Settings(Settings), Follower(Follower), Instances(Instances),
+      Peers(Peers), Judge(Judge) {}
+
+log_contact serving_state::contact() const {
+  return log_contact(Settings.state()->applied(), Follower.lastCaughtUp());
+}
+
+serving_verdict serving_state::verdict() const {
+  auto List = Instances.list();
+  std::size_t Asked = selectPeers(Self, *List).size();
+  return Judge.judge(Clock.monotonicNow(), contact(), Peers.all(), Asked);
+}
+
+std::optional<milliseconds> serving_state::settingsAge() const {
+  return Judge.logAge(Clock.monotonicNow(), contact(), Peers.all());
+}
+
+bool serving_state::homeOutForLong() const {
+  bool Out = Settings.routing()->isOut(Home);
+  monotonic_time Now = Clock.monotonicNow();
+  absl::MutexLock Lock(&Mutex);
+  if (!Out) {
+    HomeOutSince.reset();
+    return false;
+  }
+  if (!HomeOutSince)
+    HomeOutSince = Now;
+  return Now - *HomeOutSince > LeadAwayTime;
+}
+
+std::optional<refusal_reason> serving_state::closed() const {
+  if (Stage == serving_stage::Draining)
+    return refusal_reason::Draining;
+  serving_verdict Verdict = verdict();
+  if (Verdict == serving_verdict::NoSettings)
+    return refusal_reason::NotReady;
+  if (!mayServe(Verdict))
+    return refusal_reason::SettingsStale;
+  if (homeOutForLong())
+    return refusal_reason::DataCentreOut;
+  return std::nullopt;
+}
+
+bool serving_state::serving() const {
+  return Stage == serving_stage::Open && mayServe(verdict()) &&
+         !Settings.routing()->isOut(Home);
+}
--- a/lib/Settings/SettingsFold.cpp
+++ b/lib/Settings/SettingsFold.cpp
@@ -76,6 +76,9 @@
   if (!Errors.empty())
     return Outcome(verdict::Invalid, "", std::move(Errors));
   subtree_revision Current = State.revisionOf(Change.team());
+  // A resend of the change that is in force; it is not applied again.
+  if (Current.changeId() == Change.id())
+    return Outcome(verdict::Accepted, "", {});
   if (Current.offset() != Change.baseRevision())
     return Outcome(verdict::Conflict, Current.changeId(), {});
   Errors = checkUnique(applyEdits(State.values(), Change.edits()));
@@ -89,7 +92,8 @@
   change_outcome Outcome = decide(Offset, Change);
   if (Offset <= State.applied())
     return Outcome;
-  if (!Outcome.accepted()) {
+  bool Resend = State.revisionOf(Change.team()).changeId() == Change.id();
+  if (!Outcome.accepted() || Resend) {
     skip(Offset);
     return Outcome;
   }
--- a/lib/Settings/SettingsStore.cpp
+++ b/lib/Settings/SettingsStore.cpp
@@ -49,7 +49,7 @@
   for (const auto &Outcome : History) {
     if (Outcome.changeId() != ChangeId)
       continue;
-    // A resend is rejected as a conflict with itself; the first verdict holds.
+    // A resend may come after a further change; the first verdict holds.
     if (!Latest)
       Latest = Outcome;
   }
--- a/lib/Upstream/GrantBook.cpp
+++ b/lib/Upstream/GrantBook.cpp
@@ -34,6 +34,7 @@
     Entry.Ends = Ends;
     Entry.Granted = Grant.share();
   });
+  Listener.roomMayBeFree();
 }
 
 std::vector<grant_request> grant_book::requests() {
@@ -70,4 +71,5 @@
     entry &Entry = Shard[Upstream];
     Entry.InFlight = Entry.InFlight.minus(Need);
   });
+  Listener.roomMayBeFree();
 }
--- a/lib/Upstream/GrantIssuer.cpp
+++ b/lib/Upstream/GrantIssuer.cpp
@@ -88,38 +88,42 @@
   return Upstream.Bears.minus(Out).minus(Foreign);
 }
 
-/// An equal part for each of \p Count holders, but at least one request.
+/// An equal part of the requests for each of \p Count holders, but at least
+/// one. Tokens are not divided, else a long prompt would fit into no part.
 static load_share fairPart(const load_share &Whole, std::size_t Count) {
   auto Divisor = static_cast<std::uint32_t>(std::max<std::size_t>(1, Count));
-  std::uint32_t Requests = std::max(1U, Whole.requests() / Divisor);
-  std::uint64_t Tokens =
-      Whole.requests() == 0 ? 0 : Whole.tokens() * Requests / Whole.requests();
-  return load_share(Requests, Tokens);
+  return load_share(std::max(1U, Whole.requests() / Divisor), Whole.tokens());
 }
 
-grant grant_issuer::issueFrom(owned_upstream &Upstream,
-                              const grant_request &Request,
-                              monotonic_time Now) {
-  if (Now - Upstream.ReportedAt > Rules.maxReportAge())
-    Upstream.Lifecycle.reportsFailed();
+void grant_issuer::dropEnded(owned_upstream &Upstream, monotonic_time Now) {
   for (auto It = Upstream.Holders.begin(); It != Upstream.Holders.end();) {
     if (It->second.Ends <= Now)
       It = Upstream.Holders.erase(It);
     else
       ++It;
   }
-  upstream_phase Phase = Upstream.Lifecycle.phase();
-  bool Closed = Phase == upstream_phase::Unknown ||
-                Phase == upstream_phase::Suspect ||
-                Phase == upstream_phase::Draining ||
-                Now - Upstream.OwnedSince < Rules.term();
+}
+
+static bool takesNewWork(upstream_phase Phase) {
+  return Phase == upstream_phase::Cold || Phase == upstream_phase::Warming ||
+         Phase == upstream_phase::Ready;
+}
+
+std::optional<grant> grant_issuer::issueFrom(owned_upstream &Upstream,
+                                             const grant_request &Request,
+                                             monotonic_time Now) {
+  if (Now - Upstream.OwnedSince < Rules.term())
+    return std::nullopt;
+  if (Now - Upstream.ReportedAt > Rules.maxReportAge())
+    Upstream.Lifecycle.reportsFailed();
+  dropEnded(Upstream, Now);
   load_share Share;
-  if (!Closed) {
+  if (takesNewWork(Upstream.Lifecycle.phase())) {
     std::size_t Others = Upstream.Holders.size() -
                          Upstream.Holders.count(Request.from());
-    load_share Fair = fairPart(Upstream.Bears, Others + 1);
-    Share = Request.wanted().atMost(Fair).atMost(
-        freeFor(Upstream, Request.from()));
+    Share = Request.wanted()
+                .atMost(fairPart(Upstream.Bears, Others + 1))
+                .atMost(freeFor(Upstream, Request.from()));
   }
   // What already runs counts until the holder says that it has ended.
   load_share Counted(
@@ -128,18 +132,20 @@
   if (Counted == load_share())
     Upstream.Holders.erase(Request.from());
   else
-    Upstream.Holders[Request.from()] = {Counted, Request.wanted(),
-                                        Now + Rules.term()};
+    Upstream.Holders[Request.from()] = {Counted, Now + Rules.term()};
   return grant(Request.upstream(), Share, Rules.term());
 }
 
-grant grant_issuer::issue(const grant_request &Request, monotonic_time Now) {
-  return Owned.withShard(Request.upstream().text(), [&](owned_map &Shard) {
-    auto Found = Shard.find(Request.upstream());
-    if (Found == Shard.end())
-      return grant(Request.upstream(), load_share(), Rules.term());
-    return issueFrom(Found->second, Request, Now);
-  });
+std::optional<grant> grant_issuer::issue(const grant_request &Request,
+                                         monotonic_time Now) {
+  return Owned.withShard(
+      Request.upstream().text(),
+      [&](owned_map &Shard) -> std::optional<grant> {
+        auto Found = Shard.find(Request.upstream());
+        if (Found == Shard.end())
+          return std::nullopt;
+        return issueFrom(Found->second, Request, Now);
+      });
 }
 
 upstream_phase grant_issuer::phaseOf(const upstream_id &Id) {
--- /dev/null
+++ b/tools/bluebellkeelctl/AdminClient.h
@@ -0,0 +1,30 @@
+#ifndef TOOLS_BLUEBELLKEELCTL_ADMINCLIENT_H
+#define TOOLS_BLUEBELLKEELCTL_ADMINCLIENT_H
+
+#include "AdminReply.h"
+#include "bluebellkeel/Core/NetworkAddress.h"
+#include "bluebellkeel/Http/HttpClient.h"
+#include <string>
+#include <vector>
+
+namespace bluebellkeel {
+
+/// Asks instances as an operator; the next one when one is out of reach.
+class admin_client {
+public:
+  admin_client(std::vector<network_address> Instances, std::string TeamKey);
+
+  admin_reply get(const std::string &Target) const;
+  admin_reply post(const std::string &Target, const std::string &Body) const;
+
+private:
+  admin_reply send(const http_request &Request) const;
+
+  std::vector<network_address> Instances;
+  std::string TeamKey;
+  http_client Client;
+};
+
+} // namespace bluebellkeel
+
+#endif // TOOLS_BLUEBELLKEELCTL_ADMINCLIENT_H
--- /dev/null
+++ b/tools/bluebellkeelctl/SettingsCommands.cpp
@@ -0,0 +1,109 @@
+#include "SettingsCommands.h"
+#include "bluebellkeel/Codec/JsonText.h"
+#include "bluebellkeel/Core/SystemRandom.h"
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+using namespace bluebellkeel;
+
+using nlohmann::json;
+
+/// A value as JSON, or as a plain text where it is none.
+static json valueFrom(const std::string &Text) {
+  return parseJson(Text).value_or(json(Text));
+}
+
+int settings_commands::get(const std::string &Path) const {
+  return Output.show(Client.get("/admin/settings?path=" + Path), "values");
+}
+
+int settings_commands::history() const {
+  return Output.show(Client.get("/admin/history"), "changes");
+}
+
+/// Without a base revision from the operator, the one in force is taken.
+int settings_commands::change(const edit_list &Edits, bool DryRun) const {
+  std::uint64_t BaseRevision = 0;
+  if (Base) {
+    BaseRevision = *Base;
+  } else {
+    admin_reply Now = Client.get("/admin/settings?path=/none");
+    if (Now.Code != exit_code::Success)
+      return Output.show(Now, "");
+    std::string Team = Now.Json.value("team", "");
+    BaseRevision = Now.Json["revisions"].value(Team, std::uint64_t(0));
+  }
+  system_random Random;
+  json Body = {{"id", ChangeId.empty() ? Random.token() : ChangeId},
+               {"base", BaseRevision},
+               {"edits", Edits},
+               {"dry_run", DryRun}};
+  admin_reply Reply = Client.post("/admin/settings", Body.dump());
+  if (Reply.Code == exit_code::InDoubt)
+    Output.fail("send it again with --id=" + Body["id"].get<std::string>());
+  return Output.show(Reply, "");
+}
+
+int settings_commands::put(const std::string &Path, const std::string &Value,
+                           bool DryRun) const {
+  json Edit = {{"path", Path}, {"value", valueFrom(Value)}};
+  return change(json::array({Edit}), DryRun);
+}
+
+int settings_commands::remove(const std::string &Path) const {
+  return change(json::array({json{{"path", Path}}}), /*DryRun=*/false);
+}
+
+std::optional<json>
+settings_commands::readFile(const std::string &File) const {
+  std::ifstream Stream(File);
+  std::stringstream Text;
+  Text << Stream.rdbuf();
+  auto Json = parseJson(Text.str(), /*Comments=*/true);
+  if (Stream && Json && Json->is_object())
+    return *Json;
+  Output.fail(File + ": expected a JSON object of values by path" +
+              (Json ? "" : ": " + Json.error().message()));
+  return std::nullopt;
+}
+
+int settings_commands::putFile(const std::string &File, bool DryRun) const {
+  auto Values = readFile(File);
+  if (!Values)
+    return static_cast<int>(exit_code::BadUsage);
+  json Edits = json::array();
+  for (const auto &[Path, Value] : Values->items())
+    Edits.push_back({{"path", Path}, {"value", Value}});
+  return change(Edits, DryRun);
+}
+
+int settings_commands::diff(const std::string &File) const {
+  auto Values = readFile(File);
+  if (!Values)
+    return static_cast<int>(exit_code::BadUsage);
+  admin_reply Now = Client.get("/admin/settings?path=/");
+  if (Now.Code != exit_code::Success)
+    return Output.show(Now, "");
+  const json &Held = Now.Json["values"];
+  for (const auto &[Path, Value] : Values->items()) {
+    json Found = Held.contains(Path) ? Held[Path] : json();
+    if (Found == Value)
+      continue;
+    if (!Found.is_null())
+      std::cout << "- " << Path << " " << Found.dump() << "\n";
+    std::cout << "+ " << Path << " " << Value.dump() << "\n";
+  }
+  return static_cast<int>(exit_code::Success);
+}
+
+int settings_commands::putVersion(const std::string &Version,
+                                  const std::string &Field,
+                                  const std::string &Value) const {
+  admin_reply Now = Client.get("/admin/settings?path=/");
+  if (Now.Code != exit_code::Success)
+    return Output.show(Now, "");
+  std::string Team = Now.Json.value("team", "");
+  std::string Path = "/" + Team + "/versions/" + Version + "/" + Field;
+  return put(Path, Value, /*DryRun=*/false);
+}
--- /dev/null
+++ b/tools/bluebellkeelctl/SettingsCommands.h
@@ -0,0 +1,47 @@
+#ifndef TOOLS_BLUEBELLKEELCTL_SETTINGSCOMMANDS_H
+#define TOOLS_BLUEBELLKEELCTL_SETTINGSCOMMANDS_H
+
+#include "AdminClient.h"
+#include "Output.h"
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace bluebellkeel {
+
+/// The commands that read and change settings.
+class settings_commands {
+public:
+  settings_commands(const admin_client &Client, const output &Output,
+                    std::optional<std::uint64_t> Base, std::string ChangeId)
+      : Client(Client), Output(Output), Base(Base),
+        ChangeId(std::move(ChangeId)) {}
+
+  int get(const std::string &Path) const;
+  int put(const std::string &Path, const std::string &Value,
+          bool DryRun) const;
+  int remove(const std::string &Path) const;
+  /// Puts all settings of a file, an object of values by path, as one change.
+  int putFile(const std::string &File, bool DryRun) const;
+  int diff(const std::string &File) const;
+  int history() const;
+
+  /// Puts the field \p Field of version \p Version, wherever the team keeps it.
+  int putVersion(const std::string &Version, const std::string &Field,
+                 const std::string &Value) const;
+
+private:
+  using edit_list = nlohmann::json;
+
+  int change(const edit_list &Edits, bool DryRun) const;
+  std::optional<nlohmann::json> readFile(const std::string &File) const;
+
+  const admin_client &Client;
+  const output &Output;
+  std::optional<std::uint64_t> Base;
+  std::string ChangeId;
+};
+
+} // namespace bluebellkeel
+
+#endif // TOOLS_BLUEBELLKEELCTL_SETTINGSCOMMANDS_H
--- /dev/null
+++ b/tools/bluebellkeeld/Main.cpp
@@ -0,0 +1,81 @@
+#include "absl/flags/flag.h"
+#include "absl/flags/parse.h"
+#include "absl/flags/usage.h"
+#include "bluebellkeel/Runtime.h"
+#include "bluebellkeel/Startup.h"
+#include "bluebellkeel/Telemetry.h"
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <thread>
+
+ABSL_FLAG(std::string, settings, "", "settings file, JSON with comments");
+ABSL_FLAG(bool, check, false, "only check the settings file");
+
+using namespace bluebellkeel;
+
+/// What the process returns.
+enum exit_code { Success = 0, BadSettings = 2, CannotStart = 3, CutRequests = 4 };
+
+static std::optional<startup_settings> readFile(const std::string &Path) {
+  std::ifstream File(Path);
+  if (!File) {
+    std::cerr << Path << ": cannot be read\n";
+    return std::nullopt;
+  }
+  std::stringstream Text;
+  Text << File.rdbuf();
+  auto Settings = readStartupSettings(Text.str());
+  if (Settings)
+    return *Settings;
+  for (const auto &Error : Settings.error())
+    std::cerr << Path << ": " << Error.message() << "\n";
+  return std::nullopt;
+}
+
+static void blockSignals(sigset_t &Signals) {
+  sigemptyset(&Signals);
+  sigaddset(&Signals, SIGTERM);
+  sigaddset(&Signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+}
+
+static int serve(const startup_settings &Settings, sigset_t &Signals) {
+  instance_runtime Runtime(Settings);
+  auto Started = Runtime.start();
+  if (!Started) {
+    std::cerr << "cannot start: " << Started.error() << "\n";
+    return CannotStart;
+  }
+  int Signal = 0;
+  sigwait(&Signals, &Signal);
+  std::thread Second([&] {
+    int Again = 0;
+    sigwait(&Signals, &Again);
+    Runtime.hurry();
+  });
+  std::size_t Cut = Runtime.shutDown();
+  // The second wait may still be there; its thread ends with the process.
+  std::cerr << "shutdown: " << Cut << " requests were cut.\n";
+  pthread_kill(Second.native_handle(), SIGTERM);
+  Second.join();
+  return Cut == 0 ? Success : CutRequests;
+}
+
+int main(int Argc, char **Argv) {
+  absl::SetProgramUsageMessage("bluebellkeeld --settings=FILE [--check]");
+  absl::ParseCommandLine(Argc, Argv);
+  sigset_t Signals;
+  blockSignals(Signals);
+  auto Settings = readFile(absl::GetFlag(FLAGS_settings));
+  if (!Settings)
+    return BadSettings;
+  if (absl::GetFlag(FLAGS_check)) {
+    std::cout << "settings are good\n";
+    return Success;
+  }
+  setUpLog(Settings->LogLevel);
+  return serve(*Settings, Signals);
+}
--- /dev/null
+++ b/utils/Caller/Caller.cpp
@@ -0,0 +1,190 @@
+#include "Caller.h"
+#include "absl/strings/str_cat.h"
+#include "bluebellkeel/Codec/JsonText.h"
+#include <nlohmann/json.hpp>
+
+using namespace bluebellkeel;
+
+using nlohmann::json;
+
+static constexpr int StatusOk = 200;
+static constexpr int FirstErrorStatus = 300;
+
+caller::caller(std::vector<network_address> Known, std::string ApiKey)
+    : Known(std::move(Known)), ApiKey(std::move(ApiKey)),
+      Client(http_timeouts(seconds(1), seconds(30), seconds(30))) {}
+
+http_headers caller::headers() const {
+  return http_headers()
+      .with("Authorization", "Bearer " + ApiKey)
+      .with("Content-Type", "application/json");
+}
+
+static std::vector<network_address> addressesFrom(const json &Json) {
+  std::vector<network_address> Result;
+  for (const auto &Item : Json.value("addresses", json::array())) {
+    auto Address = network_address::parse(Item.get<std::string>());
+    if (Address)
+      Result.push_back(*Address);
+  }
+  return Result;
+}
+
+std::vector<network_address> caller::addresses() {
+  monotonic_time Now = std::chrono::steady_clock::now();
+  if (Now < AdvisedUntil && !Advised.empty())
+    return Advised;
+  for (const auto &Address : Known) {
+    auto Response =
+        Client.send(Address, http_request("GET", "/v1/addresses", {}, ""));
+    if (!Response || Response->status() != StatusOk)
+      continue;
+    auto Json = parseJson(Response->body()).value_or(json::object());
+    auto Found = addressesFrom(Json);
+    if (Found.empty())
+      continue;
+    Advised = Found;
+    AdvisedUntil = Now + seconds(Json.value("valid_for_s", 1));
+    return Advised;
+  }
+  return Known;
+}
+
+/// A refusal's reason and whether it says that nothing ran.
+static work_result refusalFrom(const json &Json) {
+  work_result Result;
+  Result.End = work_end::Refused;
+  json Error = Json.value("error", json::object());
+  Result.Reason = Error.value("code", "no_code");
+  if (Error.value("not_run", json()) == json(true))
+    Result.End = work_end::NotRun;
+  return Result;
+}
+
+tl::expected<http_response, http_error>
+caller::sendAnywhere(const http_request &Request) {
+  tl::expected<http_response, http_error> Last =
+      tl::unexpected(http_error::ConnectFailed);
+  for (const auto &Address : addresses()) {
+    Last = Client.send(Address, Request);
+    if (!Last && Last.error() == http_error::ConnectFailed)
+      continue;
+    if (Last && Last->status() == 503) {
+      auto Json = parseJson(Last->body()).value_or(json::object());
+      if (refusalFrom(Json).End == work_end::NotRun)
+        continue;
+    }
+    return Last;
+  }
+  return Last;
+}
+
+/// Joins the pieces of a streamed answer; whole only with its last event.
+static work_result streamFrom(const std::string &Body) {
+  static const std::string Field = "data: ";
+  work_result Result;
+  std::size_t Start = 0;
+  while (Start < Body.size()) {
+    std::size_t End = Body.find('\n', Start);
+    if (End == std::string::npos)
+      break;
+    std::string Line = Body.substr(Start, End - Start);
+    Start = End + 1;
+    if (Line.compare(0, Field.size(), Field) != 0)
+      continue;
+    std::string Data = Line.substr(Field.size());
+    if (Data == "[DONE]") {
+      Result.End = work_end::Whole;
+      return Result;
+    }
+    auto Json = parseJson(Data).value_or(json::object());
+    if (Json.contains("error"))
+      return refusalFrom(Json);
+    json Choice = Json.value("choices", json::array({json::object()}))[0];
+    Result.Text +=
+        Choice.value("delta", json::object()).value("content", "");
+  }
+  return Result;
+}
+
+static work_result wholeFrom(const std::string &Body) {
+  work_result Result;
+  auto Json = parseJson(Body).value_or(json::object());
+  if (!Json.contains("choices"))
+    return Result;
+  Result.End = work_end::Whole;
+  Result.Text = Json["choices"][0]["message"].value("content", "");
+  return Result;
+}
+
+work_result caller::chat(const std::string &Model, const std::string &Prompt,
+                         std::uint64_t MaxTokens, bool Stream,
+                         const std::string &Key, const std::string &Session) {
+  json Message = {{"role", "user"}, {"content", Prompt}};
+  json Body = {{"model", Model},
+               {"stream", Stream},
+               {"max_tokens", MaxTokens},
+               {"messages", json::array({Message})}};
+  auto Headers = headers().with("Idempotency-Key", Key);
+  if (!Session.empty())
+    Headers = Headers.with("Bluebellkeel-Session", Session);
+  auto Response = sendAnywhere(
+      http_request("POST", "/v1/chat/completions", Headers, Body.dump()));
+  work_result Result;
+  if (!Response) {
+    Result.Reason = std::string(toString(Response.error()));
+    return Result;
+  }
+  if (Response->status() != StatusOk)
+    return refusalFrom(parseJson(Response->body()).value_or(json::object()));
+  Result = Stream ? streamFrom(Response->body()) : wholeFrom(Response->body());
+  Result.Version = Response->headers().get("Bluebellkeel-Version");
+  Result.Session = Response->headers().get("Bluebellkeel-Session");
+  return Result;
+}
+
+work_result caller::sendOrder(const http_request &Request) {
+  work_result Result;
+  auto Response = sendAnywhere(Request);
+  if (!Response) {
+    Result.Reason = std::string(toString(Response.error()));
+    if (Response.error() == http_error::ConnectFailed)
+      Result.End = work_end::NotRun;
+    return Result;
+  }
+  if (Response->status() >= FirstErrorStatus)
+    return refusalFrom(parseJson(Response->body()).value_or(json::object()));
+  Result.End = work_end::Whole;
+  Result.Text = Response->body();
+  return Result;
+}
+
+work_result caller::order(const std::string &Service,
+                          const std::string &Operation,
+                          const std::string &Body, unsigned Resends) {
+  auto Issued = sendAnywhere(http_request("POST", "/v1/tickets", headers(), ""));
+  work_result Result;
+  Result.End = work_end::NotRun;
+  Result.Reason = "no_ticket";
+  if (!Issued || Issued->status() != StatusOk)
+    return Result;
+  auto Json = parseJson(Issued->body()).value_or(json::object());
+  auto Ticketed =
+      headers().with("Bluebellkeel-Ticket", Json.value("ticket", ""));
+  std::string Target = absl::StrCat("/v1/services/", Service, "/", Operation);
+  for (unsigned Attempt = 1; Attempt <= Resends + 1; ++Attempt) {
+    auto Headers =
+        Ticketed.with("Bluebellkeel-Attempt", absl::StrCat(Attempt));
+    Result = sendOrder(http_request("POST", Target, Headers, Body));
+    if (Result.End == work_end::Whole)
+      return Result;
+  }
+  return Result;
+}
+
+work_result caller::call(const std::string &Service,
+                         const std::string &Operation,
+                         const std::string &Body) {
+  std::string Target = absl::StrCat("/v1/services/", Service, "/", Operation);
+  return sendOrder(http_request("POST", Target, headers(), Body));
+}
--- /dev/null
+++ b/utils/Caller/Caller.h
@@ -0,0 +1,70 @@
+#ifndef UTILS_CALLER_CALLER_H
+#define UTILS_CALLER_CALLER_H
+
+#include "bluebellkeel/Core/NetworkAddress.h"
+#include "bluebellkeel/Http/HttpClient.h"
+#include <string>
+#include <vector>
+
+namespace bluebellkeel {
+
+/// How one piece of work ended, as its caller sees it.
+enum class work_end {
+  /// The whole answer came.
+  Whole,
+  /// A refusal that says that nothing ran.
+  NotRun,
+  /// A refusal that says that it ran or may have.
+  Refused,
+  /// The connection ended without a word; the caller can tell.
+  Cut,
+};
+
+/// What came back for one piece of work.
+struct work_result {
+  work_end End = work_end::Cut;
+  std::string Reason;
+  std::string Text;
+  std::string Version;
+  std::string Session;
+};
+
+/// A caller of the system: asks which addresses to use, keeps the answer for
+/// as long as it is valid, and connects there itself.
+class caller {
+public:
+  caller(std::vector<network_address> Known, std::string ApiKey);
+
+  /// Asks the known instances in turn for addresses.
+  std::vector<network_address> addresses();
+
+  /// One chat completion. Goes on to the next address only after a refusal
+  /// that says that nothing ran, or a connection that was not made.
+  work_result chat(const std::string &Model, const std::string &Prompt,
+                   std::uint64_t MaxTokens, bool Stream,
+                   const std::string &Key, const std::string &Session);
+
+  /// One call that runs at most once: takes a ticket first. With \p Resends it
+  /// sends the same ticket again after a doubt.
+  work_result order(const std::string &Service, const std::string &Operation,
+                    const std::string &Body, unsigned Resends);
+
+  /// One call that may be repeated.
+  work_result call(const std::string &Service, const std::string &Operation,
+                   const std::string &Body);
+
+private:
+  http_headers headers() const;
+  tl::expected<http_response, http_error> sendAnywhere(const http_request &R);
+  work_result sendOrder(const http_request &Request);
+
+  std::vector<network_address> Known;
+  std::vector<network_address> Advised;
+  monotonic_time AdvisedUntil;
+  std::string ApiKey;
+  http_client Client;
+};
+
+} // namespace bluebellkeel
+
+#endif // UTILS_CALLER_CALLER_H
--- /dev/null
+++ b/utils/Caller/LoadRun.cpp
@@ -0,0 +1,112 @@
+#include "LoadRun.h"
+#include "Caller.h"
+#include "absl/base/thread_annotations.h"
+#include "absl/strings/str_cat.h"
+#include "absl/synchronization/mutex.h"
+#include <algorithm>
+#include <atomic>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+using namespace bluebellkeel;
+
+using nlohmann::json;
+
+namespace {
+
+/// Counts the ends of the work of all threads.
+class load_tally {
+public:
+  void add(const work_result &Result, double Seconds) {
+    absl::MutexLock Lock(&Mutex);
+    switch (Result.End) {
+    case work_end::Whole:
+      ++Whole;
+      Times.push_back(Seconds);
+      return;
+    case work_end::NotRun:
+      ++NotRun;
+      break;
+    case work_end::Refused:
+      ++Refused;
+      break;
+    case work_end::Cut:
+      ++Cut;
+      break;
+    }
+    ++Reasons[Result.Reason.empty() ? "cut" : Result.Reason];
+  }
+
+  std::string summary() {
+    absl::MutexLock Lock(&Mutex);
+    std::sort(Times.begin(), Times.end());
+    json Form = {{"whole", Whole},     {"not_run", NotRun},
+                 {"refused", Refused}, {"cut", Cut},
+                 {"reasons", Reasons}, {"p50_s", quantile(0.5)},
+                 {"p95_s", quantile(0.95)}, {"p99_s", quantile(0.99)}};
+    return Form.dump();
+  }
+
+private:
+  double quantile(double Share) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex) {
+    if (Times.empty())
+      return 0;
+    auto Index =
+        static_cast<std::size_t>(Share * static_cast<double>(Times.size()));
+    return Times[std::min(Index, Times.size() - 1)];
+  }
+
+  mutable absl::Mutex Mutex;
+  std::uint64_t Whole ABSL_GUARDED_BY(Mutex) = 0;
+  std::uint64_t NotRun ABSL_GUARDED_BY(Mutex) = 0;
+  std::uint64_t Refused ABSL_GUARDED_BY(Mutex) = 0;
+  std::uint64_t Cut ABSL_GUARDED_BY(Mutex) = 0;
+  std::map<std::string, std::uint64_t> Reasons ABSL_GUARDED_BY(Mutex);
+  std::vector<double> Times ABSL_GUARDED_BY(Mutex);
+};
+
+} // namespace
+
+static work_result runOne(const load_plan &Plan, caller &Caller,
+                          std::uint64_t Number) {
+  if (!Plan.Service.empty()) {
+    std::string Body = json{{"id", absl::StrCat("load-", Number)}}.dump();
+    return Caller.order(Plan.Service, Plan.Operation, Body, /*Resends=*/3);
+  }
+  return Caller.chat(Plan.Model, absl::StrCat("Describe lace ", Number),
+                     Plan.MaxTokens, /*Stream=*/true,
+                     absl::StrCat("load-", Number), "");
+}
+
+static void rotate(std::vector<network_address> &Known, std::size_t By) {
+  auto Middle =
+      Known.begin() + static_cast<std::ptrdiff_t>(By % Known.size());
+  std::rotate(Known.begin(), Middle, Known.end());
+}
+
+std::string bluebellkeel::runLoad(const load_plan &Plan) {
+  load_tally Tally;
+  std::atomic<std::uint64_t> Next{0};
+  std::vector<std::thread> Threads;
+  for (unsigned Index = 0; Index < Plan.Threads; ++Index) {
+    Threads.emplace_back([&, Index] {
+      auto Known = Plan.Known;
+      rotate(Known, Index);
+      caller Caller(Known, Plan.ApiKey);
+      while (true) {
+        std::uint64_t Number = Next++;
+        if (Number >= Plan.Requests)
+          return;
+        auto Started = std::chrono::steady_clock::now();
+        work_result Result = runOne(Plan, Caller, Number);
+        std::chrono::duration<double> Took =
+            std::chrono::steady_clock::now() - Started;
+        Tally.add(Result, Took.count());
+      }
+    });
+  }
+  for (auto &Thread : Threads)
+    Thread.join();
+  return Tally.summary();
+}
--- /dev/null
+++ b/utils/Standin/EngineStandin.cpp
@@ -0,0 +1,275 @@
+#include "Standins.h"
+#include "Switches.h"
+#include "absl/strings/str_cat.h"
+#include "bluebellkeel/Codec/JsonText.h"
+#include "bluebellkeel/Http/Await.h"
+#include <algorithm>
+#include <atomic>
+#include <nlohmann/json.hpp>
+
+using namespace bluebellkeel;
+
+using nlohmann::json;
+
+/// Completions after which a cold engine is warm.
+static constexpr std::uint32_t WarmUpCompletions = 4;
+static constexpr std::uint64_t MaxStandinTokens = 4096;
+static constexpr std::uint64_t DefaultTokens = 16;
+static constexpr std::uint64_t BytesPerToken = 3;
+
+namespace {
+
+/// A model engine. It dies when its load passes what it bears, and comes back
+/// cold. Switches: first_ms, token_ms, crossed, truncate_at, silent_at (piece
+/// numbers), restart_ms, go_cold, load_frozen, turn_away, honour_fencing. A
+/// prompt with CRASH-ME kills it.
+class engine_standin final : public http_handler {
+public:
+  explicit engine_standin(const engine_options &Options)
+      : Options(Options), Warm(Options.StartWarm) {
+    Faults.set("token_ms", 1);
+    Faults.set("restart_ms", 500);
+  }
+
+  void handle(const http_request &Request, http_responder &Responder,
+              boost::asio::yield_context Yield) override;
+
+private:
+  void complete(const http_request &Request, http_responder &Responder,
+                boost::asio::yield_context Yield);
+  void stream(const http_request &Request, std::uint64_t Tokens,
+              http_responder &Responder, boost::asio::yield_context Yield);
+  bool admit(std::uint64_t Held);
+  void leave(std::uint64_t Held, std::uint64_t Life);
+  void crash();
+  bool restarting() const;
+  void report(http_responder &Responder);
+  void stats(http_responder &Responder);
+  void order(const http_request &Request, http_responder &Responder);
+  std::string pieceText(std::uint64_t Index, bool Good) const;
+
+  engine_options Options;
+  switches Faults;
+  absl::Mutex Mutex;
+  bool Warm ABSL_GUARDED_BY(Mutex);
+  std::uint32_t Running ABSL_GUARDED_BY(Mutex) = 0;
+  std::uint64_t HeldTokens ABSL_GUARDED_BY(Mutex) = 0;
+  std::uint32_t SinceCold ABSL_GUARDED_BY(Mutex) = 0;
+  std::uint64_t Started ABSL_GUARDED_BY(Mutex) = 0;
+  std::uint64_t Completed ABSL_GUARDED_BY(Mutex) = 0;
+  std::uint64_t Crashes ABSL_GUARDED_BY(Mutex) = 0;
+  std::uint32_t MaxRunning ABSL_GUARDED_BY(Mutex) = 0;
+  std::uint32_t MaxRunningCold ABSL_GUARDED_BY(Mutex) = 0;
+  std::uint64_t MaxTokens ABSL_GUARDED_BY(Mutex) = 0;
+  std::uint64_t Fence ABSL_GUARDED_BY(Mutex) = 0;
+  json Loaded ABSL_GUARDED_BY(Mutex);
+  json FrozenReport ABSL_GUARDED_BY(Mutex);
+  std::string LastAttempt ABSL_GUARDED_BY(Mutex);
+  monotonic_time DownUntil ABSL_GUARDED_BY(Mutex);
+  std::atomic<std::uint64_t> Life{0};
+};
+
+} // namespace
+
+/// False, and the engine dead, when the load would pass what it bears.
+bool engine_standin::admit(std::uint64_t Held) {
+  bool TooMuch = false;
+  {
+    absl::MutexLock Lock(&Mutex);
+    if (Faults.on("go_cold")) {
+      Warm = false;
+      SinceCold = 0;
+      Faults.set("go_cold", 0);
+    }
+    ++Running;
+    ++Started;
+    HeldTokens += Held;
+    MaxRunning = std::max(MaxRunning, Running);
+    MaxTokens = std::max(MaxTokens, HeldTokens);
+    if (!Warm)
+      MaxRunningCold = std::max(MaxRunningCold, Running);
+    std::uint32_t Bound = Warm ? Options.WarmRequests : Options.ColdRequests;
+    TooMuch = Running > Bound || HeldTokens > Options.Tokens;
+  }
+  if (TooMuch)
+    crash();
+  return !TooMuch;
+}
+
+void engine_standin::leave(std::uint64_t Held, std::uint64_t AdmittedIn) {
+  absl::MutexLock Lock(&Mutex);
+  if (Life != AdmittedIn)
+    return;
+  --Running;
+  HeldTokens -= Held;
+}
+
+void engine_standin::crash() {
+  absl::MutexLock Lock(&Mutex);
+  ++Life;
+  ++Crashes;
+  Running = 0;
+  HeldTokens = 0;
+  Warm = false;
+  SinceCold = 0;
+  DownUntil =
+      std::chrono::steady_clock::now() +
+      milliseconds(static_cast<std::int64_t>(Faults.get("restart_ms")));
+}
+
+bool engine_standin::restarting() const {
+  auto *Self = const_cast<engine_standin *>(this);
+  absl::MutexLock Lock(&Self->Mutex);
+  return std::chrono::steady_clock::now() < Self->DownUntil;
+}
+
+std::string engine_standin::pieceText(std::uint64_t Index, bool Good) const {
+  if (Index == 0)
+    return absl::StrCat(Options.Version, Good ? ":good" : ":bad");
+  return absl::StrCat(" w", Index);
+}
+
+void engine_standin::complete(const http_request &Request,
+                              http_responder &Responder,
+                              boost::asio::yield_context Yield) {
+  auto Body = parseJson(Request.body()).value_or(json::object());
+  std::uint64_t Tokens =
+      std::min(Body.value("max_tokens", DefaultTokens), MaxStandinTokens);
+  std::uint64_t Held = Tokens + Request.body().size() / BytesPerToken;
+  if (Faults.on("turn_away")) {
+    answerJson(Responder, 429, "{}");
+    return;
+  }
+  std::uint64_t AdmittedIn = Life;
+  if (!admit(Held)) {
+    Responder.abandon();
+    return;
+  }
+  if (Request.body().find("CRASH-ME") != std::string::npos) {
+    crash();
+    Responder.abandon();
+    return;
+  }
+  stream(Request, Tokens, Responder, Yield);
+  leave(Held, AdmittedIn);
+}
+
+void engine_standin::stream(const http_request &Request, std::uint64_t Tokens,
+                            http_responder &Responder,
+                            boost::asio::yield_context Yield) {
+  std::uint64_t AdmittedIn = Life;
+  std::string Attempt = Request.headers().get("X-Request-Id");
+  bool Good = true;
+  {
+    absl::MutexLock Lock(&Mutex);
+    // Good and bad answers alternate evenly, without chance.
+    double Quality = Options.Quality;
+    Good = static_cast<std::uint64_t>(static_cast<double>(Started) * Quality) >
+           static_cast<std::uint64_t>(static_cast<double>(Started - 1) *
+                                      Quality);
+    if (Faults.on("crossed"))
+      std::swap(Attempt, LastAttempt);
+    else
+      LastAttempt = Attempt;
+  }
+  awaitTime(Yield, milliseconds(static_cast<int>(Faults.get("first_ms"))));
+  Responder.begin(200,
+                  http_headers().with("Content-Type", "text/event-stream"));
+  auto Event = [&](const json &Choices, const json &Usage) {
+    json Form = {{"id", "chatcmpl-" + Attempt},
+                 {"object", "chat.completion.chunk"},
+                 {"model", Options.Version},
+                 {"choices", Choices}};
+    if (!Usage.is_null())
+      Form["usage"] = Usage;
+    return Responder.write("data: " + Form.dump() + "\n\n");
+  };
+  for (std::uint64_t Index = 0; Index < Tokens; ++Index) {
+    bool Cut = Faults.get("truncate_at") == static_cast<double>(Index + 1);
+    if (Life != AdmittedIn || Cut) {
+      Responder.abandon();
+      return;
+    }
+    if (Faults.get("silent_at") == static_cast<double>(Index + 1))
+      awaitTime(Yield, seconds(60));
+    json Delta = {{"content", pieceText(Index, Good)}};
+    if (!Event({{{"index", 0}, {"delta", Delta}, {"finish_reason", nullptr}}},
+               nullptr))
+      return;
+    awaitTime(Yield, milliseconds(static_cast<int>(Faults.get("token_ms"))));
+  }
+  Event({{{"index", 0},
+          {"delta", json::object()},
+          {"finish_reason", "stop"}}},
+        nullptr);
+  Event(json::array(),
+        {{"prompt_tokens", Request.body().size() / BytesPerToken},
+         {"completion_tokens", Tokens}});
+  if (!Responder.write("data: [DONE]\n\n") || !Responder.end())
+    return;
+  absl::MutexLock Lock(&Mutex);
+  ++Completed;
+  if (!Warm && ++SinceCold >= WarmUpCompletions)
+    Warm = true;
+}
+
+void engine_standin::report(http_responder &Responder) {
+  absl::MutexLock Lock(&Mutex);
+  json Form = {{"warm", Warm},
+               {"held", {{"requests", Running}, {"tokens", HeldTokens}}}};
+  if (Faults.on("load_frozen") && !FrozenReport.is_null())
+    Form = FrozenReport;
+  FrozenReport = Form;
+  answerJson(Responder, 200, Form.dump());
+}
+
+void engine_standin::stats(http_responder &Responder) {
+  absl::MutexLock Lock(&Mutex);
+  json Form = {{"started", Started},         {"completed", Completed},
+               {"crashes", Crashes},         {"max_running", MaxRunning},
+               {"max_tokens", MaxTokens},    {"max_running_cold", MaxRunningCold},
+               {"warm", Warm},               {"loaded", Loaded},
+               {"fence", Fence}};
+  answerJson(Responder, 200, Form.dump());
+}
+
+/// POST /orders: load a version or change role, with a fencing number.
+void engine_standin::order(const http_request &Request,
+                           http_responder &Responder) {
+  auto Body = parseJson(Request.body()).value_or(json::object());
+  std::uint64_t Given = Body.value("fence", std::uint64_t(0));
+  absl::MutexLock Lock(&Mutex);
+  if (Faults.on("honour_fencing") && Given < Fence) {
+    answerJson(Responder, 409, "{\"error\":\"old fence\"}");
+    return;
+  }
+  Fence = std::max(Fence, Given);
+  Loaded = Body.value("load", json());
+  answerJson(Responder, 200, "{}");
+}
+
+void engine_standin::handle(const http_request &Request,
+                            http_responder &Responder,
+                            boost::asio::yield_context Yield) {
+  if (Faults.handle(Request, Responder))
+    return;
+  if (Request.path() == "/stats") {
+    stats(Responder);
+    return;
+  }
+  if (restarting()) {
+    Responder.abandon();
+    return;
+  }
+  if (Request.path() == "/load")
+    report(Responder);
+  else if (Request.path() == "/orders")
+    order(Request, Responder);
+  else
+    complete(Request, Responder, Yield);
+}
+
+std::unique_ptr<http_handler>
+bluebellkeel::makeEngineStandin(const engine_options &Options) {
+  return std::make_unique<engine_standin>(Options);
+}
--- /dev/null
+++ b/utils/Standin/Switches.cpp
@@ -0,0 +1,40 @@
+#include "Switches.h"
+#include "bluebellkeel/Codec/JsonText.h"
+#include <nlohmann/json.hpp>
+
+using namespace bluebellkeel;
+
+using nlohmann::json;
+
+double switches::get(const std::string &Name) const {
+  absl::MutexLock Lock(&Mutex);
+  auto Found = Values.find(Name);
+  return Found == Values.end() ? 0 : Found->second;
+}
+
+void switches::set(const std::string &Name, double Value) {
+  absl::MutexLock Lock(&Mutex);
+  Values[Name] = Value;
+}
+
+bool switches::handle(const http_request &Request, http_responder &Responder) {
+  if (Request.path() != "/switch")
+    return false;
+  json Now = json::object();
+  auto Changes = parseJson(Request.body()).value_or(json::object());
+  absl::MutexLock Lock(&Mutex);
+  for (const auto &[Name, Value] : Changes.items()) {
+    if (Value.is_number())
+      Values[Name] = Value.get<double>();
+  }
+  for (const auto &[Name, Value] : Values)
+    Now[Name] = Value;
+  answerJson(Responder, 200, Now.dump());
+  return true;
+}
+
+void bluebellkeel::answerJson(http_responder &Responder, int Status,
+                              const std::string &Text) {
+  auto Headers = http_headers().with("Content-Type", "application/json");
+  Responder.send(http_response(Status, Headers, Text + "\n"));
+}
--- /dev/null
+++ b/utils/Standin/Switches.h
@@ -0,0 +1,34 @@
+#ifndef UTILS_STANDIN_SWITCHES_H
+#define UTILS_STANDIN_SWITCHES_H
+
+#include "absl/base/thread_annotations.h"
+#include "absl/synchronization/mutex.h"
+#include "bluebellkeel/Http/HttpRequest.h"
+#include "bluebellkeel/Http/HttpResponder.h"
+#include <map>
+#include <string>
+
+namespace bluebellkeel {
+
+/// The faults of a stand-in, which a test sets over HTTP: POST /switch with an
+/// object of numbers. One that was never set is 0.
+class switches {
+public:
+  double get(const std::string &Name) const;
+  bool on(const std::string &Name) const { return get(Name) != 0; }
+  void set(const std::string &Name, double Value);
+
+  /// Takes the request if it sets or asks for switches.
+  bool handle(const http_request &Request, http_responder &Responder);
+
+private:
+  mutable absl::Mutex Mutex;
+  std::map<std::string, double> Values ABSL_GUARDED_BY(Mutex);
+};
+
+/// Answers with a JSON text.
+void answerJson(http_responder &Responder, int Status, const std::string &Text);
+
+} // namespace bluebellkeel
+
+#endif // UTILS_STANDIN_SWITCHES_H
