Keep no lock across a coroutine's wait in the stand-ins

Cause: stand-ins answered while holding a mutex; the coroutine may resume on another thread, and the release then aborts ("thread releasing lock it does not hold"). Ruled out: the daemon and the fold (cores were the stand-ins').

--- a/include/bluebellkeel/Http/ClientStream.h
+++ b/include/bluebellkeel/Http/ClientStream.h
@@ -21,8 +21,8 @@
 
   /// Connects, sends \p Request and reads the head of the answer, whose body
   /// is left empty.
-  tl::expected<http_response, http_error>
-  open(const network_address &Address, const http_request &Request);
+  tl::expected<http_response, http_error> open(const network_address &Address,
+                                               const http_request &Request);
 
   /// The next piece of the body; empty at its end.
   tl::expected<std::string, http_error> readSome();
--- a/include/bluebellkeel/Http/HttpTimeouts.h
+++ b/include/bluebellkeel/Http/HttpTimeouts.h
@@ -1,9 +1,9 @@
 #ifndef BLUEBELLKEEL_HTTP_HTTPTIMEOUTS_H
 #define BLUEBELLKEEL_HTTP_HTTPTIMEOUTS_H
 
+#include "bluebellkeel/Core/Comparable.h"
 #include "bluebellkeel/Core/Time.h"
 #include <tuple>
-#include "bluebellkeel/Core/Comparable.h"
 
 namespace bluebellkeel {
 
--- a/include/bluebellkeel/Http/ThreadPool.h
+++ b/include/bluebellkeel/Http/ThreadPool.h
@@ -21,8 +21,7 @@
 
 private:
   boost::asio::io_context Context;
-  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
-      Work;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type> Work;
   std::vector<std::thread> Threads;
 };
 
--- a/include/bluebellkeel/Membership/Ownership.h
+++ b/include/bluebellkeel/Membership/Ownership.h
@@ -11,8 +11,8 @@
 /// The instance out of \p Candidates that owns \p Key by rendezvous hashing:
 /// the same for all who know the same candidates, and moved for few keys when
 /// a candidate comes or goes.
-std::optional<instance_id>
-ownerOf(std::string_view Key, const std::vector<instance_id> &Candidates);
+std::optional<instance_id> ownerOf(std::string_view Key,
+                                   const std::vector<instance_id> &Candidates);
 
 } // namespace bluebellkeel
 
--- a/include/bluebellkeel/Peer/GrantReply.h
+++ b/include/bluebellkeel/Peer/GrantReply.h
@@ -10,8 +10,7 @@
 class grant_reply : public comparable<grant_reply> {
 public:
   grant_reply() = default;
-  explicit grant_reply(std::vector<grant> Grants)
-      : Grants(std::move(Grants)) {}
+  explicit grant_reply(std::vector<grant> Grants) : Grants(std::move(Grants)) {}
 
   const std::vector<grant> &grants() const { return Grants; }
   const std::vector<grant> &key() const { return Grants; }
--- a/include/bluebellkeel/Relay/ChatRelay.h
+++ b/include/bluebellkeel/Relay/ChatRelay.h
@@ -35,11 +35,9 @@
 
   tl::expected<version_plan, refusal> planFor(const chat_request &Request);
   std::optional<refusal> checkStart(const chat_request &Request);
-  tl::expected<chat_outcome, refusal> tryStep(const chat_request &Request,
-                                              const plan_step &Step,
-                                              holdback_sink &Sink,
-                                              const version_notice &Notice,
-                                              bool LastStep);
+  tl::expected<chat_outcome, refusal>
+  tryStep(const chat_request &Request, const plan_step &Step,
+          holdback_sink &Sink, const version_notice &Notice, bool LastStep);
   tl::expected<upstream_slot, refusal> takeSlot(const chat_request &Request,
                                                 const plan_step &Step);
   std::optional<refusal> recheck(const chat_request &Request,
--- a/include/bluebellkeel/Upstream/GrantBook.h
+++ b/include/bluebellkeel/Upstream/GrantBook.h
@@ -45,7 +45,8 @@
 
   using entry_map = std::map<upstream_id, entry>;
 
-  void releaseSlot(const upstream_id &Upstream, const load_share &Need) override;
+  void releaseSlot(const upstream_id &Upstream,
+                   const load_share &Need) override;
 
   instance_id Self;
   const clock &Clock;
--- a/include/bluebellkeel/Upstream/GrantIssuer.h
+++ b/include/bluebellkeel/Upstream/GrantIssuer.h
@@ -62,8 +62,9 @@
   load_share freeFor(const owned_upstream &Upstream,
                      const instance_id &Holder) const;
   static void dropEnded(owned_upstream &Upstream, monotonic_time Now);
-  std::optional<grant> issueFrom(owned_upstream &Upstream, const grant_request &Request,
-                  monotonic_time Now);
+  std::optional<grant> issueFrom(owned_upstream &Upstream,
+                                 const grant_request &Request,
+                                 monotonic_time Now);
 
   grant_rules Rules;
   sharded<owned_map> Owned;
--- a/lib/Backend/AnswerReader.cpp
+++ b/lib/Backend/AnswerReader.cpp
@@ -45,8 +45,8 @@
   if (Event->contains("usage"))
     takeUsage((*Event)["usage"]);
   auto Choices = Event->find("choices");
-  bool HasContent = Choices != Event->end() && Choices->is_array() &&
-                    !Choices->empty();
+  bool HasContent =
+      Choices != Event->end() && Choices->is_array() && !Choices->empty();
   if (!HasContent)
     return std::nullopt;
   // Content after the final event belongs to no whole answer.
--- a/lib/Codec/JournalForms.cpp
+++ b/lib/Codec/JournalForms.cpp
@@ -41,8 +41,8 @@
                                Fields.text("body"));
   if (Fields.failed())
     return tl::unexpected(Fields.error());
-  for (auto Known : {claim_kind::Claim, claim_kind::Release,
-                     claim_kind::Outcome}) {
+  for (auto Known :
+       {claim_kind::Claim, claim_kind::Release, claim_kind::Outcome}) {
     if (Kind == kindName(Known))
       return claim_entry(Known, Ticket, Attempt, Outcome);
   }
--- a/lib/Codec/JsonText.cpp
+++ b/lib/Codec/JsonText.cpp
@@ -98,7 +98,8 @@
   }
 }
 
-tl::expected<json, codec_error> bluebellkeel::parseCbor(std::string_view Bytes) {
+tl::expected<json, codec_error>
+bluebellkeel::parseCbor(std::string_view Bytes) {
   depth_probe Probe;
   if (!json::sax_parse(Bytes.begin(), Bytes.end(), &Probe,
                        json::input_format_t::cbor))
--- a/lib/Codec/ListForms.cpp
+++ b/lib/Codec/ListForms.cpp
@@ -104,8 +104,8 @@
     Fields.fail("cold: " + Cold.error().message());
   if (Fields.failed())
     return tl::unexpected(Fields.error());
-  return upstream_record(
-      Id, DataCentre, Address,
-      Kind == "engine" ? upstream_kind::Engine : upstream_kind::Service, Pool,
-      Leaving, *Warm, *Cold);
+  return upstream_record(Id, DataCentre, Address,
+                         Kind == "engine" ? upstream_kind::Engine
+                                          : upstream_kind::Service,
+                         Pool, Leaving, *Warm, *Cold);
 }
--- a/lib/Codec/SettingsForms.cpp
+++ b/lib/Codec/SettingsForms.cpp
@@ -51,8 +51,8 @@
     return tl::unexpected(Fields.error());
   auto Path = settings_path::parse(PathText);
   if (!Path)
-    return tl::unexpected(codec_error("path: expected /segment/..., found \"" +
-                                      PathText + "\""));
+    return tl::unexpected(
+        codec_error("path: expected /segment/..., found \"" + PathText + "\""));
   if (Fields.optional("value").is_null())
     return setting_edit(*Path, std::nullopt);
   auto Value = settingValueFrom(Fields.optional("value"));
@@ -161,8 +161,7 @@
   return tl::unexpected(codec_error("kind: expected change or snapshot"));
 }
 
-std::string_view
-bluebellkeel::toString(change_outcome::verdict Verdict) {
+std::string_view bluebellkeel::toString(change_outcome::verdict Verdict) {
   switch (Verdict) {
   case change_outcome::verdict::Accepted:
     return "accepted";
--- a/lib/Frontend/Authentication.cpp
+++ b/lib/Frontend/Authentication.cpp
@@ -11,9 +11,8 @@
   return Value.substr(Scheme.size());
 }
 
-std::optional<account_id>
-bluebellkeel::callerOf(const frontend_parts &Parts,
-                       const http_request &Request) {
+std::optional<account_id> bluebellkeel::callerOf(const frontend_parts &Parts,
+                                                 const http_request &Request) {
   std::string Token = bearerToken(Request);
   if (Token.empty())
     return std::nullopt;
--- a/lib/Frontend/ChatBody.cpp
+++ b/lib/Frontend/ChatBody.cpp
@@ -4,8 +4,7 @@
 
 using namespace bluebellkeel;
 
-tl::expected<chat_body, codec_error>
-chat_body::parse(const std::string &Text) {
+tl::expected<chat_body, codec_error> chat_body::parse(const std::string &Text) {
   auto Json = parseJson(Text);
   if (!Json)
     return tl::unexpected(Json.error());
--- a/lib/Frontend/ChatEndpoint.cpp
+++ b/lib/Frontend/ChatEndpoint.cpp
@@ -136,6 +136,7 @@
   run(*Chat, Sink, Yield);
 }
 
-std::unique_ptr<endpoint> bluebellkeel::makeChatEndpoint(frontend_parts &Parts) {
+std::unique_ptr<endpoint>
+bluebellkeel::makeChatEndpoint(frontend_parts &Parts) {
   return std::make_unique<chat_endpoint>(Parts);
 }
--- a/lib/Frontend/ExplainEndpoint.cpp
+++ b/lib/Frontend/ExplainEndpoint.cpp
@@ -61,8 +61,8 @@
   auto Closed = Parts.Gate.closed();
   if (Closed)
     Answer["instance_refuses"] = std::string(toString(*Closed));
-  auto Plan = Parts.Planner.plan(
-      route_query(*Settings, *Account, Model, std::nullopt));
+  auto Plan =
+      Parts.Planner.plan(route_query(*Settings, *Account, Model, std::nullopt));
   if (!Plan) {
     Answer["refused"] = std::string(toString(Plan.error()));
     sendJson(Responder, 200, Answer);
--- a/lib/Frontend/HealthEndpoint.cpp
+++ b/lib/Frontend/HealthEndpoint.cpp
@@ -25,7 +25,7 @@
     }
     auto Closed = Parts.Gate.closed();
     bool Ready = !Closed && Parts.Facts.serving();
-    std::string Reason = Closed ? std::string(toString(*Closed))
+    std::string Reason = Closed  ? std::string(toString(*Closed))
                          : Ready ? "ready"
                                  : "draining";
     sendJson(Responder, Ready ? Ok : Unavailable, {{"status", Reason}});
--- a/lib/Frontend/InstancesEndpoint.cpp
+++ b/lib/Frontend/InstancesEndpoint.cpp
@@ -47,13 +47,12 @@
       Form["peer"] = describePeer(*Peer);
     Instances.push_back(std::move(Form));
   }
-  sendJson(
-      Responder, 200,
-      {{"answered_by", Parts.Startup.Instance.text()},
-       {"verdict", std::string(toString(Parts.Facts.verdict()))},
-       {"serving", Parts.Facts.serving()},
-       {"settings_applied", Parts.Settings.state()->applied().value()},
-       {"instances", std::move(Instances)}});
+  sendJson(Responder, 200,
+           {{"answered_by", Parts.Startup.Instance.text()},
+            {"verdict", std::string(toString(Parts.Facts.verdict()))},
+            {"serving", Parts.Facts.serving()},
+            {"settings_applied", Parts.Settings.state()->applied().value()},
+            {"instances", std::move(Instances)}});
 }
 
 std::unique_ptr<endpoint>
--- a/lib/Frontend/RequestIdentity.cpp
+++ b/lib/Frontend/RequestIdentity.cpp
@@ -11,8 +11,8 @@
          C == '_' || C == ':' || C == '-';
 }
 
-std::optional<request_id>
-bluebellkeel::requestIdOf(const http_request &Request, random_source &Random) {
+std::optional<request_id> bluebellkeel::requestIdOf(const http_request &Request,
+                                                    random_source &Random) {
   std::string Key = Request.headers().get("Idempotency-Key");
   if (Key.empty())
     return request_id(Random.token());
--- a/lib/Frontend/WaitingSlotGateway.cpp
+++ b/lib/Frontend/WaitingSlotGateway.cpp
@@ -27,8 +27,8 @@
   });
   if (!Fits)
     return tl::unexpected(admission_error::TimedOut);
-  auto Timer = std::make_shared<boost::asio::steady_timer>(
-      Yield.get_executor(), Patience);
+  auto Timer = std::make_shared<boost::asio::steady_timer>(Yield.get_executor(),
+                                                           Patience);
   bool QueueFull = false;
   auto Slot = awaitCallback<shared_slot>(
       Yield, [&](std::function<void(shared_slot)> Done) {
@@ -43,8 +43,8 @@
           return;
         }
         Waker.wakeGrants();
-        Timer->async_wait([&Queue = Queue, Pool, Account, Number, Done](
-                              const boost::system::error_code &Code) {
+        Timer->async_wait([&Queue = Queue, Pool, Account, Number,
+                           Done](const boost::system::error_code &Code) {
           if (!Code && Queue.cancel(Pool, Account, Number))
             Done(nullptr);
         });
--- a/lib/Http/ClientStream.cpp
+++ b/lib/Http/ClientStream.cpp
@@ -21,8 +21,8 @@
   impl(asio::yield_context Yield, http_timeouts Timeouts)
       : Yield(Yield), Timeouts(Timeouts), Stream(Yield.get_executor()) {}
 
-  tl::expected<http_response, http_error>
-  open(const network_address &Address, const http_request &Request);
+  tl::expected<http_response, http_error> open(const network_address &Address,
+                                               const http_request &Request);
   tl::expected<std::string, http_error> readSome();
 
 private:
@@ -51,8 +51,8 @@
   if (Code == http::error::end_of_stream ||
       Code == http::error::partial_message)
     return http_error::Closed;
-  if (Code.category() == http::make_error_code(http::error::bad_version)
-                             .category())
+  if (Code.category() ==
+      http::make_error_code(http::error::bad_version).category())
     return http_error::Malformed;
   return http_error::Closed;
 }
--- a/lib/Http/ServerConnection.cpp
+++ b/lib/Http/ServerConnection.cpp
@@ -19,8 +19,8 @@
                                      http_handler &Handler, http_limits Limits,
                                      server_state &State,
                                      asio::yield_context Yield)
-    : Stream(std::move(Socket)), Handler(Handler), Limits(Limits),
-      State(State), Yield(Yield) {
+    : Stream(std::move(Socket)), Handler(Handler), Limits(Limits), State(State),
+      Yield(Yield) {
   ++State.Connections;
 }
 
@@ -126,9 +126,9 @@
     return true;
   Stream.expires_after(Limits.write());
   error_code Code;
-  asio::async_write(
-      Stream, http::make_chunk(asio::buffer(Piece.data(), Piece.size())),
-      Yield[Code]);
+  asio::async_write(Stream,
+                    http::make_chunk(asio::buffer(Piece.data(), Piece.size())),
+                    Yield[Code]);
   KeepAlive = KeepAlive && !Code;
   return !Code;
 }
--- a/lib/Journal/BillLedger.cpp
+++ b/lib/Journal/BillLedger.cpp
@@ -6,8 +6,8 @@
 /// How long the thread rests after the log failed.
 static constexpr milliseconds FailurePause{200};
 
-bill_ledger::bill_ledger(bill_log &Log, bill_mirror &Mirror,
-                         const clock &Clock, milliseconds AppendInterval)
+bill_ledger::bill_ledger(bill_log &Log, bill_mirror &Mirror, const clock &Clock,
+                         milliseconds AppendInterval)
     : Log(Log), Mirror(Mirror), Clock(Clock), Pacer(AppendInterval),
       Queue(MaxHeld) {}
 
--- a/lib/Journal/ClaimCoordinator.cpp
+++ b/lib/Journal/ClaimCoordinator.cpp
@@ -21,9 +21,8 @@
 
 void claim_coordinator::claim(const ticket &Ticket,
                               const std::string &AttemptId, callback Done) {
-  work_item Item{
-      claim_entry(claim_entry::kind::Claim, Ticket.id(), AttemptId),
-      Ticket.floor(), Clock.monotonicNow() + Patience, Done};
+  work_item Item{claim_entry(claim_entry::kind::Claim, Ticket.id(), AttemptId),
+                 Ticket.floor(), Clock.monotonicNow() + Patience, Done};
   if (!Queue.push(std::move(Item)))
     Done(claim_verdict(verdict::QueueFull));
 }
@@ -86,8 +85,8 @@
     if (!Item.Done)
       continue;
     if (Ledger)
-      Item.Done(Ledger->verdictFor(Item.Entry.ticketId(),
-                                   Item.Entry.attemptId()));
+      Item.Done(
+          Ledger->verdictFor(Item.Entry.ticketId(), Item.Entry.attemptId()));
     else
       abandon(Item, Ledger.error() == journal_error::Trimmed
                         ? verdict::Trimmed
--- a/lib/Journal/SettingsFollower.cpp
+++ b/lib/Journal/SettingsFollower.cpp
@@ -7,8 +7,8 @@
 
 settings_follower::settings_follower(settings_log &Log, settings_store &Store,
                                      const clock &Clock)
-    : Log(Log), Store(Store), Clock(Clock),
-      SnapshotSeen(Clock.monotonicNow()) {}
+    : Log(Log), Store(Store), Clock(Clock), SnapshotSeen(Clock.monotonicNow()) {
+}
 
 bool settings_follower::pollOnce() {
   while (true) {
--- a/lib/Journal/SettingsPublisher.cpp
+++ b/lib/Journal/SettingsPublisher.cpp
@@ -2,8 +2,7 @@
 
 using namespace bluebellkeel;
 
-void settings_publisher::publish(const settings_change &Change,
-                                 callback Done) {
+void settings_publisher::publish(const settings_change &Change, callback Done) {
   if (!Queue.push({Change, Done}))
     Done(tl::unexpected(journal_error::QueueFull));
 }
--- a/lib/Journal/TicketOffice.cpp
+++ b/lib/Journal/TicketOffice.cpp
@@ -18,8 +18,7 @@
 /// from those for other uses of the same key.
 static std::string signedPart(const ticket &Ticket) {
   return absl::StrCat("t1|", Ticket.id(), "|", Ticket.account().text(), "|",
-                      toMillis(Ticket.issuedAt()), "|",
-                      Ticket.floor().value());
+                      toMillis(Ticket.issuedAt()), "|", Ticket.floor().value());
 }
 
 ticket ticket_office::issue(const account_id &Account, log_offset Floor) {
@@ -43,8 +42,8 @@
     return std::nullopt;
   if (!absl::SimpleAtoi(Parts[4], &Floor))
     return std::nullopt;
-  ticket Ticket(Parts[1], account_id(Parts[2]),
-                wall_time(milliseconds(Millis)), log_offset(Floor));
+  ticket Ticket(Parts[1], account_id(Parts[2]), wall_time(milliseconds(Millis)),
+                log_offset(Floor));
   std::string Part = signedPart(Ticket);
   if (Text.compare(0, Part.size(), Part) != 0)
     return std::nullopt;
--- a/lib/Membership/PeerTable.cpp
+++ b/lib/Membership/PeerTable.cpp
@@ -13,13 +13,13 @@
 }
 
 std::optional<peer_status> peer_table::find(const instance_id &Id) {
-  return Peers.withShard(
-      Id.text(), [&](status_map &Shard) -> std::optional<peer_status> {
-        auto Found = Shard.find(Id);
-        if (Found == Shard.end())
-          return std::nullopt;
-        return Found->second;
-      });
+  return Peers.withShard(Id.text(),
+                         [&](status_map &Shard) -> std::optional<peer_status> {
+                           auto Found = Shard.find(Id);
+                           if (Found == Shard.end())
+                             return std::nullopt;
+                           return Found->second;
+                         });
 }
 
 std::vector<peer_status> peer_table::all() {
--- a/lib/Peer/WebsocketPeerLink.cpp
+++ b/lib/Peer/WebsocketPeerLink.cpp
@@ -119,8 +119,8 @@
 std::string websocket_peer_link::impl::encode(const instance_id &To,
                                               std::uint64_t Number,
                                               const peer_body &Body) {
-  std::string Frame = Codec.encode(
-      peer_envelope(Self, To, Number, Clock.wallNow(), Body));
+  std::string Frame =
+      Codec.encode(peer_envelope(Self, To, Number, Clock.wallNow(), Body));
   Monitor.countPeerMessage(std::string(kindOf(Body)), /*Sent=*/true,
                            Frame.size());
   return Frame;
@@ -171,8 +171,8 @@
                                        std::string Frame) {
   if (Channel.Stage == peer_channel::stage::Open) {
     websocketpp::lib::error_code Ignored;
-    Client.send(Channel.Connection, Frame,
-                websocketpp::frame::opcode::binary, Ignored);
+    Client.send(Channel.Connection, Frame, websocketpp::frame::opcode::binary,
+                Ignored);
     return;
   }
   if (Channel.Unsent.size() < MaxUnsent)
@@ -227,8 +227,8 @@
 void websocket_peer_link::impl::reset(peer_channel &Channel) {
   if (Channel.Stage != peer_channel::stage::Closed) {
     websocketpp::lib::error_code Ignored;
-    Client.close(Channel.Connection, websocketpp::close::status::going_away,
-                 "", Ignored);
+    Client.close(Channel.Connection, websocketpp::close::status::going_away, "",
+                 Ignored);
   }
   Channel.Stage = peer_channel::stage::Closed;
   Channel.Dial = 0;
@@ -300,8 +300,7 @@
   });
 }
 
-websocket_peer_link::websocket_peer_link(instance_id Self,
-                                         const signer &Signer,
+websocket_peer_link::websocket_peer_link(instance_id Self, const signer &Signer,
                                          const clock &Clock,
                                          peer_monitor &Monitor)
     : Impl(std::make_unique<impl>(std::move(Self), Signer, Clock, Monitor)) {}
@@ -321,7 +320,6 @@
   Impl->ask(Peer, std::move(Question), std::move(Done));
 }
 
-void websocket_peer_link::tell(const instance_record &Peer,
-                               peer_body Message) {
+void websocket_peer_link::tell(const instance_record &Peer, peer_body Message) {
   Impl->tell(Peer, std::move(Message));
 }
--- a/lib/Policy/AlwaysBestPlanner.cpp
+++ b/lib/Policy/AlwaysBestPlanner.cpp
@@ -5,8 +5,8 @@
 
 tl::expected<version_plan, plan_error>
 always_best_planner::plan(const route_query &Query) {
-  return orderedPlan(
-      Query, [](const version_settings &L, const version_settings &R) {
-        return L.quality() > R.quality();
-      });
+  return orderedPlan(Query,
+                     [](const version_settings &L, const version_settings &R) {
+                       return L.quality() > R.quality();
+                     });
 }
--- a/lib/Policy/CheapestAtTargetPlanner.cpp
+++ b/lib/Policy/CheapestAtTargetPlanner.cpp
@@ -6,9 +6,8 @@
 
 using namespace bluebellkeel;
 
-plan_step
-cheapest_at_target_planner::stepFor(const version_settings &Version,
-                                    double Target) {
+plan_step cheapest_at_target_planner::stepFor(const version_settings &Version,
+                                              double Target) {
   quality_estimate Estimate(Version.quality(), Book.counts(Version.id()));
   return plan_step(Version.id(), Version.cost(), Estimate.lowerBound(),
                    Estimate.lowerBound() >= Target);
--- a/lib/Policy/RoundRobinChooser.cpp
+++ b/lib/Policy/RoundRobinChooser.cpp
@@ -10,7 +10,6 @@
     return Candidates;
   std::sort(Candidates.begin(), Candidates.end());
   auto First = static_cast<std::ptrdiff_t>(Turn++ % Candidates.size());
-  std::rotate(Candidates.begin(), Candidates.begin() + First,
-              Candidates.end());
+  std::rotate(Candidates.begin(), Candidates.begin() + First, Candidates.end());
   return Candidates;
 }
--- a/lib/Relay/CandidateFinder.cpp
+++ b/lib/Relay/CandidateFinder.cpp
@@ -18,8 +18,7 @@
     if (Settings.isOut(Record.dataCentre()))
       continue;
     Records[Record.id()] = Record;
-    bool Avoided =
-        Tried.count(Record.id()) > 0 || !Health.healthy(Record.id());
+    bool Avoided = Tried.count(Record.id()) > 0 || !Health.healthy(Record.id());
     auto &Group = Avoided ? LastResort : Preferred;
     Group.emplace_back(Record.id(), Grants.inFlight(Record.id()).requests(),
                        Record.dataCentre() == Home);
--- a/lib/Relay/ChatRelay.cpp
+++ b/lib/Relay/ChatRelay.cpp
@@ -127,20 +127,20 @@
   auto Closed = Ports.Gate.closed();
   if (Closed && *Closed != refusal_reason::Draining)
     return notRun(*Closed, "This instance takes no new work.");
-  auto Fault =
-      checkDispatch(*Ports.Settings.routing(), Request.account(),
-                    Step.version(), Request.keptSession().has_value());
+  auto Fault = checkDispatch(*Ports.Settings.routing(), Request.account(),
+                             Step.version(), Request.keptSession().has_value());
   if (Fault)
     return refusalOf(*Fault);
   return std::nullopt;
 }
 
-chat_relay::attempt_result
-chat_relay::dispatch(const chat_request &Request, const plan_step &Step,
-                     const upstream_id &Upstream, holdback_sink &Sink) {
+chat_relay::attempt_result chat_relay::dispatch(const chat_request &Request,
+                                                const plan_step &Step,
+                                                const upstream_id &Upstream,
+                                                holdback_sink &Sink) {
   ++Attempts;
   Tried.insert(Upstream);
-  auto Record = 
+  auto Record =
       Ports.Candidates.dispatchable(Upstream, *Ports.Settings.routing());
   if (!Record)
     return tl::unexpected(attempt_error::ConnectFailed);
--- a/lib/Relay/ServiceRelay.cpp
+++ b/lib/Relay/ServiceRelay.cpp
@@ -180,12 +180,11 @@
 service_relay::dispatch(const service_call &Call, const upstream_id &Upstream,
                         const std::string &AttemptId) {
   Tried.insert(Upstream);
-  auto Record = 
+  auto Record =
       Ports.Candidates.dispatchable(Upstream, *Ports.Settings.routing());
   if (!Record)
     return tl::unexpected(attempt_error::ConnectFailed);
-  auto Reply =
-      Ports.Services.call(service_attempt(AttemptId, Call, *Record));
+  auto Reply = Ports.Services.call(service_attempt(AttemptId, Call, *Record));
   if (Reply) {
     Ports.Health.noteSuccess(Upstream);
     return Reply;
@@ -197,8 +196,8 @@
 
 /// A call that the service refused costs nothing. The bill's request is the
 /// ticket's where there is one, so that a resend is billed with the first.
-service_relay::reply_result
-service_relay::settle(const service_call &Call, const service_reply &Reply) {
+service_relay::reply_result service_relay::settle(const service_call &Call,
+                                                  const service_reply &Reply) {
   constexpr int FirstErrorStatus = 400;
   if (Reply.status() >= FirstErrorStatus)
     return Reply;
--- a/lib/Runtime/HeartbeatRound.h
+++ b/lib/Runtime/HeartbeatRound.h
@@ -14,8 +14,8 @@
   heartbeat_round(instance_id Self, const clock &Clock,
                   const instance_directory &Instances, peer_table &Peers,
                   quality_book &Quality, peer_link &Link)
-      : Self(std::move(Self)), Clock(Clock), Instances(Instances),
-        Peers(Peers), Quality(Quality), Link(Link) {}
+      : Self(std::move(Self)), Clock(Clock), Instances(Instances), Peers(Peers),
+        Quality(Quality), Link(Link) {}
 
   void run();
 
--- a/lib/Runtime/InstanceRuntime.cpp
+++ b/lib/Runtime/InstanceRuntime.cpp
@@ -22,7 +22,6 @@
 /// How often a shutdown looks whether it may go on.
 static constexpr milliseconds DrainStep{50};
 
-
 class instance_runtime::impl {
 public:
   explicit impl(const startup_settings &Startup)
@@ -64,13 +63,13 @@
 
 frontend_parts instance_runtime::impl::frontendParts() {
   return frontend_parts{
-      Parts.Startup,  Parts.Clock,         Parts.Random,    Parts.Settings,
-      Parts.Publisher, Parts.Serving,      Parts.Facts,     Parts.Instances,
-      Parts.Peers,    Parts.Upstreams,     Parts.Grants,    Waker,
-      Parts.Admission, Parts.Health,       Parts.Quality,   Parts.Crashes,
-      Parts.CrashReporter, Parts.Planner,  Parts.Chooser,   Parts.Candidates,
-      Parts.Retries,  Parts.Tickets,       Parts.Sessions,  Parts.Claims,
-      Parts.Bills,    Parts.BillLog,       Parts.Ratings,   Parts.Metrics};
+      Parts.Startup,       Parts.Clock,     Parts.Random,   Parts.Settings,
+      Parts.Publisher,     Parts.Serving,   Parts.Facts,    Parts.Instances,
+      Parts.Peers,         Parts.Upstreams, Parts.Grants,   Waker,
+      Parts.Admission,     Parts.Health,    Parts.Quality,  Parts.Crashes,
+      Parts.CrashReporter, Parts.Planner,   Parts.Chooser,  Parts.Candidates,
+      Parts.Retries,       Parts.Tickets,   Parts.Sessions, Parts.Claims,
+      Parts.Bills,         Parts.BillLog,   Parts.Ratings,  Parts.Metrics};
 }
 
 tl::expected<void, std::string> instance_runtime::impl::start() {
--- a/lib/Runtime/OwnerBook.h
+++ b/lib/Runtime/OwnerBook.h
@@ -14,8 +14,8 @@
   owner_book(instance_id Self, const clock &Clock,
              const instance_directory &Instances, peer_table &Peers,
              freshness_judge Judge)
-      : Self(std::move(Self)), Clock(Clock), Instances(Instances),
-        Peers(Peers), Judge(Judge) {}
+      : Self(std::move(Self)), Clock(Clock), Instances(Instances), Peers(Peers),
+        Judge(Judge) {}
 
   /// The instances that may own: listed as live, and either this one or one
   /// that answered lately and is serving.
--- a/lib/Runtime/PeerBillMirror.cpp
+++ b/lib/Runtime/PeerBillMirror.cpp
@@ -9,10 +9,9 @@
 
 std::vector<instance_record> peer_bill_mirror::choices() const {
   auto Peers = selectPeers(Self, *Instances.list());
-  std::stable_partition(Peers.begin(), Peers.end(),
-                        [&](const instance_record &Peer) {
-                          return Peer.dataCentre() != Home;
-                        });
+  std::stable_partition(
+      Peers.begin(), Peers.end(),
+      [&](const instance_record &Peer) { return Peer.dataCentre() != Home; });
   if (Peers.size() > MaxTries)
     Peers.resize(MaxTries);
   return Peers;
--- a/lib/Runtime/RuntimeParts.cpp
+++ b/lib/Runtime/RuntimeParts.cpp
@@ -26,8 +26,7 @@
 /// Ratings are counted anew by each start of a process.
 static instance_id ratingOrigin(const startup_settings &Startup,
                                 std::uint64_t Incarnation) {
-  return instance_id(
-      absl::StrCat(Startup.Instance.text(), "/", Incarnation));
+  return instance_id(absl::StrCat(Startup.Instance.text(), "/", Incarnation));
 }
 
 runtime_parts::runtime_parts(const startup_settings &GivenStartup)
--- a/lib/Settings/SettingsPath.cpp
+++ b/lib/Settings/SettingsPath.cpp
@@ -26,8 +26,8 @@
   if (Text.empty() || Text.front() != '/')
     return std::nullopt;
   settings_path Path;
-  Path.Segments = absl::StrSplit(
-      absl::string_view(Text.data() + 1, Text.size() - 1), '/');
+  Path.Segments =
+      absl::StrSplit(absl::string_view(Text.data() + 1, Text.size() - 1), '/');
   if (Path.Segments.size() > MaxSegments)
     return std::nullopt;
   if (!std::all_of(Path.Segments.begin(), Path.Segments.end(), isSegment))
--- a/lib/Startup/StartupReader.cpp
+++ b/lib/Startup/StartupReader.cpp
@@ -18,8 +18,7 @@
   object_reader Platform = Root.object("platform", /*Required=*/true);
   network_address Log = Platform.address("log");
   network_address List = Platform.address("list");
-  std::string UseRater =
-      Platform.choiceOr("rating", "off", {"on", "off"});
+  std::string UseRater = Platform.choiceOr("rating", "off", {"on", "off"});
   std::optional<network_address> Rater;
   if (UseRater == "on")
     Rater = Platform.optionalAddress("rater");
--- a/lib/Telemetry/LogSetup.cpp
+++ b/lib/Telemetry/LogSetup.cpp
@@ -17,7 +17,7 @@
   if (Found == Levels.end())
     return false;
   auto Layout = std::make_shared<log4cxx::PatternLayout>(
-      LOG4CXX_STR("%d{yyyy-MM-dd'T'HH:mm:ss.SSS} %p %m%n"));
+      LOG4CXX_STR("%d{yyyy-MM-dd HH:mm:ss.SSS} %p %m%n"));
   auto Appender = std::make_shared<log4cxx::ConsoleAppender>(
       Layout, log4cxx::ConsoleAppender::getSystemErr());
   auto Root = log4cxx::Logger::getRootLogger();
--- a/lib/Upstream/AdmissionQueue.cpp
+++ b/lib/Upstream/AdmissionQueue.cpp
@@ -29,9 +29,10 @@
     if (Line == Queue.ByAccount.end())
       return false;
     auto &Waiters = Line->second;
-    auto Found = std::find_if(
-        Waiters.begin(), Waiters.end(),
-        [&](const waiter &Waiter) { return Waiter.Number == Number; });
+    auto Found =
+        std::find_if(Waiters.begin(), Waiters.end(), [&](const waiter &Waiter) {
+          return Waiter.Number == Number;
+        });
     if (Found == Waiters.end())
       return false;
     Waiters.erase(Found);
--- a/lib/Upstream/GrantBook.cpp
+++ b/lib/Upstream/GrantBook.cpp
@@ -6,8 +6,8 @@
 /// A wish that was not repeated for this long is forgotten.
 static constexpr milliseconds WishLifetime{3000};
 
-std::optional<upstream_slot>
-grant_book::tryAcquire(const upstream_id &Upstream, const load_share &Need) {
+std::optional<upstream_slot> grant_book::tryAcquire(const upstream_id &Upstream,
+                                                    const load_share &Need) {
   monotonic_time Now = Clock.monotonicNow();
   bool Acquired = Entries.withShard(Upstream.text(), [&](entry_map &Shard) {
     entry &Entry = Shard[Upstream];
@@ -43,8 +43,8 @@
   Entries.forEachShard([&](entry_map &Shard) {
     for (auto It = Shard.begin(); It != Shard.end();) {
       entry &Entry = It->second;
-      bool Idle = Entry.InFlight == load_share() &&
-                  Now - Entry.WishedAt > WishLifetime;
+      bool Idle =
+          Entry.InFlight == load_share() && Now - Entry.WishedAt > WishLifetime;
       if (Idle && Now >= Entry.Ends) {
         It = Shard.erase(It);
         continue;
--- a/lib/Upstream/GrantIssuer.cpp
+++ b/lib/Upstream/GrantIssuer.cpp
@@ -119,16 +119,15 @@
   dropEnded(Upstream, Now);
   load_share Share;
   if (takesNewWork(Upstream.Lifecycle.phase())) {
-    std::size_t Others = Upstream.Holders.size() -
-                         Upstream.Holders.count(Request.from());
+    std::size_t Others =
+        Upstream.Holders.size() - Upstream.Holders.count(Request.from());
     Share = Request.wanted()
                 .atMost(fairPart(Upstream.Bears, Others + 1))
                 .atMost(freeFor(Upstream, Request.from()));
   }
   // What already runs counts until the holder says that it has ended.
-  load_share Counted(
-      std::max(Share.requests(), Request.inFlight().requests()),
-      std::max(Share.tokens(), Request.inFlight().tokens()));
+  load_share Counted(std::max(Share.requests(), Request.inFlight().requests()),
+                     std::max(Share.tokens(), Request.inFlight().tokens()));
   if (Counted == load_share())
     Upstream.Holders.erase(Request.from());
   else
@@ -138,14 +137,13 @@
 
 std::optional<grant> grant_issuer::issue(const grant_request &Request,
                                          monotonic_time Now) {
-  return Owned.withShard(
-      Request.upstream().text(),
-      [&](owned_map &Shard) -> std::optional<grant> {
-        auto Found = Shard.find(Request.upstream());
-        if (Found == Shard.end())
-          return std::nullopt;
-        return issueFrom(Found->second, Request, Now);
-      });
+  return Owned.withShard(Request.upstream().text(),
+                         [&](owned_map &Shard) -> std::optional<grant> {
+                           auto Found = Shard.find(Request.upstream());
+                           if (Found == Shard.end())
+                             return std::nullopt;
+                           return issueFrom(Found->second, Request, Now);
+                         });
 }
 
 upstream_phase grant_issuer::phaseOf(const upstream_id &Id) {
--- a/lib/Upstream/UpstreamLifecycle.cpp
+++ b/lib/Upstream/UpstreamLifecycle.cpp
@@ -26,8 +26,8 @@
 struct gone_state : msm::front::state<> {};
 
 template <typename source_t, typename event_t, typename target_t>
-using transition = msm::front::Row<source_t, event_t, target_t, msm::front::none,
-                            msm::front::none>;
+using transition = msm::front::Row<source_t, event_t, target_t,
+                                   msm::front::none, msm::front::none>;
 
 struct lifecycle_def : msm::front::state_machine_def<lifecycle_def> {
   using initial_state = unknown_state;
--- a/tools/bluebellkeelctl/AdminClient.cpp
+++ b/tools/bluebellkeelctl/AdminClient.cpp
@@ -33,8 +33,7 @@
       return Reply;
     }
     Reply.Code = codeOf(Response->status());
-    Reply.Json =
-        parseJson(Response->body()).value_or(nlohmann::json::object());
+    Reply.Json = parseJson(Response->body()).value_or(nlohmann::json::object());
     return Reply;
   }
   return Reply;
--- a/tools/bluebellkeelctl/Main.cpp
+++ b/tools/bluebellkeelctl/Main.cpp
@@ -32,7 +32,8 @@
   return static_cast<int>(exit_code::BadUsage);
 }
 
-static int runSettings(const word_list &Words, const settings_commands &Settings,
+static int runSettings(const word_list &Words,
+                       const settings_commands &Settings,
                        const output &Output) {
   std::size_t Count = Words.size();
   std::string Verb = Count > 1 ? Words[1] : "";
--- a/tools/bluebellkeelctl/Output.cpp
+++ b/tools/bluebellkeelctl/Output.cpp
@@ -55,8 +55,8 @@
     Verdict += ": change " + Winner + " came first; read the settings again";
   fail(Verdict);
   for (const auto &Fault : Reply.Json.value("errors", json::array()))
-    fail(Fault.value("path", "") + ": expected " +
-         Fault.value("expected", "") + ", found " + Fault.value("found", ""));
+    fail(Fault.value("path", "") + ": expected " + Fault.value("expected", "") +
+         ", found " + Fault.value("found", ""));
 }
 
 int output::show(const admin_reply &Reply, const std::string &ListName) const {
--- a/tools/bluebellkeelctl/SettingsCommands.cpp
+++ b/tools/bluebellkeelctl/SettingsCommands.cpp
@@ -55,8 +55,7 @@
   return change(json::array({json{{"path", Path}}}), /*DryRun=*/false);
 }
 
-std::optional<json>
-settings_commands::readFile(const std::string &File) const {
+std::optional<json> settings_commands::readFile(const std::string &File) const {
   std::ifstream Stream(File);
   std::stringstream Text;
   Text << Stream.rdbuf();
--- a/tools/bluebellkeelctl/SettingsCommands.h
+++ b/tools/bluebellkeelctl/SettingsCommands.h
@@ -18,8 +18,7 @@
         ChangeId(std::move(ChangeId)) {}
 
   int get(const std::string &Path) const;
-  int put(const std::string &Path, const std::string &Value,
-          bool DryRun) const;
+  int put(const std::string &Path, const std::string &Value, bool DryRun) const;
   int remove(const std::string &Path) const;
   /// Puts all settings of a file, an object of values by path, as one change.
   int putFile(const std::string &File, bool DryRun) const;
--- a/tools/bluebellkeeld/Main.cpp
+++ b/tools/bluebellkeeld/Main.cpp
@@ -16,7 +16,12 @@
 using namespace bluebellkeel;
 
 /// What the process returns.
-enum exit_code { Success = 0, BadSettings = 2, CannotStart = 3, CutRequests = 4 };
+enum exit_code {
+  Success = 0,
+  BadSettings = 2,
+  CannotStart = 3,
+  CutRequests = 4
+};
 
 static std::optional<startup_settings> readFile(const std::string &Path) {
   std::ifstream File(Path);
--- a/utils/Caller/Caller.cpp
+++ b/utils/Caller/Caller.cpp
@@ -101,8 +101,7 @@
     if (Json.contains("error"))
       return refusalFrom(Json);
     json Choice = Json.value("choices", json::array({json::object()}))[0];
-    Result.Text +=
-        Choice.value("delta", json::object()).value("content", "");
+    Result.Text += Choice.value("delta", json::object()).value("content", "");
   }
   return Result;
 }
@@ -160,9 +159,10 @@
 }
 
 work_result caller::order(const std::string &Service,
-                          const std::string &Operation,
-                          const std::string &Body, unsigned Resends) {
-  auto Issued = sendAnywhere(http_request("POST", "/v1/tickets", headers(), ""));
+                          const std::string &Operation, const std::string &Body,
+                          unsigned Resends) {
+  auto Issued =
+      sendAnywhere(http_request("POST", "/v1/tickets", headers(), ""));
   work_result Result;
   Result.End = work_end::NotRun;
   Result.Reason = "no_ticket";
@@ -173,8 +173,7 @@
       headers().with("Bluebellkeel-Ticket", Json.value("ticket", ""));
   std::string Target = absl::StrCat("/v1/services/", Service, "/", Operation);
   for (unsigned Attempt = 1; Attempt <= Resends + 1; ++Attempt) {
-    auto Headers =
-        Ticketed.with("Bluebellkeel-Attempt", absl::StrCat(Attempt));
+    auto Headers = Ticketed.with("Bluebellkeel-Attempt", absl::StrCat(Attempt));
     Result = sendOrder(http_request("POST", Target, Headers, Body));
     if (Result.End == work_end::Whole)
       return Result;
--- a/utils/Caller/Caller.h
+++ b/utils/Caller/Caller.h
@@ -41,8 +41,8 @@
   /// One chat completion. Goes on to the next address only after a refusal
   /// that says that nothing ran, or a connection that was not made.
   work_result chat(const std::string &Model, const std::string &Prompt,
-                   std::uint64_t MaxTokens, bool Stream,
-                   const std::string &Key, const std::string &Session);
+                   std::uint64_t MaxTokens, bool Stream, const std::string &Key,
+                   const std::string &Session);
 
   /// One call that runs at most once: takes a ticket first. With \p Resends it
   /// sends the same ticket again after a doubt.
--- a/utils/Caller/LoadRun.cpp
+++ b/utils/Caller/LoadRun.cpp
@@ -41,9 +41,9 @@
   std::string summary() {
     absl::MutexLock Lock(&Mutex);
     std::sort(Times.begin(), Times.end());
-    json Form = {{"whole", Whole},     {"not_run", NotRun},
-                 {"refused", Refused}, {"cut", Cut},
-                 {"reasons", Reasons}, {"p50_s", quantile(0.5)},
+    json Form = {{"whole", Whole},          {"not_run", NotRun},
+                 {"refused", Refused},      {"cut", Cut},
+                 {"reasons", Reasons},      {"p50_s", quantile(0.5)},
                  {"p95_s", quantile(0.95)}, {"p99_s", quantile(0.99)}};
     return Form.dump();
   }
@@ -80,8 +80,7 @@
 }
 
 static void rotate(std::vector<network_address> &Known, std::size_t By) {
-  auto Middle =
-      Known.begin() + static_cast<std::ptrdiff_t>(By % Known.size());
+  auto Middle = Known.begin() + static_cast<std::ptrdiff_t>(By % Known.size());
   std::rotate(Known.begin(), Middle, Known.end());
 }
 
--- a/utils/Caller/Main.cpp
+++ b/utils/Caller/Main.cpp
@@ -89,8 +89,8 @@
         absl::GetFlag(FLAGS_max_tokens), absl::GetFlag(FLAGS_stream),
         absl::GetFlag(FLAGS_request), absl::GetFlag(FLAGS_session)));
   if (Command == "order")
-    return show(Caller.order(Service, Operation, Body,
-                             absl::GetFlag(FLAGS_resends)));
+    return show(
+        Caller.order(Service, Operation, Body, absl::GetFlag(FLAGS_resends)));
   if (Command == "call")
     return show(Caller.call(Service, Operation, Body));
   if (Command == "load") {
--- a/utils/Standin/EngineStandin.cpp
+++ b/utils/Standin/EngineStandin.cpp
@@ -112,9 +112,8 @@
   HeldTokens = 0;
   Warm = false;
   SinceCold = 0;
-  DownUntil =
-      std::chrono::steady_clock::now() +
-      milliseconds(static_cast<std::int64_t>(Faults.get("restart_ms")));
+  DownUntil = std::chrono::steady_clock::now() +
+              milliseconds(static_cast<std::int64_t>(Faults.get("restart_ms")));
 }
 
 bool engine_standin::restarting() const {
@@ -164,9 +163,9 @@
     absl::MutexLock Lock(&Mutex);
     // Good and bad answers alternate evenly, without chance.
     double Quality = Options.Quality;
-    Good = static_cast<std::uint64_t>(static_cast<double>(Started) * Quality) >
-           static_cast<std::uint64_t>(static_cast<double>(Started - 1) *
-                                      Quality);
+    Good =
+        static_cast<std::uint64_t>(static_cast<double>(Started) * Quality) >
+        static_cast<std::uint64_t>(static_cast<double>(Started - 1) * Quality);
     if (Faults.on("crossed"))
       std::swap(Attempt, LastAttempt);
     else
@@ -198,9 +197,7 @@
       return;
     awaitTime(Yield, milliseconds(static_cast<int>(Faults.get("token_ms"))));
   }
-  Event({{{"index", 0},
-          {"delta", json::object()},
-          {"finish_reason", "stop"}}},
+  Event({{{"index", 0}, {"delta", json::object()}, {"finish_reason", "stop"}}},
         nullptr);
   Event(json::array(),
         {{"prompt_tokens", Request.body().size() / BytesPerToken},
@@ -214,22 +211,32 @@
 }
 
 void engine_standin::report(http_responder &Responder) {
-  absl::MutexLock Lock(&Mutex);
-  json Form = {{"warm", Warm},
-               {"held", {{"requests", Running}, {"tokens", HeldTokens}}}};
-  if (Faults.on("load_frozen") && !FrozenReport.is_null())
-    Form = FrozenReport;
-  FrozenReport = Form;
+  json Form;
+  {
+    absl::MutexLock Lock(&Mutex);
+    Form = {{"warm", Warm},
+            {"held", {{"requests", Running}, {"tokens", HeldTokens}}}};
+    if (Faults.on("load_frozen") && !FrozenReport.is_null())
+      Form = FrozenReport;
+    FrozenReport = Form;
+  }
   answerJson(Responder, 200, Form.dump());
 }
 
 void engine_standin::stats(http_responder &Responder) {
-  absl::MutexLock Lock(&Mutex);
-  json Form = {{"started", Started},         {"completed", Completed},
-               {"crashes", Crashes},         {"max_running", MaxRunning},
-               {"max_tokens", MaxTokens},    {"max_running_cold", MaxRunningCold},
-               {"warm", Warm},               {"loaded", Loaded},
-               {"fence", Fence}};
+  json Form;
+  {
+    absl::MutexLock Lock(&Mutex);
+    Form = {{"started", Started},
+            {"completed", Completed},
+            {"crashes", Crashes},
+            {"max_running", MaxRunning},
+            {"max_tokens", MaxTokens},
+            {"max_running_cold", MaxRunningCold},
+            {"warm", Warm},
+            {"loaded", Loaded},
+            {"fence", Fence}};
+  }
   answerJson(Responder, 200, Form.dump());
 }
 
@@ -238,14 +245,16 @@
                            http_responder &Responder) {
   auto Body = parseJson(Request.body()).value_or(json::object());
   std::uint64_t Given = Body.value("fence", std::uint64_t(0));
-  absl::MutexLock Lock(&Mutex);
-  if (Faults.on("honour_fencing") && Given < Fence) {
-    answerJson(Responder, 409, "{\"error\":\"old fence\"}");
-    return;
+  bool Old = false;
+  {
+    absl::MutexLock Lock(&Mutex);
+    Old = Faults.on("honour_fencing") && Given < Fence;
+    if (!Old) {
+      Fence = std::max(Fence, Given);
+      Loaded = Body.value("load", json());
+    }
   }
-  Fence = std::max(Fence, Given);
-  Loaded = Body.value("load", json());
-  answerJson(Responder, 200, "{}");
+  answerJson(Responder, Old ? 409 : 200, "{}");
 }
 
 void engine_standin::handle(const http_request &Request,
--- a/utils/Standin/LogStandin.cpp
+++ b/utils/Standin/LogStandin.cpp
@@ -31,6 +31,7 @@
               http_responder &Responder);
   void read(const std::string &Name, const http_request &Request,
             http_responder &Responder);
+  json pageOf(const std::string &Name, std::uint64_t From, std::uint64_t Max);
   void trim(const http_request &Request, http_responder &Responder);
 
   switches Faults;
@@ -68,32 +69,39 @@
   std::uint64_t Max = 1000;
   (void)absl::SimpleAtoi(Request.query("from"), &From);
   (void)absl::SimpleAtoi(Request.query("max"), &Max);
+  answerJson(Responder, 200, pageOf(Name, From, Max).dump());
+}
+
+json log_standin::pageOf(const std::string &Name, std::uint64_t From,
+                         std::uint64_t Max) {
   json Records = json::array();
   absl::MutexLock Lock(&Mutex);
   stream &Stream = Streams[Name];
   std::uint64_t End = Stream.First + Stream.Records.size();
   for (std::uint64_t Offset = std::max(From, Stream.First);
        Offset < End && Records.size() < Max; ++Offset)
-    Records.push_back({{"offset", Offset},
-                       {"data", Stream.Records[Offset - Stream.First]}});
-  json Page = {{"head", End - 1},
-               {"first_retained", Stream.First},
-               {"appends", Stream.Appends},
-               {"records", std::move(Records)}};
-  answerJson(Responder, 200, Page.dump());
+    Records.push_back(
+        {{"offset", Offset}, {"data", Stream.Records[Offset - Stream.First]}});
+  return {{"head", End - 1},
+          {"first_retained", Stream.First},
+          {"appends", Stream.Appends},
+          {"records", std::move(Records)}};
 }
 
-void log_standin::trim(const http_request &Request,
-                       http_responder &Responder) {
+void log_standin::trim(const http_request &Request, http_responder &Responder) {
   auto Body = parseJson(Request.body()).value_or(json::object());
   std::uint64_t Before = Body.value("before", std::uint64_t(0));
-  absl::MutexLock Lock(&Mutex);
-  stream &Stream = Streams[Body.value("stream", "settings")];
-  while (!Stream.Records.empty() && Stream.First < Before) {
-    Stream.Records.pop_front();
-    ++Stream.First;
+  std::uint64_t First = 0;
+  {
+    absl::MutexLock Lock(&Mutex);
+    stream &Stream = Streams[Body.value("stream", "settings")];
+    while (!Stream.Records.empty() && Stream.First < Before) {
+      Stream.Records.pop_front();
+      ++Stream.First;
+    }
+    First = Stream.First;
   }
-  answerJson(Responder, 200, absl::StrCat("{\"first\":", Stream.First, "}"));
+  answerJson(Responder, 200, absl::StrCat("{\"first\":", First, "}"));
 }
 
 void log_standin::handle(const http_request &Request, http_responder &Responder,
--- a/utils/Standin/RaterStandin.cpp
+++ b/utils/Standin/RaterStandin.cpp
@@ -27,7 +27,7 @@
     bool Good;
   };
 
-  void ratings(const http_request &Request, http_responder &Responder);
+  json ratings(const http_request &Request);
 
   switches Faults;
   absl::Mutex Mutex;
@@ -36,8 +36,7 @@
 
 } // namespace
 
-void rater_standin::ratings(const http_request &Request,
-                            http_responder &Responder) {
+json rater_standin::ratings(const http_request &Request) {
   std::uint64_t After = 0;
   (void)absl::SimpleAtoi(Request.query("after"), &After);
   std::string Origin = Request.query("origin");
@@ -53,7 +52,7 @@
                        {"version", Answer.Version},
                        {"good", Answer.Good}});
   }
-  answerJson(Responder, 200, json{{"ratings", std::move(Ratings)}}.dump());
+  return {{"ratings", std::move(Ratings)}};
 }
 
 void rater_standin::handle(const http_request &Request,
@@ -62,12 +61,11 @@
   if (Faults.handle(Request, Responder))
     return;
   if (Request.path() == "/ratings") {
-    ratings(Request, Responder);
+    answerJson(Responder, 200, ratings(Request).dump());
     return;
   }
   auto Body = parseJson(Request.body()).value_or(json::object());
-  bool Good =
-      Body.value("answer", "").find(":bad") == std::string::npos;
+  bool Good = Body.value("answer", "").find(":bad") == std::string::npos;
   {
     absl::MutexLock Lock(&Mutex);
     Answers.push_back({std::chrono::steady_clock::now(),
--- a/utils/Standin/ServiceStandin.cpp
+++ b/utils/Standin/ServiceStandin.cpp
@@ -50,10 +50,10 @@
     return;
   }
   json Reply = {{"id", Id}, {"done", Request.path()}, {"run", Count}};
-  auto Headers = http_headers()
-                     .with("Content-Type", "application/json")
-                     .with("X-Request-Id",
-                           Request.headers().get("X-Request-Id"));
+  auto Headers =
+      http_headers()
+          .with("Content-Type", "application/json")
+          .with("X-Request-Id", Request.headers().get("X-Request-Id"));
   Responder.send(http_response(200, Headers, Reply.dump()));
 }
 
@@ -69,9 +69,11 @@
   }
   if (Request.path() == "/runs") {
     json Form = json::object();
-    absl::MutexLock Lock(&Mutex);
-    for (const auto &[Id, Count] : Runs)
-      Form[Id] = Count;
+    {
+      absl::MutexLock Lock(&Mutex);
+      for (const auto &[Id, Count] : Runs)
+        Form[Id] = Count;
+    }
     answerJson(Responder, 200, Form.dump());
     return;
   }
--- a/utils/Standin/Switches.cpp
+++ b/utils/Standin/Switches.cpp
@@ -20,15 +20,17 @@
 bool switches::handle(const http_request &Request, http_responder &Responder) {
   if (Request.path() != "/switch")
     return false;
-  json Now = json::object();
   auto Changes = parseJson(Request.body()).value_or(json::object());
-  absl::MutexLock Lock(&Mutex);
   for (const auto &[Name, Value] : Changes.items()) {
     if (Value.is_number())
-      Values[Name] = Value.get<double>();
+      set(Name, Value.get<double>());
+  }
+  json Now = json::object();
+  {
+    absl::MutexLock Lock(&Mutex);
+    for (const auto &[Name, Value] : Values)
+      Now[Name] = Value;
   }
-  for (const auto &[Name, Value] : Values)
-    Now[Name] = Value;
   answerJson(Responder, 200, Now.dump());
   return true;
 }
