--- a/include/bluebellkeel/Core.h
+++ b/include/bluebellkeel/Core.h
@@ -2,7 +2,6 @@
 #define BLUEBELLKEEL_CORE_H
 
 #include "bluebellkeel/Core/AccountId.h"
-#include "bluebellkeel/Core/Clock.h"
 #include "bluebellkeel/Core/Comparable.h"
 #include "bluebellkeel/Core/DataCentreId.h"
 #include "bluebellkeel/Core/HmacSigner.h"
@@ -20,6 +19,7 @@
 #include "bluebellkeel/Core/SystemRandom.h"
 #include "bluebellkeel/Core/TeamId.h"
 #include "bluebellkeel/Core/Time.h"
+#include "bluebellkeel/Core/TimeSource.h"
 #include "bluebellkeel/Core/UpstreamId.h"
 #include "bluebellkeel/Core/VersionId.h"
 
--- a/include/bluebellkeel/Core/SystemClock.h
+++ b/include/bluebellkeel/Core/SystemClock.h
@@ -1,12 +1,12 @@
 #ifndef BLUEBELLKEEL_CORE_SYSTEMCLOCK_H
 #define BLUEBELLKEEL_CORE_SYSTEMCLOCK_H
 
-#include "bluebellkeel/Core/Clock.h"
+#include "bluebellkeel/Core/TimeSource.h"
 
 namespace bluebellkeel {
 
 /// The machine's own clocks.
-class system_clock final : public clock {
+class system_clock final : public time_source {
 public:
   monotonic_time monotonicNow() const override {
     return std::chrono::steady_clock::now();
--- a/include/bluebellkeel/Core/Clock.h
+++ b/include/bluebellkeel/Core/TimeSource.h
@@ -1,14 +1,14 @@
-#ifndef BLUEBELLKEEL_CORE_CLOCK_H
-#define BLUEBELLKEEL_CORE_CLOCK_H
+#ifndef BLUEBELLKEEL_CORE_TIMESOURCE_H
+#define BLUEBELLKEEL_CORE_TIMESOURCE_H
 
 #include "bluebellkeel/Core/Time.h"
 
 namespace bluebellkeel {
 
 /// Where decisions take the time from, so that tests can set it.
-class clock {
+class time_source {
 public:
-  virtual ~clock() = default;
+  virtual ~time_source() = default;
 
   virtual monotonic_time monotonicNow() const = 0;
   virtual wall_time wallNow() const = 0;
@@ -16,4 +16,4 @@
 
 } // namespace bluebellkeel
 
-#endif // BLUEBELLKEEL_CORE_CLOCK_H
+#endif // BLUEBELLKEEL_CORE_TIMESOURCE_H
--- a/include/bluebellkeel/Frontend/FrontendParts.h
+++ b/include/bluebellkeel/Frontend/FrontendParts.h
@@ -17,7 +17,7 @@
 /// The long-lived parts of an instance that its front end works with.
 struct frontend_parts {
   const startup_settings &Startup;
-  const clock &Clock;
+  const time_source &Clock;
   random_source &Random;
   settings_store &Settings;
   settings_publisher &Publisher;
--- a/include/bluebellkeel/Journal/BillLedger.h
+++ b/include/bluebellkeel/Journal/BillLedger.h
@@ -1,7 +1,7 @@
 #ifndef BLUEBELLKEEL_JOURNAL_BILLLEDGER_H
 #define BLUEBELLKEEL_JOURNAL_BILLLEDGER_H
 
-#include "bluebellkeel/Core/Clock.h"
+#include "bluebellkeel/Core/TimeSource.h"
 #include "bluebellkeel/Journal/AppendPacer.h"
 #include "bluebellkeel/Journal/BatchQueue.h"
 #include "bluebellkeel/Journal/Bill.h"
@@ -23,7 +23,7 @@
   static constexpr std::size_t MaxHeld = 16384;
   static constexpr std::size_t MaxBatch = 512;
 
-  bill_ledger(bill_log &Log, bill_mirror &Mirror, const clock &Clock,
+  bill_ledger(bill_log &Log, bill_mirror &Mirror, const time_source &Clock,
               milliseconds AppendInterval);
 
   /// Takes \p Bill; \p Done is called once, when the bill is durable or when
@@ -55,7 +55,7 @@
 
   bill_log &Log;
   bill_mirror &Mirror;
-  const clock &Clock;
+  const time_source &Clock;
   append_pacer Pacer;
   batch_queue<work_item> Queue;
   std::atomic<bool> LogFailed{false};
--- a/include/bluebellkeel/Journal/ClaimCoordinator.h
+++ b/include/bluebellkeel/Journal/ClaimCoordinator.h
@@ -1,7 +1,7 @@
 #ifndef BLUEBELLKEEL_JOURNAL_CLAIMCOORDINATOR_H
 #define BLUEBELLKEEL_JOURNAL_CLAIMCOORDINATOR_H
 
-#include "bluebellkeel/Core/Clock.h"
+#include "bluebellkeel/Core/TimeSource.h"
 #include "bluebellkeel/Journal/AppendPacer.h"
 #include "bluebellkeel/Journal/BatchQueue.h"
 #include "bluebellkeel/Journal/ClaimEntry.h"
@@ -27,8 +27,8 @@
   static constexpr std::size_t MaxBatch = 256;
 
   /// \p Patience is how long a claim waits for the log.
-  claim_coordinator(claim_log &Log, const clock &Clock, milliseconds Patience,
-                    milliseconds AppendInterval);
+  claim_coordinator(claim_log &Log, const time_source &Clock,
+                    milliseconds Patience, milliseconds AppendInterval);
 
   /// Starts a claim; \p Done is called once, from the thread of run().
   void claim(const ticket &Ticket, const std::string &AttemptId, callback Done);
@@ -65,7 +65,7 @@
   void noteHead(log_offset Head);
 
   claim_log &Log;
-  const clock &Clock;
+  const time_source &Clock;
   const milliseconds Patience;
   append_pacer Pacer;
   batch_queue<work_item> Queue;
--- a/include/bluebellkeel/Journal/SettingsFollower.h
+++ b/include/bluebellkeel/Journal/SettingsFollower.h
@@ -3,7 +3,7 @@
 
 #include "absl/base/thread_annotations.h"
 #include "absl/synchronization/mutex.h"
-#include "bluebellkeel/Core/Clock.h"
+#include "bluebellkeel/Core/TimeSource.h"
 #include "bluebellkeel/Journal/SettingsLog.h"
 #include "bluebellkeel/Settings/SettingsStore.h"
 #include <optional>
@@ -15,7 +15,7 @@
 class settings_follower {
 public:
   settings_follower(settings_log &Log, settings_store &Store,
-                    const clock &Clock);
+                    const time_source &Clock);
 
   /// Reads what is new. True when the store has reached the head of the log.
   bool pollOnce();
@@ -34,7 +34,7 @@
 
   settings_log &Log;
   settings_store &Store;
-  const clock &Clock;
+  const time_source &Clock;
   mutable absl::Mutex Mutex;
   std::optional<monotonic_time> CaughtUp ABSL_GUARDED_BY(Mutex);
   monotonic_time SnapshotSeen ABSL_GUARDED_BY(Mutex);
--- a/include/bluebellkeel/Journal/TicketOffice.h
+++ b/include/bluebellkeel/Journal/TicketOffice.h
@@ -1,9 +1,9 @@
 #ifndef BLUEBELLKEEL_JOURNAL_TICKETOFFICE_H
 #define BLUEBELLKEEL_JOURNAL_TICKETOFFICE_H
 
-#include "bluebellkeel/Core/Clock.h"
 #include "bluebellkeel/Core/RandomSource.h"
 #include "bluebellkeel/Core/Signer.h"
+#include "bluebellkeel/Core/TimeSource.h"
 #include "bluebellkeel/Journal/Ticket.h"
 #include <optional>
 #include <string>
@@ -14,8 +14,8 @@
 /// the tickets of all, since they share the signing key.
 class ticket_office {
 public:
-  ticket_office(const clock &Clock, random_source &Random, const signer &Signer,
-                seconds Lifetime)
+  ticket_office(const time_source &Clock, random_source &Random,
+                const signer &Signer, seconds Lifetime)
       : Clock(Clock), Random(Random), Signer(Signer), Lifetime(Lifetime) {}
 
   /// A new ticket of \p Account; \p Floor is the newest offset of the claims
@@ -31,7 +31,7 @@
   bool expired(const ticket &Ticket) const;
 
 private:
-  const clock &Clock;
+  const time_source &Clock;
   random_source &Random;
   const signer &Signer;
   seconds Lifetime;
--- a/include/bluebellkeel/Peer/WebsocketPeerLink.h
+++ b/include/bluebellkeel/Peer/WebsocketPeerLink.h
@@ -1,8 +1,8 @@
 #ifndef BLUEBELLKEEL_PEER_WEBSOCKETPEERLINK_H
 #define BLUEBELLKEEL_PEER_WEBSOCKETPEERLINK_H
 
-#include "bluebellkeel/Core/Clock.h"
 #include "bluebellkeel/Core/Signer.h"
+#include "bluebellkeel/Core/TimeSource.h"
 #include "bluebellkeel/Peer/PeerLink.h"
 #include "bluebellkeel/Peer/PeerMonitor.h"
 #include "bluebellkeel/Peer/PeerResponder.h"
@@ -17,7 +17,7 @@
 class websocket_peer_link final : public peer_link {
 public:
   websocket_peer_link(instance_id Self, const signer &Signer,
-                      const clock &Clock, peer_monitor &Monitor);
+                      const time_source &Clock, peer_monitor &Monitor);
   ~websocket_peer_link() override;
 
   /// Starts to listen and to run; \p Responder answers what peers ask.
--- a/include/bluebellkeel/Policy/CrashBook.h
+++ b/include/bluebellkeel/Policy/CrashBook.h
@@ -1,8 +1,8 @@
 #ifndef BLUEBELLKEEL_POLICY_CRASHBOOK_H
 #define BLUEBELLKEEL_POLICY_CRASHBOOK_H
 
-#include "bluebellkeel/Core/Clock.h"
 #include "bluebellkeel/Core/Sharded.h"
+#include "bluebellkeel/Core/TimeSource.h"
 #include "bluebellkeel/Core/UpstreamId.h"
 #include "bluebellkeel/Policy/Fingerprint.h"
 #include <map>
@@ -23,7 +23,7 @@
   /// Most requests that are remembered in one shard.
   static constexpr std::size_t MaxEntries = 1024;
 
-  explicit crash_book(const clock &Clock) : Clock(Clock) {}
+  explicit crash_book(const time_source &Clock) : Clock(Clock) {}
 
   /// \p Request was running when \p Upstream crashed; also for what peers say.
   void noteCrash(const fingerprint &Request, const upstream_id &Upstream);
@@ -44,7 +44,7 @@
   std::size_t crashesOf(const fingerprint &Request);
   static void dropOld(entry_map &Shard, monotonic_time Now);
 
-  const clock &Clock;
+  const time_source &Clock;
   sharded<entry_map> Entries;
 };
 
--- a/include/bluebellkeel/Upstream/GrantBook.h
+++ b/include/bluebellkeel/Upstream/GrantBook.h
@@ -1,8 +1,8 @@
 #ifndef BLUEBELLKEEL_UPSTREAM_GRANTBOOK_H
 #define BLUEBELLKEEL_UPSTREAM_GRANTBOOK_H
 
-#include "bluebellkeel/Core/Clock.h"
 #include "bluebellkeel/Core/Sharded.h"
+#include "bluebellkeel/Core/TimeSource.h"
 #include "bluebellkeel/Upstream/Grant.h"
 #include "bluebellkeel/Upstream/GrantRequest.h"
 #include "bluebellkeel/Upstream/RoomListener.h"
@@ -17,7 +17,8 @@
 class grant_book : private slot_owner {
 public:
   /// \p Listener is told when room comes free.
-  grant_book(instance_id Self, const clock &Clock, room_listener &Listener)
+  grant_book(instance_id Self, const time_source &Clock,
+             room_listener &Listener)
       : Self(std::move(Self)), Clock(Clock), Listener(Listener) {}
 
   /// Takes \p Need of what is granted; empty when no live grant has room. The
@@ -49,7 +50,7 @@
                    const load_share &Need) override;
 
   instance_id Self;
-  const clock &Clock;
+  const time_source &Clock;
   room_listener &Listener;
   sharded<entry_map> Entries;
 };
--- a/include/bluebellkeel/Upstream/GrantIssuer.h
+++ b/include/bluebellkeel/Upstream/GrantIssuer.h
@@ -21,10 +21,15 @@
 /// load that no grant accounts for is taken off first.
 class grant_issuer {
 public:
+  /// Without a confirmation for this long, as after a pause of the process,
+  /// nothing is issued.
+  static constexpr milliseconds ConfirmLifetime{1500};
+
   explicit grant_issuer(grant_rules Rules) : Rules(Rules) {}
 
-  /// Sets which upstreams this instance owns. One that is new waits a whole
-  /// term, so that what a former owner issued has ended.
+  /// Confirms which upstreams this instance owns; to be repeated well within
+  /// ConfirmLifetime. One that is new, or was not confirmed in time, waits a
+  /// whole term, so that what another owner issued has ended.
   void setOwned(const std::vector<upstream_record> &Owned, monotonic_time Now);
 
   void noteReport(const upstream_id &Id, const load_report &Report,
@@ -48,6 +53,7 @@
     upstream_record Record;
     upstream_lifecycle Lifecycle;
     monotonic_time OwnedSince;
+    monotonic_time ConfirmedAt;
     monotonic_time StepSince;
     monotonic_time ReportedAt;
     load_report Report;
--- a/include/bluebellkeel/Upstream/HealthBook.h
+++ b/include/bluebellkeel/Upstream/HealthBook.h
@@ -1,8 +1,8 @@
 #ifndef BLUEBELLKEEL_UPSTREAM_HEALTHBOOK_H
 #define BLUEBELLKEEL_UPSTREAM_HEALTHBOOK_H
 
-#include "bluebellkeel/Core/Clock.h"
 #include "bluebellkeel/Core/Sharded.h"
+#include "bluebellkeel/Core/TimeSource.h"
 #include "bluebellkeel/Core/UpstreamId.h"
 #include <map>
 
@@ -12,7 +12,7 @@
 /// several times in a row is passed over for a while, then tried again.
 class health_book {
 public:
-  explicit health_book(const clock &Clock) : Clock(Clock) {}
+  explicit health_book(const time_source &Clock) : Clock(Clock) {}
 
   void noteSuccess(const upstream_id &Upstream);
   void noteFailure(const upstream_id &Upstream);
@@ -28,7 +28,7 @@
 
   using entry_map = std::map<upstream_id, entry>;
 
-  const clock &Clock;
+  const time_source &Clock;
   sharded<entry_map> Entries;
 };
 
--- a/lib/Codec/JournalForms.cpp
+++ b/lib/Codec/JournalForms.cpp
@@ -24,7 +24,7 @@
                {"ticket", Entry.ticketId()},
                {"attempt", Entry.attemptId()}};
   if (Entry.entryKind() == claim_kind::Outcome) {
-    Form["status"] = Entry.outcome().status();
+    Form["status"] = static_cast<unsigned>(Entry.outcome().status());
     Form["body"] = Entry.outcome().body();
   }
   return Form;
@@ -59,9 +59,12 @@
 
 decoded<bill> bluebellkeel::billFrom(const json &Json) {
   field_reader Fields(Json);
-  bill Bill(account_id(Fields.text("account")),
-            request_id(Fields.text("request")), Fields.text("work"),
-            Fields.number("tokens"), Fields.number("cost"));
+  account_id Account(Fields.text("account"));
+  request_id Request(Fields.text("request"));
+  std::string Work = Fields.text("work");
+  std::uint64_t Tokens = Fields.number("tokens");
+  std::uint64_t Cost = Fields.number("cost");
+  bill Bill(Account, Request, Work, Tokens, Cost);
   if (Fields.failed())
     return tl::unexpected(Fields.error());
   return Bill;
--- a/lib/Frontend/ObservedSink.h
+++ b/lib/Frontend/ObservedSink.h
@@ -1,7 +1,7 @@
 #ifndef BLUEBELLKEEL_LIB_FRONTEND_OBSERVEDSINK_H
 #define BLUEBELLKEEL_LIB_FRONTEND_OBSERVEDSINK_H
 
-#include "bluebellkeel/Core/Clock.h"
+#include "bluebellkeel/Core/TimeSource.h"
 #include "bluebellkeel/Relay/AnswerSink.h"
 #include "bluebellkeel/Telemetry/Metrics.h"
 #include <string>
@@ -15,7 +15,7 @@
   /// Longest text that is kept, in bytes.
   static constexpr std::size_t MaxTextBytes = 64UL * 1024;
 
-  observed_sink(answer_sink &Next, const clock &Clock, metrics &Metrics,
+  observed_sink(answer_sink &Next, const time_source &Clock, metrics &Metrics,
                 bool KeepText)
       : Next(Next), Clock(Clock), Metrics(Metrics), KeepText(KeepText),
         Started(Clock.monotonicNow()) {}
@@ -30,7 +30,7 @@
   double elapsed() const;
 
   answer_sink &Next;
-  const clock &Clock;
+  const time_source &Clock;
   metrics &Metrics;
   bool KeepText;
   monotonic_time Started;
--- a/lib/Http/ClientStream.cpp
+++ b/lib/Http/ClientStream.cpp
@@ -13,8 +13,8 @@
 
 using boost::system::error_code;
 
-static constexpr std::size_t MaxHeaderBytes = 16 * 1024;
-static constexpr std::size_t PieceBytes = 16 * 1024;
+static constexpr std::size_t MaxHeaderBytes = 16UL * 1024;
+static constexpr std::size_t PieceBytes = 16UL * 1024;
 
 class client_stream::impl {
 public:
@@ -108,7 +108,7 @@
   for (const auto &Field : Parser.get())
     Fields.emplace_back(std::string(Field.name_string()),
                         std::string(Field.value()));
-  return http_response(Parser.get().result_int(),
+  return http_response(static_cast<int>(Parser.get().result_int()),
                        http_headers(std::move(Fields)), "");
 }
 
--- a/lib/Http/ServerConnection.cpp
+++ b/lib/Http/ServerConnection.cpp
@@ -9,7 +9,7 @@
 using boost::system::error_code;
 
 static constexpr unsigned Http11 = 11;
-static constexpr std::size_t MaxHeaderBytes = 16 * 1024;
+static constexpr std::size_t MaxHeaderBytes = 16UL * 1024;
 
 /// How long a connection may be open without a request, and how long a request
 /// may take to arrive.
--- a/lib/Journal/BillLedger.cpp
+++ b/lib/Journal/BillLedger.cpp
@@ -6,8 +6,8 @@
 /// How long the thread rests after the log failed.
 static constexpr milliseconds FailurePause{200};
 
-bill_ledger::bill_ledger(bill_log &Log, bill_mirror &Mirror, const clock &Clock,
-                         milliseconds AppendInterval)
+bill_ledger::bill_ledger(bill_log &Log, bill_mirror &Mirror,
+                         const time_source &Clock, milliseconds AppendInterval)
     : Log(Log), Mirror(Mirror), Clock(Clock), Pacer(AppendInterval),
       Queue(MaxHeld) {}
 
@@ -30,6 +30,7 @@
   if (Batch.empty())
     return;
   std::vector<bill> Bills;
+  Bills.reserve(Batch.size());
   for (const auto &Item : Batch)
     Bills.push_back(Item.Bill);
   // While the log is known to be down, callers wait for the copy alone.
--- a/lib/Journal/ClaimCoordinator.cpp
+++ b/lib/Journal/ClaimCoordinator.cpp
@@ -13,7 +13,7 @@
 /// How long the thread rests after the log failed.
 static constexpr milliseconds FailurePause{100};
 
-claim_coordinator::claim_coordinator(claim_log &Log, const clock &Clock,
+claim_coordinator::claim_coordinator(claim_log &Log, const time_source &Clock,
                                      milliseconds Patience,
                                      milliseconds AppendInterval)
     : Log(Log), Clock(Clock), Patience(Patience), Pacer(AppendInterval),
@@ -46,6 +46,7 @@
   if (Batch.empty())
     return;
   std::vector<claim_entry> Entries;
+  Entries.reserve(Batch.size());
   for (const auto &Item : Batch)
     Entries.push_back(Item.Entry);
   auto First = Log.append(Entries);
--- a/lib/Journal/SettingsFollower.cpp
+++ b/lib/Journal/SettingsFollower.cpp
@@ -6,7 +6,7 @@
 static constexpr std::size_t ReadPage = 500;
 
 settings_follower::settings_follower(settings_log &Log, settings_store &Store,
-                                     const clock &Clock)
+                                     const time_source &Clock)
     : Log(Log), Store(Store), Clock(Clock), SnapshotSeen(Clock.monotonicNow()) {
 }
 
--- a/lib/Peer/WebsocketPeerLink.cpp
+++ b/lib/Peer/WebsocketPeerLink.cpp
@@ -27,7 +27,7 @@
 
 class websocket_peer_link::impl {
 public:
-  impl(instance_id Self, const signer &Signer, const clock &Clock,
+  impl(instance_id Self, const signer &Signer, const time_source &Clock,
        peer_monitor &Monitor);
 
   tl::expected<void, std::string> start(const network_address &Address,
@@ -57,7 +57,7 @@
 
   instance_id Self;
   peer_codec Codec;
-  const clock &Clock;
+  const time_source &Clock;
   peer_responder *Responder = nullptr;
   peer_monitor &Monitor;
   boost::asio::io_context Io;
@@ -71,7 +71,7 @@
 };
 
 websocket_peer_link::impl::impl(instance_id Self, const signer &Signer,
-                                const clock &Clock, peer_monitor &Monitor)
+                                const time_source &Clock, peer_monitor &Monitor)
     : Self(std::move(Self)), Codec(Signer), Clock(Clock), Monitor(Monitor),
       SweepTimer(Io) {
   setUp(Client);
@@ -301,7 +301,7 @@
 }
 
 websocket_peer_link::websocket_peer_link(instance_id Self, const signer &Signer,
-                                         const clock &Clock,
+                                         const time_source &Clock,
                                          peer_monitor &Monitor)
     : Impl(std::make_unique<impl>(std::move(Self), Signer, Clock, Monitor)) {}
 
--- a/lib/Relay/CandidateFinder.cpp
+++ b/lib/Relay/CandidateFinder.cpp
@@ -26,6 +26,7 @@
   auto Ordered = Chooser.order(
       Preferred.empty() ? std::move(LastResort) : std::move(Preferred), Prefix);
   std::vector<upstream_record> Result;
+  Result.reserve(Ordered.size());
   for (const auto &Candidate : Ordered)
     Result.push_back(Records[Candidate.id()]);
   return Result;
--- a/lib/Runtime/GrantRound.h
+++ b/lib/Runtime/GrantRound.h
@@ -11,8 +11,9 @@
 /// Asks the owners of upstreams for the grants that this instance wants.
 class grant_round {
 public:
-  grant_round(instance_id Self, const clock &Clock, const owner_book &Owners,
-              grant_book &Grants, grant_issuer &Issuer, peer_link &Link)
+  grant_round(instance_id Self, const time_source &Clock,
+              const owner_book &Owners, grant_book &Grants,
+              grant_issuer &Issuer, peer_link &Link)
       : Self(std::move(Self)), Clock(Clock), Owners(Owners), Grants(Grants),
         Issuer(Issuer), Link(Link) {}
 
@@ -24,7 +25,7 @@
                const std::vector<grant_request> &Requests);
 
   instance_id Self;
-  const clock &Clock;
+  const time_source &Clock;
   const owner_book &Owners;
   grant_book &Grants;
   grant_issuer &Issuer;
--- a/lib/Runtime/HeartbeatRound.h
+++ b/lib/Runtime/HeartbeatRound.h
@@ -1,7 +1,7 @@
 #ifndef BLUEBELLKEEL_LIB_RUNTIME_HEARTBEATROUND_H
 #define BLUEBELLKEEL_LIB_RUNTIME_HEARTBEATROUND_H
 
-#include "bluebellkeel/Core/Clock.h"
+#include "bluebellkeel/Core/TimeSource.h"
 #include "bluebellkeel/Membership.h"
 #include "bluebellkeel/Peer/PeerLink.h"
 #include "bluebellkeel/Policy/QualityBook.h"
@@ -11,7 +11,7 @@
 /// Asks the selected peers for their heartbeats.
 class heartbeat_round {
 public:
-  heartbeat_round(instance_id Self, const clock &Clock,
+  heartbeat_round(instance_id Self, const time_source &Clock,
                   const instance_directory &Instances, peer_table &Peers,
                   quality_book &Quality, peer_link &Link)
       : Self(std::move(Self)), Clock(Clock), Instances(Instances), Peers(Peers),
@@ -23,7 +23,7 @@
   void take(const peer_body &Answer, monotonic_time AskedAt);
 
   instance_id Self;
-  const clock &Clock;
+  const time_source &Clock;
   const instance_directory &Instances;
   peer_table &Peers;
   quality_book &Quality;
--- a/lib/Runtime/InstanceRuntime.cpp
+++ b/lib/Runtime/InstanceRuntime.cpp
@@ -47,7 +47,10 @@
   runtime_parts Parts;
   periodic_task SettingsTask{[this] { readSettings(); }, SettingsInterval};
   periodic_task ListTask{[this] { readList(); }, ListInterval};
-  periodic_task HeartbeatTask{[this] { Parts.Heartbeats.run(); },
+  periodic_task HeartbeatTask{[this] {
+                                Parts.Heartbeats.run();
+                                Parts.Ownership.run();
+                              },
                               HeartbeatInterval};
   periodic_task GrantTask{[this] { Parts.GrantAsks.run(); }, GrantInterval};
   periodic_task LoadTask{[this] { Parts.Loads.run(); }, LoadInterval};
--- a/lib/Runtime/LoadRound.cpp
+++ b/lib/Runtime/LoadRound.cpp
@@ -4,7 +4,6 @@
 
 void load_round::run() {
   auto Owned = Owners.ownedOf(*Upstreams.list());
-  Issuer.setOwned(Owned, Clock.monotonicNow());
   for (const auto &Upstream : Owned) {
     monotonic_time AskedAt = Clock.monotonicNow();
     auto Report = Reader.read(Upstream);
--- a/lib/Runtime/LoadRound.h
+++ b/lib/Runtime/LoadRound.h
@@ -12,16 +12,16 @@
 /// are taken for warm and idle as long as they can be reached.
 class load_round {
 public:
-  load_round(const clock &Clock, const owner_book &Owners,
+  load_round(const time_source &Clock, const owner_book &Owners,
              const upstream_directory &Upstreams, grant_issuer &Issuer,
              load_reader Reader)
       : Clock(Clock), Owners(Owners), Upstreams(Upstreams), Issuer(Issuer),
-        Reader(std::move(Reader)) {}
+        Reader(Reader) {}
 
   void run();
 
 private:
-  const clock &Clock;
+  const time_source &Clock;
   const owner_book &Owners;
   const upstream_directory &Upstreams;
   grant_issuer &Issuer;
--- a/lib/Runtime/OwnerBook.cpp
+++ b/lib/Runtime/OwnerBook.cpp
@@ -21,6 +21,18 @@
   return Candidates;
 }
 
+bool owner_book::inTouch() const {
+  monotonic_time Now = Clock.monotonicNow();
+  auto Asked = selectPeers(Self, *Instances.list());
+  std::size_t Answering = 0;
+  for (const auto &Record : Asked) {
+    auto Peer = Peers.find(Record.id());
+    if (Peer && !Judge.isSilent(Now, *Peer))
+      ++Answering;
+  }
+  return 2 * (Answering + 1) >= Asked.size() + 1;
+}
+
 std::optional<instance_record>
 owner_book::ownerOf(const upstream_id &Upstream) const {
   auto Owner = bluebellkeel::ownerOf(Upstream.text(), candidates());
--- a/lib/Runtime/OwnerBook.h
+++ b/lib/Runtime/OwnerBook.h
@@ -1,7 +1,7 @@
 #ifndef BLUEBELLKEEL_LIB_RUNTIME_OWNERBOOK_H
 #define BLUEBELLKEEL_LIB_RUNTIME_OWNERBOOK_H
 
-#include "bluebellkeel/Core/Clock.h"
+#include "bluebellkeel/Core/TimeSource.h"
 #include "bluebellkeel/Membership.h"
 #include "bluebellkeel/Upstream/UpstreamRecord.h"
 #include <vector>
@@ -11,7 +11,7 @@
 /// Which instance owns which upstream, as far as this one can see.
 class owner_book {
 public:
-  owner_book(instance_id Self, const clock &Clock,
+  owner_book(instance_id Self, const time_source &Clock,
              const instance_directory &Instances, peer_table &Peers,
              freshness_judge Judge)
       : Self(std::move(Self)), Clock(Clock), Instances(Instances), Peers(Peers),
@@ -21,6 +21,11 @@
   /// that answered lately and is serving.
   std::vector<instance_id> candidates() const;
 
+  /// True when at least half of the instances that this one asks have answered
+  /// lately. With fewer it is likely this one that is cut off, and it owns
+  /// nothing.
+  bool inTouch() const;
+
   /// The record of the owner; empty when there is no candidate.
   std::optional<instance_record> ownerOf(const upstream_id &Upstream) const;
 
@@ -30,7 +35,7 @@
 
 private:
   instance_id Self;
-  const clock &Clock;
+  const time_source &Clock;
   const instance_directory &Instances;
   peer_table &Peers;
   freshness_judge Judge;
--- a/lib/Runtime/PeerDesk.h
+++ b/lib/Runtime/PeerDesk.h
@@ -13,10 +13,10 @@
 /// Answers what peers ask of this instance.
 class peer_desk final : public peer_responder {
 public:
-  peer_desk(instance_id Self, std::uint64_t Incarnation, const clock &Clock,
-            const settings_store &Settings, const serving_state &Serving,
-            grant_issuer &Issuer, bill_ledger &Bills, crash_book &Crashes,
-            quality_book &Quality)
+  peer_desk(instance_id Self, std::uint64_t Incarnation,
+            const time_source &Clock, const settings_store &Settings,
+            const serving_state &Serving, grant_issuer &Issuer,
+            bill_ledger &Bills, crash_book &Crashes, quality_book &Quality)
       : Self(std::move(Self)), Incarnation(Incarnation), Clock(Clock),
         Settings(Settings), Serving(Serving), Issuer(Issuer), Bills(Bills),
         Crashes(Crashes), Quality(Quality) {}
@@ -30,7 +30,7 @@
 
   instance_id Self;
   std::uint64_t Incarnation;
-  const clock &Clock;
+  const time_source &Clock;
   const settings_store &Settings;
   const serving_state &Serving;
   grant_issuer &Issuer;
--- a/lib/Runtime/RuntimeFacts.h
+++ b/lib/Runtime/RuntimeFacts.h
@@ -11,8 +11,8 @@
 /// What the front end asks of the running instance.
 class runtime_facts final : public instance_facts {
 public:
-  runtime_facts(instance_id Self, const clock &Clock, random_source &Random,
-                const settings_store &Settings,
+  runtime_facts(instance_id Self, const time_source &Clock,
+                random_source &Random, const settings_store &Settings,
                 const instance_directory &Instances, peer_table &Peers,
                 const serving_state &Serving, const owner_book &Owners,
                 grant_issuer &Issuer, freshness_judge Judge)
@@ -39,7 +39,7 @@
 
 private:
   address_advisor Advisor;
-  const clock &Clock;
+  const time_source &Clock;
   random_source &Random;
   const settings_store &Settings;
   const instance_directory &Instances;
--- a/lib/Runtime/RuntimeParts.cpp
+++ b/lib/Runtime/RuntimeParts.cpp
@@ -57,6 +57,7 @@
       Desk(Startup.Instance, Incarnation, Clock, Settings, Serving, Issuer,
            Bills, Crashes, Quality),
       Heartbeats(Startup.Instance, Clock, Instances, Peers, Quality, Link),
+      Ownership(Clock, Owners, Upstreams, Issuer),
       GrantAsks(Startup.Instance, Clock, Owners, Grants, Issuer, Link),
       Loads(Clock, Owners, Upstreams, Issuer, load_reader(LoadTimeouts)),
       Facts(Startup.Instance, Clock, Random, Settings, Instances, Peers,
--- a/lib/Runtime/RuntimeParts.h
+++ b/lib/Runtime/RuntimeParts.h
@@ -6,6 +6,7 @@
 #include "LoadRound.h"
 #include "MetricsAdapters.h"
 #include "OwnerBook.h"
+#include "OwnershipRound.h"
 #include "PeerBillMirror.h"
 #include "PeerCrashReporter.h"
 #include "PeerDesk.h"
@@ -78,6 +79,7 @@
   peer_desk Desk;
 
   heartbeat_round Heartbeats;
+  ownership_round Ownership;
   grant_round GrantAsks;
   load_round Loads;
   runtime_facts Facts;
--- a/lib/Runtime/ServingState.cpp
+++ b/lib/Runtime/ServingState.cpp
@@ -3,7 +3,8 @@
 using namespace bluebellkeel;
 
 serving_state::serving_state(instance_id Self, data_centre_id Home,
-                             const clock &Clock, const settings_store &Settings,
+                             const time_source &Clock,
+                             const settings_store &Settings,
                              const settings_follower &Follower,
                              const instance_directory &Instances,
                              peer_table &Peers, freshness_judge Judge)
--- a/lib/Runtime/ServingState.h
+++ b/lib/Runtime/ServingState.h
@@ -4,7 +4,7 @@
 #include "ServingStage.h"
 #include "absl/base/thread_annotations.h"
 #include "absl/synchronization/mutex.h"
-#include "bluebellkeel/Core/Clock.h"
+#include "bluebellkeel/Core/TimeSource.h"
 #include "bluebellkeel/Journal/SettingsFollower.h"
 #include "bluebellkeel/Membership.h"
 #include "bluebellkeel/Relay/ServingGate.h"
@@ -22,7 +22,7 @@
   static constexpr milliseconds LeadAwayTime =
       address_advisor::Lifetime + milliseconds(500);
 
-  serving_state(instance_id Self, data_centre_id Home, const clock &Clock,
+  serving_state(instance_id Self, data_centre_id Home, const time_source &Clock,
                 const settings_store &Settings,
                 const settings_follower &Follower,
                 const instance_directory &Instances, peer_table &Peers,
@@ -44,7 +44,7 @@
 
   instance_id Self;
   data_centre_id Home;
-  const clock &Clock;
+  const time_source &Clock;
   const settings_store &Settings;
   const settings_follower &Follower;
   const instance_directory &Instances;
--- a/lib/Upstream/GrantIssuer.cpp
+++ b/lib/Upstream/GrantIssuer.cpp
@@ -14,6 +14,9 @@
     Owned.withShard(Record.id().text(), [&](owned_map &Shard) {
       auto [Entry, New] = Shard.try_emplace(Record.id());
       owned_upstream &Upstream = Entry->second;
+      if (!New && Now - Upstream.ConfirmedAt > ConfirmLifetime)
+        Upstream.OwnedSince = Now;
+      Upstream.ConfirmedAt = Now;
       if (New) {
         Upstream.OwnedSince = Now;
         Upstream.StepSince = Now;
@@ -112,6 +115,8 @@
 std::optional<grant> grant_issuer::issueFrom(owned_upstream &Upstream,
                                              const grant_request &Request,
                                              monotonic_time Now) {
+  if (Now - Upstream.ConfirmedAt > ConfirmLifetime)
+    return std::nullopt;
   if (Now - Upstream.OwnedSince < Rules.term())
     return std::nullopt;
   if (Now - Upstream.ReportedAt > Rules.maxReportAge())
--- a/tools/bluebellkeeld/Main.cpp
+++ b/tools/bluebellkeeld/Main.cpp
@@ -4,6 +4,7 @@
 #include "bluebellkeel/Runtime.h"
 #include "bluebellkeel/Startup.h"
 #include "bluebellkeel/Telemetry.h"
+#include <atomic>
 #include <csignal>
 #include <fstream>
 #include <iostream>
@@ -15,6 +16,9 @@
 
 using namespace bluebellkeel;
 
+/// How often a shutdown looks for a second signal.
+static constexpr long SignalStepNanoseconds = 100000000;
+
 /// What the process returns.
 enum exit_code {
   Success = 0,
@@ -56,16 +60,19 @@
   }
   int Signal = 0;
   sigwait(&Signals, &Signal);
-  std::thread Second([&] {
-    int Again = 0;
-    sigwait(&Signals, &Again);
-    Runtime.hurry();
+  std::atomic<bool> Ended{false};
+  std::size_t Cut = 0;
+  std::thread Shutdown([&] {
+    Cut = Runtime.shutDown();
+    Ended = true;
   });
-  std::size_t Cut = Runtime.shutDown();
-  // The second wait may still be there; its thread ends with the process.
-  std::cerr << "shutdown: " << Cut << " requests were cut.\n";
-  pthread_kill(Second.native_handle(), SIGTERM);
-  Second.join();
+  // A second signal makes the shutdown cut what still runs.
+  const timespec Step = {0, SignalStepNanoseconds};
+  while (!Ended) {
+    if (sigtimedwait(&Signals, nullptr, &Step) > 0)
+      Runtime.hurry();
+  }
+  Shutdown.join();
   return Cut == 0 ? Success : CutRequests;
 }
 
--- /dev/null
+++ b/unittests/Journal/BillLedgerTest.cpp
@@ -0,0 +1,191 @@
+#include "Support/FakeLog.h"
+#include "Support/ManualClock.h"
+#include "Support/SeededRandom.h"
+#include "bluebellkeel/Journal.h"
+#include <gtest/gtest.h>
+#include <map>
+#include <memory>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+#include <set>
+
+using namespace bluebellkeel;
+
+namespace {
+
+constexpr milliseconds NoWait{0};
+
+/// Copies to the next node of the cluster, if that node lives.
+class fake_mirror final : public bill_mirror {
+public:
+  std::function<bool(const std::vector<bill> &)> Target;
+
+  void copy(const std::vector<bill> &Bills,
+            std::function<void(bool)> Done) override {
+    Done(Target && Target(Bills));
+  }
+};
+
+/// One instance's ledger with its mirror.
+struct ledger_node {
+  ledger_node(record_log<bill> &Log, const time_source &Clock)
+      : Ledger(Log, Mirror, Clock, milliseconds(1)) {}
+
+  fake_mirror Mirror;
+  bill_ledger Ledger;
+};
+
+/// Instances that bill to one log and copy to each other.
+class bill_ledger_test : public testing::Test {
+protected:
+  static constexpr std::size_t NodeCount = 3;
+
+  void SetUp() override {
+    Nodes.resize(NodeCount);
+    for (std::size_t Index = 0; Index < NodeCount; ++Index)
+      start(Index);
+  }
+
+  void start(std::size_t Index) {
+    Nodes[Index] = std::make_unique<ledger_node>(Log, Clock);
+    Nodes[Index]->Mirror.Target = [this, Index](const auto &Bills) {
+      auto &Next = Nodes[(Index + 1) % NodeCount];
+      return !Cut && Next->Ledger.adopt(Bills);
+    };
+  }
+
+  static bill billOf(const std::string &Request) {
+    return bill(account_id("a"), request_id(Request), "m@1", 10, 5);
+  }
+
+  void submit(const std::string &Request, std::size_t Node) {
+    Nodes[Node]->Ledger.submit(
+        billOf(Request),
+        [this, Request](tl::expected<void, journal_error> Result) {
+          if (Result)
+            Released.insert(Request);
+          else
+            Withheld.insert(Request);
+        });
+  }
+
+  /// What a reader of the bills stream makes of it.
+  std::map<std::string, int> read() const {
+    std::map<std::string, int> Billed;
+    std::set<bill> Seen;
+    for (const auto &Bill : Log.retained()) {
+      if (Seen.insert(Bill).second)
+        ++Billed[Bill.request().text()];
+    }
+    return Billed;
+  }
+
+  void drain() {
+    Log.Down = false;
+    Log.LoseAnswers = false;
+    for (int Round = 0; Round < 5; ++Round) {
+      for (auto &Node : Nodes)
+        Node->Ledger.commitOnce(NoWait);
+    }
+  }
+
+  manual_clock Clock;
+  fake_log<bill> Log;
+  std::vector<std::unique_ptr<ledger_node>> Nodes;
+  std::set<std::string> Released;
+  std::set<std::string> Withheld;
+  bool Cut = false;
+};
+
+} // namespace
+
+RC_GTEST_FIXTURE_PROP(bill_ledger_test,
+                      anySchedule_withOneKillAtATime_billsEachReleasedOnce,
+                      (std::uint64_t Seed)) {
+  seeded_random Random(Seed);
+  int Number = 0;
+  // Copies protect against the loss of one instance while the log is down; a
+  // second loss before the log is back may take the copy too.
+  bool KilledWhileDown = false;
+  for (int Step = 0; Step < 150; ++Step) {
+    std::size_t Node = Random.below(NodeCount);
+    switch (Random.below(8)) {
+    case 0:
+    case 1:
+      submit("r" + std::to_string(++Number), Node);
+      break;
+    case 2:
+      Log.Down = !Log.Down;
+      break;
+    case 3:
+      Log.LoseAnswers = !Log.LoseAnswers;
+      break;
+    case 4:
+      Cut = !Cut;
+      break;
+    case 5:
+      if (!KilledWhileDown)
+        start(Node);
+      KilledWhileDown = true;
+      break;
+    default:
+      Nodes[Node]->Ledger.commitOnce(NoWait);
+    }
+    if (!Log.Down && !Log.LoseAnswers && Random.below(4) == 0) {
+      drain();
+      KilledWhileDown = false;
+    }
+  }
+  drain();
+  auto Billed = read();
+  for (const auto &Request : Released)
+    RC_ASSERT(Billed[Request] == 1);
+}
+
+TEST_F(bill_ledger_test, baseline_billingAfterTheRelease_losesABillInAKill) {
+  // Released first, appended later: the kill in between loses the bill.
+  Released.insert("r1");
+  EXPECT_EQ(0, read()["r1"]);
+}
+
+TEST_F(bill_ledger_test, bill_whileTheLogIsUp_isReleasedAfterItsAppend) {
+  submit("r1", 0);
+  EXPECT_TRUE(Released.empty());
+  Nodes[0]->Ledger.commitOnce(NoWait);
+  EXPECT_EQ(1U, Released.count("r1"));
+  EXPECT_EQ(1, read()["r1"]);
+}
+
+TEST_F(bill_ledger_test, bill_whileTheLogIsDown_isReleasedOnceCopied) {
+  Log.Down = true;
+  submit("r1", 0);
+  Nodes[0]->Ledger.commitOnce(NoWait);
+  EXPECT_EQ(1U, Released.count("r1"));
+  start(0);
+  drain();
+  EXPECT_EQ(1, read()["r1"]);
+}
+
+TEST_F(bill_ledger_test, bill_withNeitherLogNorPeer_isWithheld) {
+  Log.Down = true;
+  Cut = true;
+  submit("r1", 0);
+  Nodes[0]->Ledger.commitOnce(NoWait);
+  EXPECT_EQ(1U, Withheld.count("r1"));
+}
+
+TEST_F(bill_ledger_test, heldBills_atTheBound_leaveNoRoom) {
+  Log.Down = true;
+  for (std::size_t Index = 0; Index < bill_ledger::MaxHeld; ++Index)
+    submit("r" + std::to_string(Index), 0);
+  EXPECT_FALSE(Nodes[0]->Ledger.hasRoom());
+  submit("one-more", 0);
+  EXPECT_EQ(1U, Withheld.count("one-more"));
+}
+
+TEST_F(bill_ledger_test, manyBills_inOneGroup_takeOneAppend) {
+  for (int Index = 0; Index < 100; ++Index)
+    submit("r" + std::to_string(Index), 0);
+  Nodes[0]->Ledger.commitOnce(NoWait);
+  EXPECT_EQ(1U, Log.Appends);
+}
--- /dev/null
+++ b/unittests/Membership/AddressAdvisorTest.cpp
@@ -0,0 +1,99 @@
+#include "Support/ManualClock.h"
+#include "Support/SeededRandom.h"
+#include "bluebellkeel/Membership.h"
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <map>
+
+using namespace bluebellkeel;
+
+namespace {
+
+class address_advisor_test : public testing::Test {
+protected:
+  void SetUp() override {
+    for (int Index = 0; Index < 8; ++Index)
+      add(Index, instance_state::Live, /*Serving=*/true, seconds(0));
+  }
+
+  static network_address address(int Index) {
+    return network_address("127.0.0.1", static_cast<std::uint16_t>(1 + Index));
+  }
+
+  void add(int Index, instance_state State, bool Serving, milliseconds Ago) {
+    instance_id Id("i" + std::to_string(Index));
+    data_centre_id Centre("c" + std::to_string(Index % 4));
+    Listed.emplace_back(Id, Centre, address(Index), address(Index), State);
+    if (Index > 0)
+      Peers.emplace_back(Clock.monotonicNow() - Ago,
+                         heartbeat(Id, 1, Serving, log_offset(1), {}));
+  }
+
+  address_advice advise(bool SelfServing = true) {
+    return Advisor.advise(Clock.monotonicNow(), SelfServing, Listed, Peers, Out,
+                          Random);
+  }
+
+  /// How often each address comes first in many answers.
+  std::map<network_address, int> firsts(int Answers) {
+    std::map<network_address, int> Counts;
+    for (int Index = 0; Index < Answers; ++Index)
+      ++Counts[advise().addresses().front()];
+    return Counts;
+  }
+
+  manual_clock Clock;
+  seeded_random Random{5};
+  address_advisor Advisor{instance_id("i0"),
+                          freshness_judge(freshness_rules())};
+  std::vector<instance_record> Listed;
+  std::vector<peer_status> Peers;
+  std::set<data_centre_id> Out;
+};
+
+} // namespace
+
+TEST_F(address_advisor_test, manyAnswers_withAllWell_spreadEvenly) {
+  constexpr int Answers = 8000;
+  auto Counts = firsts(Answers);
+  EXPECT_EQ(8U, Counts.size());
+  for (const auto &[Address, Count] : Counts) {
+    EXPECT_GT(Count, Answers / 8 * 8 / 10) << Address.text();
+    EXPECT_LT(Count, Answers / 8 * 12 / 10) << Address.text();
+  }
+}
+
+TEST_F(address_advisor_test, answer_withEnoughInstances_namesThreeDifferent) {
+  auto Addresses = advise().addresses();
+  std::set<network_address> Different(Addresses.begin(), Addresses.end());
+  EXPECT_EQ(address_advisor::MaxAddresses, Different.size());
+}
+
+TEST_F(address_advisor_test, drainingLeavingAndSilent_areLeftOut) {
+  add(8, instance_state::Leaving, true, seconds(0));
+  add(9, instance_state::Live, false, seconds(0));
+  add(10, instance_state::Live, true, seconds(4));
+  auto Counts = firsts(2000);
+  for (int Index : {8, 9, 10})
+    EXPECT_EQ(0, Counts[address(Index)]);
+}
+
+TEST_F(address_advisor_test, dataCentre_thatIsOut_isLeftOut) {
+  Out.insert(data_centre_id("c1"));
+  auto Counts = firsts(2000);
+  EXPECT_EQ(0, Counts[address(1)]);
+  EXPECT_EQ(0, Counts[address(5)]);
+}
+
+TEST_F(address_advisor_test, self_whenDraining_isLeftOut) {
+  for (int Round = 0; Round < 200; ++Round) {
+    auto Addresses = advise(/*SelfServing=*/false).addresses();
+    EXPECT_EQ(0, std::count(Addresses.begin(), Addresses.end(), address(0)));
+  }
+}
+
+TEST_F(address_advisor_test, allSilent_namesTheListedOnes) {
+  Clock.advance(seconds(60));
+  EXPECT_EQ(address_advisor::MaxAddresses,
+            advise(/*SelfServing=*/false).addresses().size());
+}
--- /dev/null
+++ b/unittests/Peer/PeerCodecTest.cpp
@@ -0,0 +1,87 @@
+#include "Support/ManualClock.h"
+#include "bluebellkeel/Core.h"
+#include "bluebellkeel/Peer.h"
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+using namespace bluebellkeel;
+
+namespace {
+
+class peer_codec_test : public testing::Test {
+protected:
+  peer_envelope envelope(peer_body Body) const {
+    return peer_envelope(instance_id("from"), instance_id("to"), 7,
+                         Clock.wallNow(), std::move(Body));
+  }
+  tl::expected<peer_envelope, peer_error> read(const std::string &Bytes) const {
+    return Codec.decode(Bytes, instance_id("to"), Clock.wallNow());
+  }
+
+  static std::vector<peer_body> bodies() {
+    heartbeat Beat(instance_id("from"), 3, true, log_offset(9),
+                   milliseconds(250));
+    upstream_id Upstream("u");
+    grant_request Request(instance_id("from"), Upstream, load_share(1, 2),
+                          load_share(3, 4));
+    bill Bill(account_id("a"), request_id("r"), "m@1", 5, 6);
+    settings_state::value_map Values;
+    Values[*settings_path::parse("/t/versions/m@1/cost")] = setting_value(1.5);
+    return {heartbeat_query(),
+            heartbeat_answer(Beat, {{version_id("m@1"), quality_counts(4, 1)}}),
+            grant_ask({Request}),
+            grant_reply({grant(Upstream, load_share(1, 2), seconds(2))}),
+            bill_copy({Bill}),
+            bill_copy_ack(true),
+            crash_notice(fingerprint("f"), Upstream),
+            state_query(),
+            state_answer(settings_state(log_offset(3), Values, {}))};
+  }
+
+  manual_clock Clock;
+  hmac_signer Signer{"a key for tests only"};
+  peer_codec Codec{Signer};
+};
+
+} // namespace
+
+TEST_F(peer_codec_test, eachBody_readBack_isTheSame) {
+  for (const auto &Body : bodies()) {
+    auto Read = read(Codec.encode(envelope(Body)));
+    ASSERT_TRUE(Read) << kindOf(Body);
+    EXPECT_TRUE(envelope(Body) == *Read) << kindOf(Body);
+  }
+}
+
+TEST_F(peer_codec_test, message_signedWithOtherKey_isDropped) {
+  hmac_signer Other("another key for tests");
+  std::string Bytes = peer_codec(Other).encode(envelope(heartbeat_query()));
+  EXPECT_EQ(peer_error::BadSignature, read(Bytes).error());
+}
+
+TEST_F(peer_codec_test, message_forAnotherOrFromLongAgo_isStale) {
+  std::string Bytes = Codec.encode(envelope(heartbeat_query()));
+  EXPECT_EQ(peer_error::Stale,
+            Codec.decode(Bytes, instance_id("other"), Clock.wallNow()).error());
+  Clock.advance(peer_codec::MaxAge + milliseconds(1));
+  EXPECT_EQ(peer_error::Stale, read(Bytes).error());
+}
+
+RC_GTEST_FIXTURE_PROP(peer_codec_test, message_withAnyByteChanged_isDropped,
+                      (std::size_t Position, unsigned char Byte)) {
+  for (const auto &Body : bodies()) {
+    std::string Bytes = Codec.encode(envelope(Body));
+    std::size_t Index = Position % Bytes.size();
+    if (Bytes[Index] == static_cast<char>(Byte))
+      continue;
+    Bytes[Index] = static_cast<char>(Byte);
+    RC_ASSERT(!read(Bytes));
+  }
+}
+
+RC_GTEST_FIXTURE_PROP(peer_codec_test, anySignedBytes_areReadOrDropped,
+                      (const std::string &Bytes)) {
+  std::string Signature = Signer.sign("p1|" + Bytes).substr(0, 32);
+  (void)read(Signature + Bytes);
+}
--- /dev/null
+++ b/unittests/Peer/WebsocketPeerLinkTest.cpp
@@ -0,0 +1,105 @@
+#include "absl/synchronization/notification.h"
+#include "bluebellkeel/Core.h"
+#include "bluebellkeel/Peer.h"
+#include <atomic>
+#include <gtest/gtest.h>
+
+using namespace bluebellkeel;
+
+namespace {
+
+/// Answers heartbeats, or nothing when it is told to be silent.
+class fake_responder final : public peer_responder {
+public:
+  std::atomic<bool> Silent{false};
+
+  std::optional<peer_body> answer(const instance_id & /*From*/,
+                                  const peer_body & /*Body*/) override {
+    if (Silent)
+      return std::nullopt;
+    return bill_copy_ack(true);
+  }
+};
+
+class quiet_monitor final : public peer_monitor {
+public:
+  std::atomic<int> Faults{0};
+
+  void countPeerMessage(const std::string & /*Kind*/, bool /*Sent*/,
+                        std::size_t /*Bytes*/) override {}
+  void countPeerFault(peer_error /*Error*/) override { ++Faults; }
+};
+
+class websocket_peer_link_test : public testing::Test {
+protected:
+  static constexpr std::uint16_t FirstPort = 21801;
+
+  static network_address address(int Index) {
+    return network_address("127.0.0.1",
+                           static_cast<std::uint16_t>(FirstPort + Index));
+  }
+  static instance_record record(int Index) {
+    return instance_record(instance_id("i" + std::to_string(Index)),
+                           data_centre_id("c"), address(Index), address(Index),
+                           instance_state::Live);
+  }
+
+  /// Asks and waits for the answer.
+  std::optional<peer_body> ask(websocket_peer_link &Link, int Peer) {
+    absl::Notification Done;
+    std::optional<peer_body> Result;
+    Link.ask(record(Peer), heartbeat_query(),
+             [&](std::optional<peer_body> Answer) {
+               Result = std::move(Answer);
+               Done.Notify();
+             });
+    Done.WaitForNotification();
+    return Result;
+  }
+
+  system_clock Clock;
+  hmac_signer Signer{"a key for tests only"};
+  quiet_monitor Monitor;
+  fake_responder Responder;
+  websocket_peer_link First{instance_id("i0"), Signer, Clock, Monitor};
+  websocket_peer_link Second{instance_id("i1"), Signer, Clock, Monitor};
+};
+
+} // namespace
+
+TEST_F(websocket_peer_link_test, question_toALivePeer_isAnswered) {
+  ASSERT_TRUE(First.start(address(0), Responder));
+  ASSERT_TRUE(Second.start(address(1), Responder));
+  auto Answer = ask(First, 1);
+  ASSERT_TRUE(Answer);
+  EXPECT_TRUE(std::holds_alternative<bill_copy_ack>(*Answer));
+}
+
+TEST_F(websocket_peer_link_test, question_toNobody_endsWithoutAnAnswer) {
+  ASSERT_TRUE(First.start(address(0), Responder));
+  EXPECT_FALSE(ask(First, 2));
+}
+
+TEST_F(websocket_peer_link_test, silentPeer_thatComesBack_isAnsweredAgain) {
+  ASSERT_TRUE(First.start(address(0), Responder));
+  ASSERT_TRUE(Second.start(address(1), Responder));
+  Responder.Silent = true;
+  EXPECT_FALSE(ask(First, 1));
+  EXPECT_FALSE(ask(First, 1));
+  Responder.Silent = false;
+  EXPECT_TRUE(ask(First, 1));
+}
+
+TEST_F(websocket_peer_link_test, peer_withAnotherKey_isNotAnswered) {
+  hmac_signer Other("another key for tests");
+  websocket_peer_link Foreign(instance_id("i2"), Other, Clock, Monitor);
+  ASSERT_TRUE(First.start(address(0), Responder));
+  ASSERT_TRUE(Foreign.start(address(2), Responder));
+  EXPECT_FALSE(ask(Foreign, 0));
+  EXPECT_GT(Monitor.Faults, 0);
+}
+
+TEST_F(websocket_peer_link_test, addressInUse_isAnError) {
+  ASSERT_TRUE(First.start(address(0), Responder));
+  EXPECT_FALSE(Second.start(network_address("192.0.2.1", 1), Responder));
+}
--- /dev/null
+++ b/unittests/Support/ManualClock.h
@@ -0,0 +1,25 @@
+#ifndef UNITTESTS_SUPPORT_MANUALCLOCK_H
+#define UNITTESTS_SUPPORT_MANUALCLOCK_H
+
+#include "bluebellkeel/Core/TimeSource.h"
+
+namespace bluebellkeel {
+
+/// A clock that stands still until a test moves it.
+class manual_clock final : public time_source {
+public:
+  monotonic_time monotonicNow() const override {
+    return monotonic_time(seconds(1000) + Passed);
+  }
+  wall_time wallNow() const override {
+    return wall_time(seconds(1700000000) + Passed);
+  }
+  void advance(milliseconds Time) { Passed += Time; }
+
+private:
+  milliseconds Passed{0};
+};
+
+} // namespace bluebellkeel
+
+#endif // UNITTESTS_SUPPORT_MANUALCLOCK_H
--- /dev/null
+++ b/unittests/Upstream/GrantClusterTest.cpp
@@ -0,0 +1,256 @@
+#include "Support/ManualClock.h"
+#include "Support/SeededRandom.h"
+#include "bluebellkeel/Upstream.h"
+#include <deque>
+#include <gtest/gtest.h>
+#include <memory>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+using namespace bluebellkeel;
+
+namespace {
+
+constexpr std::uint32_t ColdRequests = 2;
+constexpr std::uint32_t WarmRequests = 8;
+constexpr std::uint64_t TokenBound = 8000;
+
+class no_listener final : public room_listener {
+public:
+  void roomMayBeFree() override {}
+};
+
+/// Holders that ask the present owner of one upstream for grants. Answers may
+/// be long under way; owners are paused, killed and replaced.
+class grant_cluster {
+public:
+  static constexpr std::size_t HolderCount = 4;
+
+  grant_cluster() {
+    for (std::size_t Index = 0; Index < HolderCount; ++Index)
+      Holders.push_back(std::make_unique<grant_book>(
+          instance_id("h" + std::to_string(Index)), Clock, Listener));
+    replaceOwner();
+  }
+
+  static upstream_record record() {
+    return upstream_record(upstream_id("u"), data_centre_id("c"),
+                           network_address(), upstream_kind::Engine,
+                           pool_id("p"), false,
+                           load_share(WarmRequests, TokenBound),
+                           load_share(ColdRequests, TokenBound));
+  }
+
+  /// A new owner takes over; the former one may still answer old questions.
+  void replaceOwner() {
+    if (Owner)
+      Former = std::move(Owner);
+    Owner = std::make_unique<grant_issuer>(grant_rules());
+    confirm();
+  }
+
+  void confirm() {
+    if (!Paused)
+      Owner->setOwned({record()}, Clock.monotonicNow());
+  }
+  void togglePause() { Paused = !Paused; }
+
+  void report() {
+    if (!Paused)
+      Owner->noteReport(upstream_id("u"), load_report(Warm, inFlight()),
+                        Clock.monotonicNow());
+  }
+
+  void ask(std::size_t Holder) {
+    Holders[Holder]->tryAcquire(upstream_id("u"), load_share(100, TokenBound));
+    for (const auto &Request : Holders[Holder]->requests())
+      Questions.push_back({Holder, Request, Clock.monotonicNow(), false});
+  }
+
+  /// One question reaches the owner it was sent to, or a former one after a
+  /// pause, and its answer arrives.
+  void answer(std::size_t Index, bool ByFormer) {
+    if (Questions.empty())
+      return;
+    auto Found = Questions.begin() +
+                 static_cast<std::ptrdiff_t>(Index % Questions.size());
+    grant_issuer *Issuer = ByFormer ? Former.get() : Owner.get();
+    bool CanAnswer = Issuer && (ByFormer || !Paused);
+    if (!CanAnswer)
+      return;
+    auto Grant = Issuer->issue(Found->Request, Clock.monotonicNow());
+    if (Grant)
+      Holders[Found->Holder]->noteGrant(*Grant, Found->SentAt);
+    Questions.erase(Found);
+  }
+
+  void start(std::size_t Holder, std::uint64_t Tokens) {
+    auto Slot =
+        Holders[Holder]->tryAcquire(upstream_id("u"), load_share(1, Tokens));
+    if (Slot)
+      Running.push_back(std::move(*Slot));
+  }
+
+  void end() {
+    if (!Running.empty())
+      Running.pop_front();
+  }
+
+  load_share inFlight() {
+    load_share Sum;
+    for (auto &Holder : Holders)
+      Sum = Sum.plus(Holder->inFlight(upstream_id("u")));
+    return Sum;
+  }
+
+  void forgetQuestions() { Questions.clear(); }
+
+  manual_clock Clock;
+  bool Warm = false;
+
+private:
+  struct question {
+    std::size_t Holder;
+    grant_request Request;
+    monotonic_time SentAt;
+    bool Lost;
+  };
+
+  no_listener Listener;
+  std::vector<std::unique_ptr<grant_book>> Holders;
+  std::deque<question> Questions;
+  std::deque<upstream_slot> Running;
+  std::unique_ptr<grant_issuer> Owner;
+  std::unique_ptr<grant_issuer> Former;
+  bool Paused = false;
+};
+
+class grant_cluster_test : public testing::Test {
+protected:
+  /// Owner, holders and upstream work as they should for \p Time.
+  void runWell(milliseconds Time) {
+    constexpr milliseconds Round{100};
+    for (auto Passed = milliseconds(0); Passed < Time; Passed += Round) {
+      Cluster.confirm();
+      Cluster.report();
+      for (std::size_t H = 0; H < grant_cluster::HolderCount; ++H) {
+        Cluster.ask(H);
+        Cluster.answer(0, false);
+        Cluster.start(H, 10);
+        Cluster.start(H, 10);
+      }
+      Most = std::max(Most, Cluster.inFlight().requests());
+      Cluster.end();
+      Cluster.Clock.advance(Round);
+    }
+  }
+
+  grant_cluster Cluster;
+  std::uint32_t Most = 0;
+};
+
+} // namespace
+
+RC_GTEST_FIXTURE_PROP(grant_cluster_test,
+                      coldUpstream_underAnySchedule_neverGetsTooMuch,
+                      (std::uint64_t Seed)) {
+  seeded_random Random(Seed);
+  grant_cluster Subject;
+  for (int Step = 0; Step < 300; ++Step) {
+    std::size_t Holder = Random.below(grant_cluster::HolderCount);
+    switch (Random.below(14)) {
+    case 0:
+      Subject.replaceOwner();
+      break;
+    case 1:
+      Subject.togglePause();
+      break;
+    case 2:
+    case 3:
+      Subject.report();
+      break;
+    case 4:
+    case 5:
+    case 6:
+      Subject.ask(Holder);
+      break;
+    case 7:
+    case 8:
+      Subject.answer(Random.below(50), false);
+      break;
+    case 9:
+      Subject.answer(Random.below(50), true);
+      break;
+    case 10:
+      Subject.end();
+      break;
+    default:
+      Subject.start(Holder, 1 + Random.below(TokenBound));
+    }
+    Subject.confirm();
+    Subject.Clock.advance(milliseconds(Random.below(400)));
+    RC_ASSERT(Subject.inFlight().requests() <= ColdRequests);
+    RC_ASSERT(Subject.inFlight().tokens() <= TokenBound);
+  }
+}
+
+TEST_F(grant_cluster_test, baseline_eachForItself_passesWhatAColdOneBears) {
+  // Without grants, each of four instances sends at least one.
+  EXPECT_GT(grant_cluster::HolderCount, ColdRequests);
+}
+
+TEST_F(grant_cluster_test, coldUpstream_withDemand_isUsedToItsBound) {
+  runWell(seconds(10));
+  EXPECT_EQ(ColdRequests, Most);
+}
+
+TEST_F(grant_cluster_test, warmUpstream_withDemand_reachesFullLoad) {
+  Cluster.Warm = true;
+  runWell(seconds(10));
+  EXPECT_EQ(WarmRequests, Most);
+}
+
+TEST_F(grant_cluster_test, newOwner_withinOneTerm_issuesNothing) {
+  grant_issuer Issuer{grant_rules()};
+  auto Now = Cluster.Clock.monotonicNow();
+  Issuer.setOwned({grant_cluster::record()}, Now);
+  Issuer.noteReport(upstream_id("u"), load_report(true, {}), Now);
+  grant_request Request(instance_id("h"), upstream_id("u"), {},
+                        load_share(1, 1));
+  EXPECT_FALSE(Issuer.issue(Request, Now + milliseconds(1400)));
+}
+
+TEST_F(grant_cluster_test, owner_thatWasPaused_waitsATermAgain) {
+  grant_issuer Issuer{grant_rules()};
+  auto Now = Cluster.Clock.monotonicNow();
+  auto Confirm = [&] { Issuer.setOwned({grant_cluster::record()}, Now); };
+  grant_request Request(instance_id("h"), upstream_id("u"), {},
+                        load_share(1, 1));
+  for (int Round = 0; Round < 5; ++Round) {
+    Confirm();
+    Issuer.noteReport(upstream_id("u"), load_report(true, {}), Now);
+    Now += milliseconds(500);
+  }
+  EXPECT_TRUE(Issuer.issue(Request, Now));
+  Now += seconds(30);
+  EXPECT_FALSE(Issuer.issue(Request, Now));
+  Confirm();
+  EXPECT_FALSE(Issuer.issue(Request, Now));
+}
+
+TEST_F(grant_cluster_test, foreignLoad_inTheReport_isTakenOffFirst) {
+  grant_issuer Issuer{grant_rules()};
+  auto Now = Cluster.Clock.monotonicNow();
+  grant_request Request(instance_id("h"), upstream_id("u"), {},
+                        load_share(8, 100));
+  for (int Round = 0; Round < 10; ++Round) {
+    Issuer.setOwned({grant_cluster::record()}, Now);
+    // Another owner, in a split, has sent six requests there.
+    Issuer.noteReport(upstream_id("u"), load_report(true, load_share(6, 600)),
+                      Now);
+    Now += milliseconds(1000);
+  }
+  auto Grant = Issuer.issue(Request, Now);
+  ASSERT_TRUE(Grant);
+  EXPECT_EQ(2U, Grant->share().requests());
+}
--- /dev/null
+++ b/unittests/Upstream/HealthBookTest.cpp
@@ -0,0 +1,40 @@
+#include "Support/ManualClock.h"
+#include "bluebellkeel/Upstream.h"
+#include <gtest/gtest.h>
+
+using namespace bluebellkeel;
+
+namespace {
+class health_book_test : public testing::Test {
+protected:
+  manual_clock Clock;
+  health_book Health{Clock};
+  upstream_id Upstream{"u"};
+};
+} // namespace
+
+TEST_F(health_book_test, upstream_afterThreeFailures_isPassedOverForAWhile) {
+  Health.noteFailure(Upstream);
+  Health.noteFailure(Upstream);
+  EXPECT_TRUE(Health.healthy(Upstream));
+  Health.noteFailure(Upstream);
+  EXPECT_FALSE(Health.healthy(Upstream));
+  Clock.advance(seconds(1));
+  EXPECT_TRUE(Health.healthy(Upstream));
+}
+
+TEST_F(health_book_test, success_betweenFailures_startsTheCountAnew) {
+  for (int Round = 0; Round < 5; ++Round) {
+    Health.noteFailure(Upstream);
+    Health.noteFailure(Upstream);
+    Health.noteSuccess(Upstream);
+  }
+  EXPECT_TRUE(Health.healthy(Upstream));
+}
+
+TEST_F(health_book_test, pause_afterManyFailures_isBounded) {
+  for (int Round = 0; Round < 50; ++Round)
+    Health.noteFailure(Upstream);
+  Clock.advance(seconds(16));
+  EXPECT_TRUE(Health.healthy(Upstream));
+}
