--- /dev/null
+++ b/test/Processes/Deployment.h
@@ -0,0 +1,103 @@
+#ifndef TEST_PROCESSES_DEPLOYMENT_H
+#define TEST_PROCESSES_DEPLOYMENT_H
+
+#include "Caller.h"
+#include "ChildProcess.h"
+#include "bluebellkeel/Http/HttpClient.h"
+#include <functional>
+#include <gtest/gtest.h>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+
+namespace bluebellkeel {
+
+/// Three instances in three data centres with stand-ins around them: four
+/// engines of two versions and two processes of an order desk. Each test
+/// starts its own and fails or passes by what callers and stand-ins saw.
+class deployment : public testing::Test {
+protected:
+  static constexpr int InstanceCount = 3;
+  static constexpr int EngineCount = 4;
+  static constexpr int ServiceCount = 2;
+  static constexpr const char *ApiKey = "cobbler-key-0123456789";
+  static constexpr const char *CatalogKey = "catalog-team-key-0123";
+  static constexpr const char *PlatformKey = "platform-team-key-0123";
+
+  void SetUp() override;
+  void TearDown() override;
+
+  /// Starts instance \p Index; \p LogAddress may point elsewhere than to the
+  /// log, as for one that is cut off from it.
+  void startInstance(int Index);
+  void startInstance(int Index, const network_address &LogAddress);
+  void killInstance(int Index) { Instances[Index].reset(); }
+
+  static network_address log() { return address(0); }
+  static network_address list() { return address(1); }
+  static network_address instance(int Index) { return address(10 + Index); }
+  static network_address engine(int Index) { return address(30 + Index); }
+  static network_address service(int Index) { return address(50 + Index); }
+  static network_address nobody() { return address(99); }
+
+  /// Sets switches of a stand-in.
+  void set(const network_address &Standin, const nlohmann::json &Switches);
+  nlohmann::json get(const network_address &Address, const std::string &Path,
+                     const std::string &Key = "");
+  nlohmann::json post(const network_address &Address, const std::string &Path,
+                      const nlohmann::json &Body, const std::string &Key = "");
+  int statusOf(const network_address &Address, const std::string &Path);
+
+  /// Changes settings as a team and returns the verdict.
+  nlohmann::json change(const std::string &Key, int Instance,
+                        const nlohmann::json &Values,
+                        const std::string &Id = "");
+
+  /// Puts an upstream into the platform's list.
+  void listEngine(int Index, const std::string &State);
+
+  bool ready(int Index) { return statusOf(instance(Index), "/readyz") == 200; }
+  /// Waits until \p Condition holds; false when it does not in time.
+  static bool waitFor(const std::function<bool()> &Condition,
+                      milliseconds Patience);
+  static void rest(milliseconds Time);
+
+  /// A caller that knows just one instance, or all.
+  static caller callerOf(int Index) { return caller({instance(Index)}, ApiKey); }
+  static caller callerOfAll();
+
+  /// Sends a chat to one instance and nowhere else; the refusal's reason, or
+  /// `whole`.
+  work_result sendChat(int Instance, const std::string &Id);
+
+  /// Sends an order with \p Ticket to one instance and nowhere else.
+  work_result sendOrder(int Instance, const std::string &Ticket,
+                        const std::string &Id, int Attempt);
+  std::string takeTicket(int Instance);
+  /// How often the order desk ran \p Id, over all its processes.
+  std::uint64_t runsOf(const std::string &Id);
+  /// How often each request is billed, as a reader of the log sees it.
+  std::map<std::string, int> billed();
+  std::uint64_t sumOfEngines(const std::string &Statistic);
+
+  std::map<int, std::unique_ptr<child_process>> Instances;
+  std::map<int, std::unique_ptr<child_process>> Engines;
+  std::map<int, std::unique_ptr<child_process>> Services;
+  std::unique_ptr<child_process> Log;
+  std::unique_ptr<child_process> List;
+
+private:
+  static constexpr std::uint16_t FirstPort = 22100;
+
+  static network_address address(int Offset);
+  void startStandins();
+  void putSettings();
+  std::string writeSettings(int Index, const network_address &LogAddress);
+
+  http_client Client{http_timeouts(seconds(1), seconds(20), seconds(20))};
+  std::string Folder;
+};
+
+} // namespace bluebellkeel
+
+#endif // TEST_PROCESSES_DEPLOYMENT_H
--- /dev/null
+++ b/test/Traces/TraceTest.cpp
@@ -0,0 +1,81 @@
+#include "Support/FakeLog.h"
+#include "bluebellkeel/Codec.h"
+#include "bluebellkeel/Journal/ClaimLedger.h"
+#include "bluebellkeel/Settings.h"
+#include <fstream>
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+using namespace bluebellkeel;
+
+using nlohmann::json;
+
+namespace {
+
+/// Replays what once stood in a stream and compares with the stated outcome.
+class trace_test : public testing::Test {
+protected:
+  static json readTrace(const std::string &Name) {
+    std::ifstream File(std::string(TRACE_FOLDER) + "/" + Name);
+    std::stringstream Text;
+    Text << File.rdbuf();
+    auto Json = parseJson(Text.str(), /*Comments=*/true);
+    EXPECT_TRUE(Json) << Name;
+    return Json.value_or(json::object());
+  }
+
+  static std::string verdictName(const claim_verdict &Verdict) {
+    switch (Verdict.result()) {
+    case claim_verdict::kind::Granted:
+      return "granted";
+    case claim_verdict::kind::HeldElsewhere:
+      return "held_elsewhere";
+    case claim_verdict::kind::Finished:
+      return "finished";
+    default:
+      return "none";
+    }
+  }
+
+  static void replayClaims(const std::string &Name) {
+    json Trace = readTrace(Name);
+    claim_ledger Ledger;
+    for (const auto &Record : Trace["records"]) {
+      auto Entry = claimEntryFrom(Record);
+      ASSERT_TRUE(Entry) << Record.dump();
+      Ledger.apply(*Entry);
+    }
+    for (const auto &Expected : Trace["outcomes"]) {
+      auto Verdict = Ledger.verdictFor(Expected["ticket"].get<std::string>(),
+                                       Expected["attempt"].get<std::string>());
+      EXPECT_EQ(Expected["verdict"], verdictName(Verdict)) << Expected.dump();
+    }
+  }
+};
+
+} // namespace
+
+TEST_F(trace_test, claims_holderKilledAndTicketResent_asStated) {
+  replayClaims("claims-holder-killed.jsonc");
+}
+
+TEST_F(trace_test, claims_answerLostThenReleased_asStated) {
+  replayClaims("claims-answer-lost.jsonc");
+}
+
+TEST_F(trace_test, settings_raceOfOperators_asStated) {
+  json Trace = readTrace("settings-race.jsonc");
+  settings_fold Fold;
+  std::uint64_t Offset = 0;
+  for (const auto &Record : Trace["records"]) {
+    auto Change = settingsChangeFrom(Record);
+    ASSERT_TRUE(Change) << Record.dump();
+    auto Outcome = Fold.apply(log_offset(++Offset), *Change);
+    json Expected = Trace["outcomes"][Offset - 1];
+    EXPECT_EQ(Expected["verdict"], std::string(toString(Outcome.result())));
+    EXPECT_EQ(Expected.value("winner", ""), Outcome.winner());
+  }
+  for (const auto &[Path, Value] : Trace["in_force"].items())
+    EXPECT_EQ(Value, toJson(*Fold.state().find(*settings_path::parse(Path))));
+}
--- a/utils/Standin/EngineStandin.cpp
+++ b/utils/Standin/EngineStandin.cpp
@@ -46,7 +46,8 @@
   void report(http_responder &Responder);
   void stats(http_responder &Responder);
   void order(const http_request &Request, http_responder &Responder);
-  std::string pieceText(std::uint64_t Index, bool Good) const;
+  std::string pieceText(std::uint64_t Index, bool Good,
+                        const std::string &Prompt) const;
 
   engine_options Options;
   switches Faults;
@@ -122,9 +123,14 @@
   return std::chrono::steady_clock::now() < Self->DownUntil;
 }
 
-std::string engine_standin::pieceText(std::uint64_t Index, bool Good) const {
+/// The first piece says who answers and how well, the second to which prompt,
+/// so that a test sees whether an answer is its own.
+std::string engine_standin::pieceText(std::uint64_t Index, bool Good,
+                                      const std::string &Prompt) const {
   if (Index == 0)
     return absl::StrCat(Options.Version, Good ? ":good" : ":bad");
+  if (Index == 1)
+    return absl::StrCat(" to <", Prompt, ">");
   return absl::StrCat(" w", Index);
 }
 
@@ -158,6 +164,10 @@
                             boost::asio::yield_context Yield) {
   std::uint64_t AdmittedIn = Life;
   std::string Attempt = Request.headers().get("X-Request-Id");
+  static const json::json_pointer PromptPath("/messages/0/content");
+  std::string Prompt = parseJson(Request.body())
+                           .value_or(json::object())
+                           .value(PromptPath, std::string());
   bool Good = true;
   {
     absl::MutexLock Lock(&Mutex);
@@ -191,7 +201,7 @@
     }
     if (Faults.get("silent_at") == static_cast<double>(Index + 1))
       awaitTime(Yield, seconds(60));
-    json Delta = {{"content", pieceText(Index, Good)}};
+    json Delta = {{"content", pieceText(Index, Good, Prompt)}};
     if (!Event({{{"index", 0}, {"delta", Delta}, {"finish_reason", nullptr}}},
                nullptr))
       return;
