Start the grace of a data centre that goes out when the settings say so

Cause: the time since which an instance's own data centre is out was noted at the first request after the change, so an instance that nobody had asked took new work for a further 3.5 s from then on. Ruled out: the fold (the change was in force), the advice (the instance was no longer named). Before: membership_test.dataCentreTakenOut_getsNoNewWorkAfterFiveSeconds failed twice of two runs (a chat was answered after 5 s). After: it passes.

--- a/lib/Runtime/InstanceRuntime.cpp
+++ b/lib/Runtime/InstanceRuntime.cpp
@@ -111,6 +111,7 @@
   bool CaughtUp = Parts.Follower.pollOnce();
   if (!CaughtUp && Parts.Settings.state()->applied() == log_offset())
     askPeersForSettings();
+  Parts.Serving.noteSettings();
   Parts.Claims.refreshHead();
   if (CaughtUp &&
       Parts.Follower.snapshotIfDue(Parts.Startup.Limits.SnapshotInterval))
--- a/lib/Runtime/ServingState.h
+++ b/lib/Runtime/ServingState.h
@@ -36,6 +36,10 @@
   /// False when callers shall go elsewhere.
   bool serving() const;
 
+  /// Notes when the home data centre went out; to be called whenever settings
+  /// were read, so that the time runs even while nobody asks.
+  void noteSettings() const { (void)homeOutForLong(); }
+
   void setStage(serving_stage NewStage) { Stage = NewStage; }
 
 private:
