--- a/test/Processes/Deployment.cpp
+++ b/test/Processes/Deployment.cpp
@@ -37,9 +37,9 @@
   startStandins();
   for (int Index = 0; Index < InstanceCount; ++Index)
     startInstance(Index);
-  ASSERT_TRUE(waitFor(
-      [this] { return statusOf(instance(0), "/healthz") == 200; },
-      StartPatience));
+  ASSERT_TRUE(
+      waitFor([this] { return statusOf(instance(0), "/healthz") == 200; },
+              StartPatience));
   putSettings();
   for (int Index = 0; Index < InstanceCount; ++Index)
     ASSERT_TRUE(waitFor([&] { return ready(Index); }, StartPatience));
@@ -71,8 +71,8 @@
     listEngine(Index, "live");
   }
   for (int Index = 0; Index < ServiceCount; ++Index) {
-    Services[Index] = std::make_unique<child_process>(std::vector<std::string>{
-        Standin, "service", Listen(service(Index))});
+    Services[Index] = std::make_unique<child_process>(
+        std::vector<std::string>{Standin, "service", Listen(service(Index))});
     json Share = {{"requests", 16}, {"tokens", 0}};
     post(list(), "/instances",
          {{"kind", "service"},
@@ -145,20 +145,19 @@
 }
 
 void deployment::putSettings() {
-  json Catalog = {
-      {"/catalog/versions/lace@1/stage", "active"},
-      {"/catalog/versions/lace@1/cost", 400},
-      {"/catalog/versions/lace@1/quality", 0.8},
-      {"/catalog/versions/lace@2/stage", "active"},
-      {"/catalog/versions/lace@2/cost", 1500},
-      {"/catalog/versions/lace@2/quality", 0.95},
-      {"/catalog/accounts/cobbler/api-key", ApiKey},
-      {"/catalog/accounts/cobbler/versions", {"lace@1", "lace@2"}},
-      {"/catalog/accounts/cobbler/services", {"desk"}},
-      {"/catalog/accounts/cobbler/quality-target", 0.7},
-      {"/catalog/services/desk/operations/place/idempotent", false},
-      {"/catalog/services/desk/operations/place/cost", 2000},
-      {"/catalog/services/desk/operations/stock/idempotent", true}};
+  json Catalog = {{"/catalog/versions/lace@1/stage", "active"},
+                  {"/catalog/versions/lace@1/cost", 400},
+                  {"/catalog/versions/lace@1/quality", 0.8},
+                  {"/catalog/versions/lace@2/stage", "active"},
+                  {"/catalog/versions/lace@2/cost", 1500},
+                  {"/catalog/versions/lace@2/quality", 0.95},
+                  {"/catalog/accounts/cobbler/api-key", ApiKey},
+                  {"/catalog/accounts/cobbler/versions", {"lace@1", "lace@2"}},
+                  {"/catalog/accounts/cobbler/services", {"desk"}},
+                  {"/catalog/accounts/cobbler/quality-target", 0.7},
+                  {"/catalog/services/desk/operations/place/idempotent", false},
+                  {"/catalog/services/desk/operations/place/cost", 2000},
+                  {"/catalog/services/desk/operations/stock/idempotent", true}};
   json Outcome = change(CatalogKey, 0, Catalog);
   ASSERT_EQ("accepted", Outcome.value("verdict", "")) << Outcome.dump();
 }
@@ -170,8 +169,8 @@
 
 json deployment::get(const network_address &Address, const std::string &Path,
                      const std::string &Key) {
-  auto Response = Client.send(
-      Address, http_request("GET", Path, headersFor(Key), ""));
+  auto Response =
+      Client.send(Address, http_request("GET", Path, headersFor(Key), ""));
   if (!Response)
     return json::object();
   return parseJson(Response->body()).value_or(json::object());
--- a/test/Processes/Deployment.h
+++ b/test/Processes/Deployment.h
@@ -63,7 +63,9 @@
   static void rest(milliseconds Time);
 
   /// A caller that knows just one instance, or all.
-  static caller callerOf(int Index) { return caller({instance(Index)}, ApiKey); }
+  static caller callerOf(int Index) {
+    return caller({instance(Index)}, ApiKey);
+  }
   static caller callerOfAll();
 
   /// Sends a chat to one instance and nowhere else; the refusal's reason, or
--- a/test/Processes/MembershipTest.cpp
+++ b/test/Processes/MembershipTest.cpp
@@ -30,10 +30,10 @@
   void sendChats(int Count) {
     auto Caller = callerOf(1);
     for (int Index = 0; Index < Count; ++Index)
-      EXPECT_EQ(work_end::Whole,
-                Caller.chat("auto", "hello", 4, true,
-                            "r" + std::to_string(Index), "")
-                    .End);
+      EXPECT_EQ(
+          work_end::Whole,
+          Caller.chat("auto", "hello", 4, true, "r" + std::to_string(Index), "")
+              .End);
   }
 
   std::uint64_t startedAt(int Engine) {
@@ -45,8 +45,7 @@
 TEST_F(membership_test, dataCentreTakenOut_getsNoNewWorkAfterFiveSeconds) {
   sendChats(4);
   ASSERT_EQ("accepted",
-            change(PlatformKey, 1,
-                   {{"/platform/data-centres/a/state", "out"}})
+            change(PlatformKey, 1, {{"/platform/data-centres/a/state", "out"}})
                 .value("verdict", ""));
   rest(NoNewWorkAfter);
   // Engines 0 and 3 and instance 0 stand in data centre a.
--- a/test/Processes/OrderTest.cpp
+++ b/test/Processes/OrderTest.cpp
@@ -30,9 +30,9 @@
   std::string Ticket = takeTicket(0);
   auto First = sendOrder(0, Ticket, "o", 1);
   ASSERT_EQ(work_end::Whole, First.End) << First.Reason;
-  ASSERT_TRUE(waitFor(
-      [&] { return sendOrder(1, Ticket, "o", 2).Text == First.Text; },
-      seconds(5)));
+  ASSERT_TRUE(
+      waitFor([&] { return sendOrder(1, Ticket, "o", 2).Text == First.Text; },
+              seconds(5)));
   EXPECT_EQ(1U, runsOf("o"));
 }
 
--- a/test/Processes/SettingsTest.cpp
+++ b/test/Processes/SettingsTest.cpp
@@ -137,15 +137,15 @@
 }
 
 TEST_F(settings_test, withdrawnVersion_getsNoNewWork) {
-  ASSERT_EQ("accepted",
-            change(CatalogKey, 0,
-                   {{"/catalog/versions/lace@1/stage", "withdrawn"}})
-                .value("verdict", ""));
+  ASSERT_EQ(
+      "accepted",
+      change(CatalogKey, 0, {{"/catalog/versions/lace@1/stage", "withdrawn"}})
+          .value("verdict", ""));
   rest(seconds(2));
   for (int Index = 0; Index < 6; ++Index) {
-    auto Result = callerOf(Index % InstanceCount)
-                      .chat("auto", "hello", 8, true,
-                            "r" + std::to_string(Index), "");
+    auto Result =
+        callerOf(Index % InstanceCount)
+            .chat("auto", "hello", 8, true, "r" + std::to_string(Index), "");
     EXPECT_EQ("lace@2", Result.Version) << Result.Reason;
   }
 }
@@ -157,9 +157,8 @@
   rest(seconds(2));
   killInstance(0);
   for (int Index : {1, 2}) {
-    auto Kept = callerOf(Index).chat("auto", "more", 8, true,
-                                     "k" + std::to_string(Index),
-                                     First.Session);
+    auto Kept = callerOf(Index).chat(
+        "auto", "more", 8, true, "k" + std::to_string(Index), First.Session);
     EXPECT_EQ("lace@1", Kept.Version) << Kept.Reason;
     auto Fresh = callerOf(Index).chat("auto", "new", 8, true,
                                       "f" + std::to_string(Index), "");
--- a/test/Processes/UpstreamTest.cpp
+++ b/test/Processes/UpstreamTest.cpp
@@ -39,12 +39,12 @@
     Socket.connect(asio::ip::tcp::endpoint(
         asio::ip::make_address(instance(Instance).host()),
         instance(Instance).port()));
-    std::string Body = json{{"model", "auto"},
-                            {"stream", true},
-                            {"max_tokens", 4000},
-                            {"messages", {{{"role", "user"},
-                                           {"content", "slow"}}}}}
-                           .dump();
+    std::string Body =
+        json{{"model", "auto"},
+             {"stream", true},
+             {"max_tokens", 4000},
+             {"messages", {{{"role", "user"}, {"content", "slow"}}}}}
+            .dump();
     std::string Request =
         "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: "
         "Bearer " +
