Trust the operators' expectation until ratings refute it; let old ratings fade

Cause: a version counted as meeting its target while the lower bound of its quality did. The bound dips below the target by chance within the first 118 or so ratings; the version then got no more work, no more ratings, and never came back. Ruled out: the rating lag (the same with none) and the price order. Ratings now fade beyond 500, so that a version which turns bad after 5,000 good ratings is noticed within 150 (quality_book_test); by all ratings it was not.

Also: indexes of upstreams by pool, selected peers worked out once a list, and the interval of appends grows with the number of instances, so that all together make at most 300 a second.

--- /dev/null
+++ b/benchmarks/SampleLists.h
@@ -0,0 +1,56 @@
+#ifndef BENCHMARKS_SAMPLELISTS_H
+#define BENCHMARKS_SAMPLELISTS_H
+
+#include "bluebellkeel/Membership/Heartbeat.h"
+#include "bluebellkeel/Membership/InstanceRecord.h"
+#include "bluebellkeel/Membership/PeerStatus.h"
+#include "bluebellkeel/Upstream/UpstreamRecord.h"
+#include <string>
+#include <vector>
+
+namespace bluebellkeel {
+
+/// Lists of a stated size, alike in each run.
+constexpr int SampleCentres = 6;
+constexpr int SampleVersions = 7;
+
+inline std::vector<instance_record> sampleInstances(int Count) {
+  std::vector<instance_record> Records;
+  for (int Index = 0; Index < Count; ++Index)
+    Records.emplace_back(
+        instance_id("instance-" + std::to_string(Index)),
+        data_centre_id("centre-" + std::to_string(Index % SampleCentres)),
+        network_address("10.0.0.1", 7101), network_address("10.0.0.1", 7201),
+        instance_state::Live);
+  return Records;
+}
+
+inline std::vector<upstream_record> sampleUpstreams(int Count) {
+  std::vector<upstream_record> Records;
+  for (int Index = 0; Index < Count; ++Index)
+    Records.emplace_back(
+        upstream_id("upstream-" + std::to_string(Index)),
+        data_centre_id("centre-" + std::to_string(Index % SampleCentres)),
+        network_address("10.0.1.1", 8000), upstream_kind::Engine,
+        pool_id("model@" + std::to_string(Index % SampleVersions)), false,
+        load_share(64, 500000), load_share(4, 50000));
+  return Records;
+}
+
+inline heartbeat sampleHeartbeat(const instance_id &From) {
+  return heartbeat(From, 0x123456789abcdef0, true, log_offset(123456),
+                   milliseconds(250));
+}
+
+inline std::vector<peer_status>
+sampleStatuses(const std::vector<instance_record> &Peers,
+               monotonic_time AskedAt) {
+  std::vector<peer_status> Statuses;
+  for (const auto &Peer : Peers)
+    Statuses.emplace_back(AskedAt, sampleHeartbeat(Peer.id()));
+  return Statuses;
+}
+
+} // namespace bluebellkeel
+
+#endif // BENCHMARKS_SAMPLELISTS_H
--- a/include/bluebellkeel/Journal.h
+++ b/include/bluebellkeel/Journal.h
@@ -1,6 +1,7 @@
 #ifndef BLUEBELLKEEL_JOURNAL_H
 #define BLUEBELLKEEL_JOURNAL_H
 
+#include "bluebellkeel/Journal/AppendBudget.h"
 #include "bluebellkeel/Journal/AppendPacer.h"
 #include "bluebellkeel/Journal/BatchQueue.h"
 #include "bluebellkeel/Journal/Bill.h"
--- a/include/bluebellkeel/Journal/AppendPacer.h
+++ b/include/bluebellkeel/Journal/AppendPacer.h
@@ -2,6 +2,7 @@
 #define BLUEBELLKEEL_JOURNAL_APPENDPACER_H
 
 #include "bluebellkeel/Core/Time.h"
+#include <atomic>
 
 namespace bluebellkeel {
 
@@ -10,7 +11,7 @@
 /// at once.
 class append_pacer {
 public:
-  explicit append_pacer(milliseconds Interval) : Interval(Interval) {}
+  explicit append_pacer(milliseconds Interval) : Interval(Interval.count()) {}
 
   /// How long to wait at \p Now before the next append.
   milliseconds waitAt(monotonic_time Now) const {
@@ -18,10 +19,13 @@
     return Left.count() > 0 ? Left : milliseconds(0);
   }
 
-  void appended(monotonic_time Now) { Next = Now + Interval; }
+  void appended(monotonic_time Now) { Next = Now + milliseconds(Interval); }
+
+  /// May be called from any thread; the rest is for the appending one.
+  void setInterval(milliseconds NewInterval) { Interval = NewInterval.count(); }
 
 private:
-  milliseconds Interval;
+  std::atomic<milliseconds::rep> Interval;
   monotonic_time Next;
 };
 
--- a/include/bluebellkeel/Journal/BillLedger.h
+++ b/include/bluebellkeel/Journal/BillLedger.h
@@ -33,6 +33,8 @@
   /// Takes bills that a peer handed over. False when there is no room.
   bool adopt(const std::vector<bill> &Bills);
 
+  void setAppendInterval(milliseconds Interval) { Pacer.setInterval(Interval); }
+
   bool hasRoom() const { return Queue.size() < MaxHeld; }
   std::size_t held() const { return Queue.size(); }
 
--- a/include/bluebellkeel/Journal/ClaimCoordinator.h
+++ b/include/bluebellkeel/Journal/ClaimCoordinator.h
@@ -36,6 +36,8 @@
   void finish(const std::string &TicketId, const std::string &AttemptId,
               const recorded_outcome &Outcome);
 
+  void setAppendInterval(milliseconds Interval) { Pacer.setInterval(Interval); }
+
   /// Appends and reads back one group; waits at most \p Wait for work.
   void commitOnce(milliseconds Wait);
 
--- a/include/bluebellkeel/Membership/InstanceDirectory.h
+++ b/include/bluebellkeel/Membership/InstanceDirectory.h
@@ -4,23 +4,30 @@
 #include "absl/base/thread_annotations.h"
 #include "absl/synchronization/mutex.h"
 #include "bluebellkeel/Membership/InstanceRecord.h"
+#include "bluebellkeel/Membership/PeerSelector.h"
 #include <memory>
 #include <vector>
 
 namespace bluebellkeel {
 
-/// The platform's list of entry instances as it was last read.
+/// The platform's list of entry instances as it was last read, with the peers
+/// that this instance asks for heartbeats.
 class instance_directory {
 public:
   using record_list = std::vector<instance_record>;
   using list_ptr = std::shared_ptr<const record_list>;
 
-  instance_directory() : List(std::make_shared<const record_list>()) {}
+  explicit instance_directory(instance_id Self)
+      : Self(std::move(Self)), List(std::make_shared<const record_list>()),
+        Peers(List) {}
 
   void replace(record_list Records) {
+    auto Selected =
+        std::make_shared<const record_list>(selectPeers(Self, Records));
     auto Next = std::make_shared<const record_list>(std::move(Records));
     absl::MutexLock Lock(&Mutex);
     List = std::move(Next);
+    Peers = std::move(Selected);
   }
 
   list_ptr list() const {
@@ -28,9 +35,17 @@
     return List;
   }
 
+  /// The selected peers; worked out once for each list.
+  list_ptr peers() const {
+    absl::MutexLock Lock(&Mutex);
+    return Peers;
+  }
+
 private:
+  const instance_id Self;
   mutable absl::Mutex Mutex;
   list_ptr List ABSL_GUARDED_BY(Mutex);
+  list_ptr Peers ABSL_GUARDED_BY(Mutex);
 };
 
 } // namespace bluebellkeel
--- a/include/bluebellkeel/Policy.h
+++ b/include/bluebellkeel/Policy.h
@@ -13,6 +13,7 @@
 #include "bluebellkeel/Policy/QualityBook.h"
 #include "bluebellkeel/Policy/QualityCounts.h"
 #include "bluebellkeel/Policy/QualityEstimate.h"
+#include "bluebellkeel/Policy/QualityTest.h"
 #include "bluebellkeel/Policy/RollOutGate.h"
 #include "bluebellkeel/Policy/RoundRobinChooser.h"
 #include "bluebellkeel/Policy/RoundRobinPlanner.h"
--- a/include/bluebellkeel/Policy/QualityBook.h
+++ b/include/bluebellkeel/Policy/QualityBook.h
@@ -13,7 +13,8 @@
 
 /// Ratings by version. Each instance counts its own and tells the others its
 /// totals; a total that comes late or twice changes nothing, since for each
-/// origin the highest counts.
+/// origin the highest counts. What is decided by is the recent ratings, so that
+/// a version which turns bad after a long good time is noticed.
 class quality_book {
 public:
   using origin_counts = std::pair<version_id, quality_counts>;
@@ -26,14 +27,28 @@
   /// Takes the totals of another instance.
   void merge(const instance_id &Origin, const version_id &Version,
              const quality_counts &Counts);
-  /// The sum over all origins.
-  quality_counts counts(const version_id &Version);
+  /// Recent ratings of all origins count in full up to this many; beyond it,
+  /// older ones fade.
+  static constexpr double MaxRecent = 500;
+
+  /// The sum over all origins since the start.
+  quality_counts totals(const version_id &Version);
+  /// The recent ratings of all origins.
+  quality_counts recent(const version_id &Version);
   /// This instance's own totals, to be told to the others.
   std::vector<origin_counts> own();
 
 private:
-  using origin_map = std::map<instance_id, quality_counts>;
-  using version_map = std::map<version_id, origin_map>;
+  struct version_entry {
+    std::map<instance_id, quality_counts> Origins;
+    double RecentGood = 0;
+    double RecentBad = 0;
+  };
+
+  using version_map = std::map<version_id, version_entry>;
+
+  static void addRecent(version_entry &Entry, std::uint64_t Good,
+                        std::uint64_t Bad);
 
   instance_id Self;
   sharded<version_map> Versions;
--- a/include/bluebellkeel/Policy/RollOutGate.h
+++ b/include/bluebellkeel/Policy/RollOutGate.h
@@ -15,9 +15,8 @@
   static constexpr double TrialShare = 0.02;
   static constexpr std::uint64_t EnoughRatings = 50;
 
-  /// True once the ratings speak against the version: its failures have become
-  /// much likelier under a version that is worse by MaxLoss than under one as
-  /// good as expected.
+  /// True once the ratings refute that the version is as good as expected, and
+  /// speak for one that is worse by a tenth.
   static bool stopped(const version_settings &Version,
                       const quality_counts &Counts);
 
--- a/include/bluebellkeel/Startup/StartupLimits.h
+++ b/include/bluebellkeel/Startup/StartupLimits.h
@@ -21,7 +21,7 @@
   milliseconds AdmissionWait{5000};
   milliseconds ClaimPatience{2000};
   /// Least time between two appends to one stream of the log.
-  milliseconds AppendInterval{33};
+  milliseconds AppendInterval{50};
   seconds TicketLifetime{600};
   seconds SnapshotInterval{600};
   /// How long a shutdown waits for the requests under way.
--- a/include/bluebellkeel/Upstream.h
+++ b/include/bluebellkeel/Upstream.h
@@ -14,6 +14,7 @@
 #include "bluebellkeel/Upstream/UpstreamDirectory.h"
 #include "bluebellkeel/Upstream/UpstreamKind.h"
 #include "bluebellkeel/Upstream/UpstreamLifecycle.h"
+#include "bluebellkeel/Upstream/UpstreamList.h"
 #include "bluebellkeel/Upstream/UpstreamPhase.h"
 #include "bluebellkeel/Upstream/UpstreamRecord.h"
 #include "bluebellkeel/Upstream/UpstreamSlot.h"
--- a/include/bluebellkeel/Upstream/UpstreamDirectory.h
+++ b/include/bluebellkeel/Upstream/UpstreamDirectory.h
@@ -3,22 +3,20 @@
 
 #include "absl/base/thread_annotations.h"
 #include "absl/synchronization/mutex.h"
-#include "bluebellkeel/Upstream/UpstreamRecord.h"
+#include "bluebellkeel/Upstream/UpstreamList.h"
 #include <memory>
-#include <vector>
 
 namespace bluebellkeel {
 
 /// The platform's list of upstreams as it was last read.
 class upstream_directory {
 public:
-  using record_list = std::vector<upstream_record>;
-  using list_ptr = std::shared_ptr<const record_list>;
+  using list_ptr = std::shared_ptr<const upstream_list>;
 
-  upstream_directory() : List(std::make_shared<const record_list>()) {}
+  upstream_directory() : List(std::make_shared<const upstream_list>()) {}
 
-  void replace(record_list Records) {
-    auto Next = std::make_shared<const record_list>(std::move(Records));
+  void replace(upstream_list::record_list Records) {
+    auto Next = std::make_shared<const upstream_list>(std::move(Records));
     absl::MutexLock Lock(&Mutex);
     List = std::move(Next);
   }
--- a/lib/Frontend/UpstreamsEndpoint.cpp
+++ b/lib/Frontend/UpstreamsEndpoint.cpp
@@ -29,7 +29,7 @@
                                    boost::asio::yield_context /*Yield*/) {
   json Upstreams = json::array();
   auto List = Parts.Upstreams.list();
-  for (const auto &Record : *List) {
+  for (const auto &Record : List->records()) {
     json Form = toJson(Record);
     auto Owner = Parts.Facts.ownerOf(Record.id());
     Form["owner"] = Owner ? Owner->text() : "";
--- a/lib/Frontend/VersionsEndpoint.cpp
+++ b/lib/Frontend/VersionsEndpoint.cpp
@@ -29,7 +29,7 @@
   json Versions = json::array();
   auto Settings = Parts.Settings.routing();
   for (const auto &[Id, Version] : Settings->versions()) {
-    quality_counts Counts = Parts.Quality.counts(Id);
+    quality_counts Counts = Parts.Quality.recent(Id);
     quality_estimate Estimate(Version.quality(), Counts);
     Versions.push_back(
         {{"version", Id.text()},
--- a/lib/Policy/CheapestAtTargetPlanner.cpp
+++ b/lib/Policy/CheapestAtTargetPlanner.cpp
@@ -1,5 +1,6 @@
 #include "bluebellkeel/Policy/CheapestAtTargetPlanner.h"
 #include "bluebellkeel/Policy/QualityEstimate.h"
+#include "bluebellkeel/Policy/QualityTest.h"
 #include "bluebellkeel/Policy/RollOutGate.h"
 #include "bluebellkeel/Policy/VersionEligibility.h"
 #include <algorithm>
@@ -8,9 +9,10 @@
 
 plan_step cheapest_at_target_planner::stepFor(const version_settings &Version,
                                               double Target) {
-  quality_estimate Estimate(Version.quality(), Book.counts(Version.id()));
+  quality_counts Counts = Book.recent(Version.id());
+  quality_estimate Estimate(Version.quality(), Counts);
   return plan_step(Version.id(), Version.cost(), Estimate.lowerBound(),
-                   Estimate.lowerBound() >= Target);
+                   meetsTarget(Version.quality(), Target, Counts));
 }
 
 /// Versions that meet the target by price, then the others by quality.
@@ -37,7 +39,7 @@
       Steps.push_back(Step);
       continue;
     }
-    if (roll_out_gate::admits(Version, Book.counts(Version.id()), Random))
+    if (roll_out_gate::admits(Version, Book.recent(Version.id()), Random))
       Trials.push_back(Step);
   }
   if (Steps.empty() && Trials.empty())
--- /dev/null
+++ b/lib/Policy/QualityTest.cpp
@@ -0,0 +1,45 @@
+#include "bluebellkeel/Policy/QualityTest.h"
+#include "bluebellkeel/Policy/QualityEstimate.h"
+#include <algorithm>
+#include <cmath>
+
+using namespace bluebellkeel;
+
+static constexpr double MaxWrongRefusals = 0.001;
+
+/// A share this far below the target is told from one that meets it.
+static constexpr double Margin = 0.02;
+
+/// Ratings that are needed to prove a version better than was expected.
+static constexpr std::uint64_t RatingsForProof = 50;
+
+/// Keeps shares away from 0 and 1, where logarithms end.
+static double inside(double Share) {
+  constexpr double Edge = 0.01;
+  return std::clamp(Share, Edge, 1 - Edge);
+}
+
+double bluebellkeel::evidenceAgainst(double Expected, double Worse,
+                                     const quality_counts &Counts) {
+  double Better = inside(Expected);
+  double Lower = std::min(inside(Worse), Better);
+  return static_cast<double>(Counts.good()) * std::log(Lower / Better) +
+         static_cast<double>(Counts.bad()) *
+             std::log((1 - Lower) / (1 - Better));
+}
+
+bool bluebellkeel::isRefuted(double Expected, double Worse,
+                             const quality_counts &Counts) {
+  return evidenceAgainst(Expected, Worse, Counts) >=
+         std::log(1 / MaxWrongRefusals);
+}
+
+bool bluebellkeel::meetsTarget(double Prior, double Target,
+                               const quality_counts &Counts) {
+  if (Prior >= Target)
+    return !isRefuted(std::max(Prior, Target + Margin), Target - Margin,
+                      Counts);
+  if (Counts.total() < RatingsForProof)
+    return false;
+  return quality_estimate(Prior, Counts).lowerBound() >= Target;
+}
--- a/lib/Relay/CandidateFinder.cpp
+++ b/lib/Relay/CandidateFinder.cpp
@@ -1,5 +1,4 @@
 #include "bluebellkeel/Relay/CandidateFinder.h"
-#include <map>
 
 using namespace bluebellkeel;
 
@@ -8,16 +7,12 @@
                        const std::set<upstream_id> &Tried,
                        upstream_chooser &Chooser,
                        const fingerprint &Prefix) const {
-  std::map<upstream_id, upstream_record> Records;
   std::vector<upstream_candidate> Preferred;
   std::vector<upstream_candidate> LastResort;
   auto List = Directory.list();
-  for (const auto &Record : *List) {
-    if (Record.pool() != Pool || Record.leaving())
-      continue;
-    if (Settings.isOut(Record.dataCentre()))
+  for (const auto &Record : List->pool(Pool)) {
+    if (Record.leaving() || Settings.isOut(Record.dataCentre()))
       continue;
-    Records[Record.id()] = Record;
     bool Avoided = Tried.count(Record.id()) > 0 || !Health.healthy(Record.id());
     auto &Group = Avoided ? LastResort : Preferred;
     Group.emplace_back(Record.id(), Grants.inFlight(Record.id()).requests(),
@@ -28,7 +23,7 @@
   std::vector<upstream_record> Result;
   Result.reserve(Ordered.size());
   for (const auto &Candidate : Ordered)
-    Result.push_back(Records[Candidate.id()]);
+    Result.push_back(*List->find(Candidate.id()));
   return Result;
 }
 
@@ -36,12 +31,8 @@
 candidate_finder::dispatchable(const upstream_id &Id,
                                const routing_settings &Settings) const {
   auto List = Directory.list();
-  for (const auto &Record : *List) {
-    if (Record.id() != Id)
-      continue;
-    if (Record.leaving() || Settings.isOut(Record.dataCentre()))
-      return std::nullopt;
-    return Record;
-  }
-  return std::nullopt;
+  const upstream_record *Record = List->find(Id);
+  if (!Record || Record->leaving() || Settings.isOut(Record->dataCentre()))
+    return std::nullopt;
+  return *Record;
 }
--- a/lib/Runtime/GrantRound.cpp
+++ b/lib/Runtime/GrantRound.cpp
@@ -5,17 +5,22 @@
 using namespace bluebellkeel;
 
 void grant_round::run() {
-  std::map<instance_record, std::vector<grant_request>> ByOwner;
-  for (const auto &Request : Grants.requests()) {
-    auto Owner = Owners.ownerOf(Request.upstream());
+  auto Wanted = Grants.requests();
+  if (Wanted.empty())
+    return;
+  std::map<instance_id, std::vector<grant_request>> ByOwner;
+  auto Candidates = Owners.candidates();
+  for (const auto &Request : Wanted) {
+    auto Owner = ownerOf(Request.upstream().text(), Candidates);
     if (Owner)
       ByOwner[*Owner].push_back(Request);
   }
   for (const auto &[Owner, Requests] : ByOwner) {
-    if (Owner.id() == Self)
+    auto Record = Owners.recordOf(Owner);
+    if (Owner == Self)
       askSelf(Requests);
-    else
-      askPeer(Owner, Requests);
+    else if (Record)
+      askPeer(*Record, Requests);
   }
 }
 
--- a/lib/Runtime/HeartbeatRound.cpp
+++ b/lib/Runtime/HeartbeatRound.cpp
@@ -9,7 +9,8 @@
   for (const auto &Record : *List)
     Listed.insert(Record.id());
   Peers.keepOnly(Listed);
-  for (const auto &Peer : selectPeers(Self, *List)) {
+  auto Selected = Instances.peers();
+  for (const auto &Peer : *Selected) {
     monotonic_time AskedAt = Clock.monotonicNow();
     Link.ask(Peer, heartbeat_query(),
              [this, AskedAt](std::optional<peer_body> Answer) {
--- a/lib/Runtime/HeartbeatRound.h
+++ b/lib/Runtime/HeartbeatRound.h
@@ -11,18 +11,16 @@
 /// Asks the selected peers for their heartbeats.
 class heartbeat_round {
 public:
-  heartbeat_round(instance_id Self, const time_source &Clock,
-                  const instance_directory &Instances, peer_table &Peers,
-                  quality_book &Quality, peer_link &Link)
-      : Self(std::move(Self)), Clock(Clock), Instances(Instances), Peers(Peers),
-        Quality(Quality), Link(Link) {}
+  heartbeat_round(const time_source &Clock, const instance_directory &Instances,
+                  peer_table &Peers, quality_book &Quality, peer_link &Link)
+      : Clock(Clock), Instances(Instances), Peers(Peers), Quality(Quality),
+        Link(Link) {}
 
   void run();
 
 private:
   void take(const peer_body &Answer, monotonic_time AskedAt);
 
-  instance_id Self;
   const time_source &Clock;
   const instance_directory &Instances;
   peer_table &Peers;
--- a/lib/Runtime/InstanceRuntime.cpp
+++ b/lib/Runtime/InstanceRuntime.cpp
@@ -122,8 +122,8 @@
 /// A start while the log is down: a peer's settings are as good as the log's,
 /// since they came from there.
 void instance_runtime::impl::askPeersForSettings() {
-  for (const auto &Peer :
-       selectPeers(Parts.Startup.Instance, *Parts.Instances.list())) {
+  auto Peers = Parts.Instances.peers();
+  for (const auto &Peer : *Peers) {
     Parts.Link.ask(Peer, state_query(), [this](std::optional<peer_body> Body) {
       const auto *Answer = Body ? std::get_if<state_answer>(&*Body) : nullptr;
       if (Answer && Parts.Settings.adopt(Answer->state()))
@@ -138,6 +138,10 @@
     Log.debug("The platform's list was not read.");
     return;
   }
+  milliseconds Interval = appendIntervalFor(
+      List->instances().size(), Parts.Startup.Limits.AppendInterval);
+  Parts.Bills.setAppendInterval(Interval);
+  Parts.Claims.setAppendInterval(Interval);
   Parts.Instances.replace(List->instances());
   Parts.Upstreams.replace(List->upstreams());
 }
--- a/lib/Runtime/OwnerBook.cpp
+++ b/lib/Runtime/OwnerBook.cpp
@@ -1,20 +1,25 @@
 #include "OwnerBook.h"
+#include <set>
 
 using namespace bluebellkeel;
 
+bool owner_book::wellHeard(const instance_id &Id, monotonic_time Now) const {
+  auto Peer = Peers.find(Id);
+  return Peer && !Judge.isSilent(Now, *Peer) && Peer->answer().serving();
+}
+
 std::vector<instance_id> owner_book::candidates() const {
-  std::vector<instance_id> Candidates;
   monotonic_time Now = Clock.monotonicNow();
+  std::set<instance_id> Asked;
+  auto Selected = Instances.peers();
+  for (const auto &Record : *Selected)
+    Asked.insert(Record.id());
+  std::vector<instance_id> Candidates;
   auto List = Instances.list();
   for (const auto &Record : *List) {
     if (Record.state() != instance_state::Live)
       continue;
-    if (Record.id() == Self) {
-      Candidates.push_back(Self);
-      continue;
-    }
-    auto Peer = Peers.find(Record.id());
-    if (!Peer || Judge.isSilent(Now, *Peer) || !Peer->answer().serving())
+    if (Asked.count(Record.id()) > 0 && !wellHeard(Record.id(), Now))
       continue;
     Candidates.push_back(Record.id());
   }
@@ -23,24 +28,21 @@
 
 bool owner_book::inTouch() const {
   monotonic_time Now = Clock.monotonicNow();
-  auto Asked = selectPeers(Self, *Instances.list());
+  auto Asked = Instances.peers();
   std::size_t Answering = 0;
-  for (const auto &Record : Asked) {
+  for (const auto &Record : *Asked) {
     auto Peer = Peers.find(Record.id());
     if (Peer && !Judge.isSilent(Now, *Peer))
       ++Answering;
   }
-  return 2 * (Answering + 1) >= Asked.size() + 1;
+  return 2 * (Answering + 1) >= Asked->size() + 1;
 }
 
 std::optional<instance_record>
-owner_book::ownerOf(const upstream_id &Upstream) const {
-  auto Owner = bluebellkeel::ownerOf(Upstream.text(), candidates());
-  if (!Owner)
-    return std::nullopt;
+owner_book::recordOf(const instance_id &Id) const {
   auto List = Instances.list();
   for (const auto &Record : *List) {
-    if (Record.id() == *Owner)
+    if (Record.id() == Id)
       return Record;
   }
   return std::nullopt;
--- a/lib/Runtime/OwnerBook.h
+++ b/lib/Runtime/OwnerBook.h
@@ -17,8 +17,8 @@
       : Self(std::move(Self)), Clock(Clock), Instances(Instances), Peers(Peers),
         Judge(Judge) {}
 
-  /// The instances that may own: listed as live, and either this one or one
-  /// that answered lately and is serving.
+  /// The instances that may own: listed as live, without those that this one
+  /// asks for heartbeats and that are silent or not serving.
   std::vector<instance_id> candidates() const;
 
   /// True when at least half of the instances that this one asks have answered
@@ -26,14 +26,16 @@
   /// nothing.
   bool inTouch() const;
 
-  /// The record of the owner; empty when there is no candidate.
-  std::optional<instance_record> ownerOf(const upstream_id &Upstream) const;
+  /// The record of \p Id; empty when it is not listed.
+  std::optional<instance_record> recordOf(const instance_id &Id) const;
 
   /// Those of \p Upstreams that this instance owns.
   std::vector<upstream_record>
   ownedOf(const std::vector<upstream_record> &Upstreams) const;
 
 private:
+  bool wellHeard(const instance_id &Id, monotonic_time Now) const;
+
   instance_id Self;
   const time_source &Clock;
   const instance_directory &Instances;
--- a/lib/Runtime/OwnershipRound.h
+++ b/lib/Runtime/OwnershipRound.h
@@ -17,7 +17,7 @@
   void run() {
     std::vector<upstream_record> Owned;
     if (Owners.inTouch())
-      Owned = Owners.ownedOf(*Upstreams.list());
+      Owned = Owners.ownedOf(Upstreams.list()->records());
     Issuer.setOwned(Owned, Clock.monotonicNow());
   }
 
--- a/lib/Runtime/PeerBillMirror.cpp
+++ b/lib/Runtime/PeerBillMirror.cpp
@@ -8,7 +8,7 @@
 static constexpr std::size_t MaxTries = 3;
 
 std::vector<instance_record> peer_bill_mirror::choices() const {
-  auto Peers = selectPeers(Self, *Instances.list());
+  auto Peers = *Instances.peers();
   std::stable_partition(
       Peers.begin(), Peers.end(),
       [&](const instance_record &Peer) { return Peer.dataCentre() != Home; });
--- a/lib/Runtime/PeerBillMirror.h
+++ b/lib/Runtime/PeerBillMirror.h
@@ -11,10 +11,9 @@
 /// appends them too; readers drop the second of each.
 class peer_bill_mirror final : public bill_mirror {
 public:
-  peer_bill_mirror(instance_id Self, data_centre_id Home,
-                   const instance_directory &Instances, peer_link &Link)
-      : Self(std::move(Self)), Home(std::move(Home)), Instances(Instances),
-        Link(Link) {}
+  peer_bill_mirror(data_centre_id Home, const instance_directory &Instances,
+                   peer_link &Link)
+      : Home(std::move(Home)), Instances(Instances), Link(Link) {}
 
   void copy(const std::vector<bill> &Bills,
             std::function<void(bool)> Done) override;
@@ -25,7 +24,6 @@
   void tryNext(std::vector<instance_record> Left, std::vector<bill> Bills,
                std::function<void(bool)> Done);
 
-  instance_id Self;
   data_centre_id Home;
   const instance_directory &Instances;
   peer_link &Link;
--- a/lib/Runtime/PeerCrashReporter.h
+++ b/lib/Runtime/PeerCrashReporter.h
@@ -10,18 +10,17 @@
 /// Tells the selected peers of crashes.
 class peer_crash_reporter final : public crash_reporter {
 public:
-  peer_crash_reporter(instance_id Self, const instance_directory &Instances,
-                      peer_link &Link)
-      : Self(std::move(Self)), Instances(Instances), Link(Link) {}
+  peer_crash_reporter(const instance_directory &Instances, peer_link &Link)
+      : Instances(Instances), Link(Link) {}
 
   void reportCrash(const fingerprint &Request,
                    const upstream_id &Upstream) override {
-    for (const auto &Peer : selectPeers(Self, *Instances.list()))
+    auto Peers = Instances.peers();
+    for (const auto &Peer : *Peers)
       Link.tell(Peer, crash_notice(Request, Upstream));
   }
 
 private:
-  instance_id Self;
   const instance_directory &Instances;
   peer_link &Link;
 };
--- a/lib/Runtime/RuntimeFacts.h
+++ b/lib/Runtime/RuntimeFacts.h
@@ -28,10 +28,7 @@
   serving_verdict verdict() override { return Serving.verdict(); }
   bool serving() override { return Serving.serving(); }
   std::optional<instance_id> ownerOf(const upstream_id &Upstream) override {
-    auto Owner = Owners.ownerOf(Upstream);
-    if (!Owner)
-      return std::nullopt;
-    return Owner->id();
+    return bluebellkeel::ownerOf(Upstream.text(), Owners.candidates());
   }
   upstream_phase phaseOf(const upstream_id &Upstream) override {
     return Issuer.phaseOf(Upstream);
--- a/lib/Runtime/ServingState.cpp
+++ b/lib/Runtime/ServingState.cpp
@@ -2,23 +2,20 @@
 
 using namespace bluebellkeel;
 
-serving_state::serving_state(instance_id Self, data_centre_id Home,
-                             const time_source &Clock,
+serving_state::serving_state(data_centre_id Home, const time_source &Clock,
                              const settings_store &Settings,
                              const settings_follower &Follower,
                              const instance_directory &Instances,
                              peer_table &Peers, freshness_judge Judge)
-    : Self(std::move(Self)), Home(std::move(Home)), Clock(Clock),
-      Settings(Settings), Follower(Follower), Instances(Instances),
-      Peers(Peers), Judge(Judge) {}
+    : Home(std::move(Home)), Clock(Clock), Settings(Settings),
+      Follower(Follower), Instances(Instances), Peers(Peers), Judge(Judge) {}
 
 log_contact serving_state::contact() const {
   return log_contact(Settings.state()->applied(), Follower.lastCaughtUp());
 }
 
 serving_verdict serving_state::verdict() const {
-  auto List = Instances.list();
-  std::size_t Asked = selectPeers(Self, *List).size();
+  std::size_t Asked = Instances.peers()->size();
   return Judge.judge(Clock.monotonicNow(), contact(), Peers.all(), Asked);
 }
 
--- a/lib/Runtime/ServingState.h
+++ b/lib/Runtime/ServingState.h
@@ -22,7 +22,7 @@
   static constexpr milliseconds LeadAwayTime =
       address_advisor::Lifetime + milliseconds(500);
 
-  serving_state(instance_id Self, data_centre_id Home, const time_source &Clock,
+  serving_state(data_centre_id Home, const time_source &Clock,
                 const settings_store &Settings,
                 const settings_follower &Follower,
                 const instance_directory &Instances, peer_table &Peers,
@@ -46,7 +46,6 @@
   bool homeOutForLong() const;
   log_contact contact() const;
 
-  instance_id Self;
   data_centre_id Home;
   const time_source &Clock;
   const settings_store &Settings;
