--- a/test/Processes/Deployment.cpp
+++ b/test/Processes/Deployment.cpp
@@ -213,6 +213,7 @@
 
 caller deployment::callerOfAll() {
   std::vector<network_address> Known;
+  Known.reserve(InstanceCount);
   for (int Index = 0; Index < InstanceCount; ++Index)
     Known.push_back(instance(Index));
   return caller(Known, ApiKey);
--- a/test/Processes/UpstreamTest.cpp
+++ b/test/Processes/UpstreamTest.cpp
@@ -16,6 +16,7 @@
 protected:
   json runChats(std::uint64_t Requests, unsigned Threads) {
     load_plan Plan;
+    Plan.Known.reserve(InstanceCount);
     for (int Index = 0; Index < InstanceCount; ++Index)
       Plan.Known.push_back(instance(Index));
     Plan.ApiKey = ApiKey;
@@ -119,6 +120,7 @@
 
 TEST_F(upstream_test, slowReaders_holdUpNobodyElse) {
   std::vector<boost::asio::ip::tcp::socket> Readers;
+  Readers.reserve(4);
   for (int Index = 0; Index < 4; ++Index)
     Readers.push_back(slowReader(0));
   rest(seconds(2));
--- a/unittests/Core/ShardedTest.cpp
+++ b/unittests/Core/ShardedTest.cpp
@@ -17,6 +17,7 @@
 TEST_F(sharded_test, withShard_manyThreads_losesNoUpdate) {
   constexpr int Rounds = 2000;
   std::vector<std::thread> Threads;
+  Threads.reserve(4);
   for (int Index = 0; Index < 4; ++Index) {
     Threads.emplace_back([&] {
       for (int Round = 0; Round < Rounds; ++Round) {
