--- a/lib/Runtime/InstanceRuntime.cpp
+++ b/lib/Runtime/InstanceRuntime.cpp
@@ -12,9 +12,10 @@
 using namespace bluebellkeel;
 
 /// How often each round runs.
-static constexpr milliseconds SettingsInterval{500};
+static constexpr milliseconds SettingsInterval{1000};
 static constexpr milliseconds ListInterval{1000};
-static constexpr milliseconds HeartbeatInterval{500};
+static constexpr milliseconds HeartbeatInterval{1000};
+static constexpr milliseconds OwnershipInterval{500};
 static constexpr milliseconds GrantInterval{500};
 static constexpr milliseconds LoadInterval{500};
 static constexpr milliseconds RatingInterval{1000};
@@ -47,11 +48,10 @@
   runtime_parts Parts;
   periodic_task SettingsTask{[this] { readSettings(); }, SettingsInterval};
   periodic_task ListTask{[this] { readList(); }, ListInterval};
-  periodic_task HeartbeatTask{[this] {
-                                Parts.Heartbeats.run();
-                                Parts.Ownership.run();
-                              },
+  periodic_task HeartbeatTask{[this] { Parts.Heartbeats.run(); },
                               HeartbeatInterval};
+  periodic_task OwnershipTask{[this] { Parts.Ownership.run(); },
+                              OwnershipInterval};
   periodic_task GrantTask{[this] { Parts.GrantAsks.run(); }, GrantInterval};
   periodic_task LoadTask{[this] { Parts.Loads.run(); }, LoadInterval};
   periodic_task RatingTask{[this] { Parts.Ratings.run(); }, RatingInterval};
@@ -99,6 +99,7 @@
   ListTask.start();
   SettingsTask.start();
   HeartbeatTask.start();
+  OwnershipTask.start();
   LoadTask.start();
   GrantTask.start();
   RatingTask.start();
@@ -202,8 +203,8 @@
 }
 
 void instance_runtime::impl::stopTasks() {
-  for (auto *Task : {&SettingsTask, &ListTask, &HeartbeatTask, &GrantTask,
-                     &LoadTask, &RatingTask})
+  for (auto *Task : {&SettingsTask, &ListTask, &HeartbeatTask, &OwnershipTask,
+                     &GrantTask, &LoadTask, &RatingTask})
     Task->stop();
 }
 
--- a/lib/Runtime/LoadRound.cpp
+++ b/lib/Runtime/LoadRound.cpp
@@ -3,8 +3,7 @@
 using namespace bluebellkeel;
 
 void load_round::run() {
-  auto Owned = Owners.ownedOf(Upstreams.list()->records());
-  for (const auto &Upstream : Owned) {
+  for (const auto &Upstream : Ownership.owned()) {
     monotonic_time AskedAt = Clock.monotonicNow();
     auto Report = Reader.read(Upstream);
     if (Report)
--- a/lib/Runtime/OwnerBook.cpp
+++ b/lib/Runtime/OwnerBook.cpp
@@ -49,9 +49,9 @@
 }
 
 std::vector<upstream_record>
-owner_book::ownedOf(const std::vector<upstream_record> &Upstreams) const {
+owner_book::ownedOf(const std::vector<upstream_record> &Upstreams,
+                    const std::vector<instance_id> &Candidates) const {
   std::vector<upstream_record> Owned;
-  auto Candidates = candidates();
   for (const auto &Upstream : Upstreams) {
     if (bluebellkeel::ownerOf(Upstream.id().text(), Candidates) == Self)
       Owned.push_back(Upstream);
--- a/lib/Runtime/OwnerBook.h
+++ b/lib/Runtime/OwnerBook.h
@@ -29,9 +29,10 @@
   /// The record of \p Id; empty when it is not listed.
   std::optional<instance_record> recordOf(const instance_id &Id) const;
 
-  /// Those of \p Upstreams that this instance owns.
+  /// Those of \p Upstreams that this instance owns among \p Candidates.
   std::vector<upstream_record>
-  ownedOf(const std::vector<upstream_record> &Upstreams) const;
+  ownedOf(const std::vector<upstream_record> &Upstreams,
+          const std::vector<instance_id> &Candidates) const;
 
 private:
   bool wellHeard(const instance_id &Id, monotonic_time Now) const;
--- a/lib/Runtime/OwnershipRound.h
+++ b/lib/Runtime/OwnershipRound.h
@@ -2,30 +2,41 @@
 #define BLUEBELLKEEL_LIB_RUNTIME_OWNERSHIPROUND_H
 
 #include "OwnerBook.h"
+#include "absl/base/thread_annotations.h"
+#include "absl/synchronization/mutex.h"
 #include "bluebellkeel/Upstream/GrantIssuer.h"
 #include "bluebellkeel/Upstream/UpstreamDirectory.h"
 
 namespace bluebellkeel {
 
-/// Confirms to the grant issuer what this instance owns.
+/// Confirms to the grant issuer what this instance owns. The set is worked out
+/// anew only when the candidates or the list of upstreams have changed, since
+/// that takes a hash for each pair of them.
 class ownership_round {
 public:
+  using record_list = std::vector<upstream_record>;
+
   ownership_round(const time_source &Clock, const owner_book &Owners,
                   const upstream_directory &Upstreams, grant_issuer &Issuer)
       : Clock(Clock), Owners(Owners), Upstreams(Upstreams), Issuer(Issuer) {}
 
-  void run() {
-    std::vector<upstream_record> Owned;
-    if (Owners.inTouch())
-      Owned = Owners.ownedOf(Upstreams.list()->records());
-    Issuer.setOwned(Owned, Clock.monotonicNow());
-  }
+  void run();
+
+  /// What this instance owned at the last run.
+  record_list owned() const;
 
 private:
+  record_list workOut() ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex);
+
   const time_source &Clock;
   const owner_book &Owners;
   const upstream_directory &Upstreams;
   grant_issuer &Issuer;
+  mutable absl::Mutex Mutex;
+  upstream_directory::list_ptr List ABSL_GUARDED_BY(Mutex);
+  std::vector<instance_id> Candidates ABSL_GUARDED_BY(Mutex);
+  record_list Known ABSL_GUARDED_BY(Mutex);
+  record_list Owned ABSL_GUARDED_BY(Mutex);
 };
 
 } // namespace bluebellkeel
--- a/lib/Runtime/RuntimeParts.cpp
+++ b/lib/Runtime/RuntimeParts.cpp
@@ -59,6 +59,6 @@
       Heartbeats(Clock, Instances, Peers, Quality, Link),
       Ownership(Clock, Owners, Upstreams, Issuer),
       GrantAsks(Startup.Instance, Clock, Owners, Grants, Issuer, Link),
-      Loads(Clock, Owners, Upstreams, Issuer, load_reader(LoadTimeouts)),
+      Loads(Clock, Ownership, Issuer, load_reader(LoadTimeouts)),
       Facts(Startup.Instance, Clock, Random, Settings, Instances, Peers,
             Serving, Owners, Issuer, Judge) {}
--- a/utils/Caller/Caller.cpp
+++ b/utils/Caller/Caller.cpp
@@ -31,6 +31,8 @@
 }
 
 std::vector<network_address> caller::addresses() {
+  if (Direct)
+    return Known;
   monotonic_time Now = std::chrono::steady_clock::now();
   if (Now < AdvisedUntil && !Advised.empty())
     return Advised;
@@ -100,8 +102,8 @@
     auto Json = parseJson(Data).value_or(json::object());
     if (Json.contains("error"))
       return refusalFrom(Json);
-    json Choice = Json.value("choices", json::array({json::object()}))[0];
-    Result.Text += Choice.value("delta", json::object()).value("content", "");
+    static const json::json_pointer Content("/choices/0/delta/content");
+    Result.Text += Json.value(Content, std::string());
   }
   return Result;
 }
--- a/utils/Caller/Caller.h
+++ b/utils/Caller/Caller.h
@@ -35,6 +35,9 @@
 public:
   caller(std::vector<network_address> Known, std::string ApiKey);
 
+  /// Uses the known addresses as they are and asks for no others.
+  void useDirectly() { Direct = true; }
+
   /// Asks the known instances in turn for addresses.
   std::vector<network_address> addresses();
 
@@ -62,6 +65,7 @@
   std::vector<network_address> Advised;
   monotonic_time AdvisedUntil;
   std::string ApiKey;
+  bool Direct = false;
   http_client Client;
 };
 
--- a/utils/Caller/LoadRun.cpp
+++ b/utils/Caller/LoadRun.cpp
@@ -93,6 +93,8 @@
       auto Known = Plan.Known;
       rotate(Known, Index);
       caller Caller(Known, Plan.ApiKey);
+      if (Plan.Direct)
+        Caller.useDirectly();
       while (true) {
         std::uint64_t Number = Next++;
         if (Number >= Plan.Requests)
--- a/utils/Caller/LoadRun.h
+++ b/utils/Caller/LoadRun.h
@@ -18,6 +18,8 @@
   std::uint64_t Requests = 0;
   unsigned Threads = 1;
   std::uint64_t MaxTokens = 0;
+  /// The known addresses are engines; they are asked for no advice.
+  bool Direct = false;
 };
 
 /// Runs the plan and returns a summary as JSON: how many ended how, and the
--- a/utils/Caller/Main.cpp
+++ b/utils/Caller/Main.cpp
@@ -20,6 +20,7 @@
 ABSL_FLAG(std::string, body, "{}", "body of an order or a call");
 ABSL_FLAG(unsigned, resends, 0, "resends of an order after a doubt");
 ABSL_FLAG(std::uint64_t, requests, 100, "load: requests in all");
+ABSL_FLAG(bool, direct, false, "load: the addresses are engines");
 ABSL_FLAG(unsigned, threads, 8, "load: requests at once");
 
 using namespace bluebellkeel;
@@ -59,6 +60,7 @@
   Plan.Requests = absl::GetFlag(FLAGS_requests);
   Plan.Threads = absl::GetFlag(FLAGS_threads);
   Plan.MaxTokens = absl::GetFlag(FLAGS_max_tokens);
+  Plan.Direct = absl::GetFlag(FLAGS_direct);
   return Plan;
 }
 
