--- a/unittests/Journal/SettingsClusterTest.cpp
+++ b/unittests/Journal/SettingsClusterTest.cpp
@@ -206,3 +206,17 @@
   EXPECT_TRUE(Fresh.Follower.pollOnce());
   EXPECT_EQ(Nodes[0]->Store.state()->values(), Fresh.Store.state()->values());
 }
+
+TEST_F(settings_cluster_test,
+       snapshot_thatDoesNotReachTheRetainedPart_isNotStartedFrom) {
+  Log.append({makeChange(2, settings_state())});
+  Nodes[0]->Follower.pollOnce();
+  auto Old = *Nodes[0]->Store.state();
+  Log.append({makeChange(3, settings_state())});
+  // A slow instance writes what it has; the change after it is then dropped.
+  Log.append({settings_snapshot(Old)});
+  Log.trim(log_offset(3));
+  follower_node Fresh(Log, Clock);
+  EXPECT_FALSE(Fresh.Follower.pollOnce());
+  EXPECT_TRUE(Fresh.Store.state()->values().empty());
+}
