Make the stand-in's crossed answer another request's, and test two rules that nothing held

Found by taking rules out of the code one at a time. The crossed switch changed the id of an answer but not its text, so upstream_test.crossedAnswers passed with the check of ids removed; it now gets the text of the request before. No test noticed when an answer without its last event counted as whole, or when an owner forgot work that runs past a smaller grant. The code was right in all three; the tests now hold it.

--- a/test/Processes/UpstreamTest.cpp
+++ b/test/Processes/UpstreamTest.cpp
@@ -85,6 +85,14 @@
   }
 }
 
+TEST_F(upstream_test, answerThatEndsWithoutItsLastEvent_isNotWhole) {
+  for (int Index = 0; Index < EngineCount; ++Index)
+    set(engine(Index), {{"no_end", 1}});
+  auto Result = chat(0, "hello");
+  EXPECT_EQ("answer_interrupted", Result.Reason);
+  EXPECT_TRUE(billed().empty());
+}
+
 TEST_F(upstream_test, silentEngine_isNoticedAndPassedOver) {
   set(engine(0), {{"silent_at", 1}});
   set(engine(2), {{"silent_at", 1}});
--- a/unittests/Upstream/GrantClusterTest.cpp
+++ b/unittests/Upstream/GrantClusterTest.cpp
@@ -238,6 +238,31 @@
   EXPECT_FALSE(Issuer.issue(Request, Now));
 }
 
+TEST_F(grant_cluster_test, runningWork_pastASmallerGrant_isStillCounted) {
+  upstream_record Record(upstream_id("u"), data_centre_id("c"),
+                         network_address(), upstream_kind::Engine, pool_id("p"),
+                         false, load_share(8, TokenBound),
+                         load_share(3, TokenBound));
+  grant_issuer Issuer{grant_rules()};
+  auto Now = Cluster.Clock.monotonicNow();
+  for (int Round = 0; Round < 5; ++Round) {
+    Issuer.setOwned({Record}, Now);
+    Issuer.noteReport(upstream_id("u"), load_report(false, {}), Now);
+    Now += milliseconds(500);
+  }
+  auto Ask = [&](const char *Holder, std::uint32_t InFlight,
+                 std::uint32_t Wanted) {
+    grant_request Request(instance_id(Holder), upstream_id("u"),
+                          load_share(InFlight, 0), load_share(Wanted, 1));
+    return Issuer.issue(Request, Now)->share().requests();
+  };
+  EXPECT_EQ(2U, Ask("a", 0, 2));
+  EXPECT_EQ(1U, Ask("b", 0, 1));
+  // With two holders the first gets less, but its two requests still run.
+  EXPECT_EQ(1U, Ask("a", 2, 2));
+  EXPECT_EQ(0U, Ask("c", 0, 1));
+}
+
 TEST_F(grant_cluster_test, foreignLoad_inTheReport_isTakenOffFirst) {
   grant_issuer Issuer{grant_rules()};
   auto Now = Cluster.Clock.monotonicNow();
--- a/utils/Standin/EngineStandin.cpp
+++ b/utils/Standin/EngineStandin.cpp
@@ -21,8 +21,8 @@
 
 /// A model engine. It dies when its load passes what it bears, and comes back
 /// cold. Switches: first_ms, token_ms, crossed, truncate_at, silent_at (piece
-/// numbers), restart_ms, go_cold, load_frozen, turn_away, honour_fencing. A
-/// prompt with CRASH-ME kills it.
+/// numbers), no_end, restart_ms, go_cold, load_frozen, turn_away,
+/// honour_fencing. A prompt with CRASH-ME kills it.
 class engine_standin final : public http_handler {
 public:
   explicit engine_standin(const engine_options &Options)
@@ -66,6 +66,7 @@
   json Loaded ABSL_GUARDED_BY(Mutex);
   json FrozenReport ABSL_GUARDED_BY(Mutex);
   std::string LastAttempt ABSL_GUARDED_BY(Mutex);
+  std::string LastPrompt ABSL_GUARDED_BY(Mutex);
   monotonic_time DownUntil ABSL_GUARDED_BY(Mutex);
   std::atomic<std::uint64_t> Life{0};
 };
@@ -176,10 +177,13 @@
     Good =
         static_cast<std::uint64_t>(static_cast<double>(Started) * Quality) >
         static_cast<std::uint64_t>(static_cast<double>(Started - 1) * Quality);
-    if (Faults.on("crossed"))
-      std::swap(Attempt, LastAttempt);
-    else
-      LastAttempt = Attempt;
+    // Crossed: each request gets the answer to the one before it.
+    std::swap(Prompt, LastPrompt);
+    std::swap(Attempt, LastAttempt);
+    if (!Faults.on("crossed")) {
+      Prompt = LastPrompt;
+      Attempt = LastAttempt;
+    }
   }
   awaitTime(Yield, milliseconds(static_cast<int>(Faults.get("first_ms"))));
   Responder.begin(200,
@@ -207,6 +211,10 @@
       return;
     awaitTime(Yield, milliseconds(static_cast<int>(Faults.get("token_ms"))));
   }
+  if (Faults.on("no_end")) {
+    Responder.end();
+    return;
+  }
   Event({{{"index", 0}, {"delta", json::object()}, {"finish_reason", "stop"}}},
         nullptr);
   Event(json::array(),
