--- a/benchmarks/ControlBenchmarks.cpp
+++ b/benchmarks/ControlBenchmarks.cpp
@@ -65,6 +65,7 @@
     Now += seconds(1);
   }
   std::vector<grant_request> Requests;
+  Requests.reserve(static_cast<std::size_t>(State.range(0)));
   for (int Index = 0; Index < State.range(0); ++Index)
     Requests.emplace_back(instance_id("h" + std::to_string(Index)), Record.id(),
                           load_share(), load_share(1, 100));
@@ -111,6 +112,7 @@
 /// By the number of upstreams that are asked for at once.
 static void grantAskMessage(benchmark::State &State) {
   std::vector<grant_request> Requests;
+  Requests.reserve(static_cast<std::size_t>(State.range(0)));
   for (int Index = 0; Index < State.range(0); ++Index)
     Requests.emplace_back(instance_id("instance-101"),
                           upstream_id("upstream-" + std::to_string(Index)),
@@ -121,6 +123,7 @@
 
 static void grantReplyMessage(benchmark::State &State) {
   std::vector<grant> Grants;
+  Grants.reserve(static_cast<std::size_t>(State.range(0)));
   for (int Index = 0; Index < State.range(0); ++Index)
     Grants.emplace_back(upstream_id("upstream-" + std::to_string(Index)),
                         load_share(4, 6000), seconds(2));
--- a/benchmarks/PolicyExperiment.cpp
+++ b/benchmarks/PolicyExperiment.cpp
@@ -74,7 +74,8 @@
   route_query Query(Settings, *Settings.account(account_id("a")), "auto",
                     std::nullopt);
   std::deque<std::pair<version_id, bool>> Late;
-  auto Lag = static_cast<std::size_t>(absl::GetFlag(FLAGS_rating_lag));
+  auto Lag = static_cast<std::size_t>(absl::GetFlag(FLAGS_rating_lag) *
+                                      absl::GetFlag(FLAGS_rated_share));
   result Result;
   for (int Index = 0; Index < absl::GetFlag(FLAGS_requests); ++Index) {
     auto Plan = Planner.plan(Query);
@@ -88,7 +89,7 @@
     Result.Exposed += std::string(Version.Stage) == "rolling" ? 1 : 0;
     if (Chance.fraction() < absl::GetFlag(FLAGS_rated_share))
       Late.emplace_back(version_id(Version.Name), Good);
-    if (Late.size() > Lag * absl::GetFlag(FLAGS_rated_share)) {
+    if (Late.size() > Lag) {
       Book.rate(Late.front().first, Late.front().second);
       Late.pop_front();
     }
--- a/benchmarks/SampleLists.h
+++ b/benchmarks/SampleLists.h
@@ -16,6 +16,7 @@
 
 inline std::vector<instance_record> sampleInstances(int Count) {
   std::vector<instance_record> Records;
+  Records.reserve(static_cast<std::size_t>(Count));
   for (int Index = 0; Index < Count; ++Index)
     Records.emplace_back(
         instance_id("instance-" + std::to_string(Index)),
@@ -27,6 +28,7 @@
 
 inline std::vector<upstream_record> sampleUpstreams(int Count) {
   std::vector<upstream_record> Records;
+  Records.reserve(static_cast<std::size_t>(Count));
   for (int Index = 0; Index < Count; ++Index)
     Records.emplace_back(
         upstream_id("upstream-" + std::to_string(Index)),
@@ -46,6 +48,7 @@
 sampleStatuses(const std::vector<instance_record> &Peers,
                monotonic_time AskedAt) {
   std::vector<peer_status> Statuses;
+  Statuses.reserve(Peers.size());
   for (const auto &Peer : Peers)
     Statuses.emplace_back(AskedAt, sampleHeartbeat(Peer.id()));
   return Statuses;
--- a/test/Processes/UpstreamTest.cpp
+++ b/test/Processes/UpstreamTest.cpp
@@ -72,6 +72,7 @@
 TEST_F(upstream_test, crossedAnswers_neverReachACaller) {
   set(engine(0), {{"crossed", 1}});
   std::vector<std::future<work_result>> Results;
+  Results.reserve(12);
   for (int Index = 0; Index < 12; ++Index)
     Results.push_back(std::async(std::launch::async, [Index] {
       return chat(Index % InstanceCount, "p" + std::to_string(Index));
--- a/unittests/Membership/PeerSelectorTest.cpp
+++ b/unittests/Membership/PeerSelectorTest.cpp
@@ -10,6 +10,7 @@
 protected:
   static std::vector<instance_record> listed(int Count, int Centres) {
     std::vector<instance_record> Result;
+    Result.reserve(static_cast<std::size_t>(Count));
     for (int Index = 0; Index < Count; ++Index)
       Result.emplace_back(instance_id("i" + std::to_string(Index)),
                           data_centre_id("c" + std::to_string(Index % Centres)),
@@ -36,6 +37,7 @@
 
 TEST_F(peer_selector_test, owner_whenOneCandidateLeaves_movesOnlyItsKeys) {
   std::vector<instance_id> All;
+  All.reserve(9);
   for (int Index = 0; Index < 9; ++Index)
     All.emplace_back("i" + std::to_string(Index));
   std::vector<instance_id> Fewer(All.begin() + 1, All.end());
