--- a/utils/Caller/Caller.h
+++ b/utils/Caller/Caller.h
@@ -1,6 +1,7 @@
 #ifndef UTILS_CALLER_CALLER_H
 #define UTILS_CALLER_CALLER_H
 
+#include "WorkResult.h"
 #include "bluebellkeel/Core/NetworkAddress.h"
 #include "bluebellkeel/Http/HttpClient.h"
 #include <string>
@@ -8,27 +9,6 @@
 
 namespace bluebellkeel {
 
-/// How one piece of work ended, as its caller sees it.
-enum class work_end {
-  /// The whole answer came.
-  Whole,
-  /// A refusal that says that nothing ran.
-  NotRun,
-  /// A refusal that says that it ran or may have.
-  Refused,
-  /// The connection ended without a word; the caller can tell.
-  Cut,
-};
-
-/// What came back for one piece of work.
-struct work_result {
-  work_end End = work_end::Cut;
-  std::string Reason;
-  std::string Text;
-  std::string Version;
-  std::string Session;
-};
-
 /// A caller of the system: asks which addresses to use, keeps the answer for
 /// as long as it is valid, and connects there itself.
 class caller {
