--- a/lib/Backend/AttemptErrorOf.h
+++ b/include/bluebellkeel/Backend/AttemptErrorOf.h
@@ -1,5 +1,5 @@
-#ifndef BLUEBELLKEEL_LIB_BACKEND_ATTEMPTERROROF_H
-#define BLUEBELLKEEL_LIB_BACKEND_ATTEMPTERROROF_H
+#ifndef BLUEBELLKEEL_BACKEND_ATTEMPTERROROF_H
+#define BLUEBELLKEEL_BACKEND_ATTEMPTERROROF_H
 
 #include "bluebellkeel/Http/HttpError.h"
 #include "bluebellkeel/Relay/AttemptError.h"
@@ -23,6 +23,8 @@
     return attempt_error::Malformed;
   case http_error::TooLarge:
     return attempt_error::TooLarge;
+  case http_error::Cancelled:
+    return attempt_error::CallerGone;
   }
   return attempt_error::Malformed;
 }
@@ -42,4 +44,4 @@
 
 } // namespace bluebellkeel
 
-#endif // BLUEBELLKEEL_LIB_BACKEND_ATTEMPTERROROF_H
+#endif // BLUEBELLKEEL_BACKEND_ATTEMPTERROROF_H
--- a/include/bluebellkeel/Core.h
+++ b/include/bluebellkeel/Core.h
@@ -4,6 +4,8 @@
 #include "bluebellkeel/Core/AccountId.h"
 #include "bluebellkeel/Core/Comparable.h"
 #include "bluebellkeel/Core/DataCentreId.h"
+#include "bluebellkeel/Core/EventLine.h"
+#include "bluebellkeel/Core/EventLog.h"
 #include "bluebellkeel/Core/HmacSigner.h"
 #include "bluebellkeel/Core/Identifier.h"
 #include "bluebellkeel/Core/InstanceId.h"
--- /dev/null
+++ b/include/bluebellkeel/Gateway/GatewayParts.h
@@ -0,0 +1,51 @@
+#ifndef BLUEBELLKEEL_GATEWAY_GATEWAYPARTS_H
+#define BLUEBELLKEEL_GATEWAY_GATEWAYPARTS_H
+
+#include "bluebellkeel/Core.h"
+#include "bluebellkeel/Gateway/GatewayState.h"
+#include "bluebellkeel/Membership.h"
+#include "bluebellkeel/Policy.h"
+#include "bluebellkeel/Relay/ForwardPorts.h"
+#include "bluebellkeel/Routing.h"
+#include "bluebellkeel/Startup/GatewaySettings.h"
+#include "bluebellkeel/Telemetry/EventWriter.h"
+#include "bluebellkeel/Telemetry/Metrics.h"
+#include "bluebellkeel/Upstream.h"
+
+namespace bluebellkeel {
+
+/// All state of a gateway, in the order in which one part needs another. None
+/// of it runs by itself.
+struct gateway_parts {
+  explicit gateway_parts(const gateway_settings &Settings);
+
+  /// What forwarding works with.
+  forward_ports ports();
+  /// This instance as its peers should see it.
+  instance_record self() const;
+
+  const gateway_settings Settings;
+  system_clock Clock;
+  event_writer Log;
+  metrics Metrics;
+  log_age SettingsAge;
+  log_age UpstreamsAge;
+  gateway_state State;
+  route_table_holder Tables;
+  upstream_roster Roster;
+  roster_keeper Keeper;
+  load_book Loads;
+  cold_gate Cold;
+  closed_centres Centres;
+  live_instances Instances;
+  roll_out_book RollOuts;
+  prefix_book Prefixes;
+  crash_book Crashes;
+  retry_window Retries;
+  cheapest_placement Placement;
+  confidence_size_policy Sizes;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_GATEWAY_GATEWAYPARTS_H
--- /dev/null
+++ b/include/bluebellkeel/Gateway/GatewayState.h
@@ -0,0 +1,45 @@
+#ifndef BLUEBELLKEEL_GATEWAY_GATEWAYSTATE_H
+#define BLUEBELLKEEL_GATEWAY_GATEWAYSTATE_H
+
+#include "absl/base/thread_annotations.h"
+#include "absl/synchronization/mutex.h"
+#include "bluebellkeel/Core/TimeSource.h"
+#include "bluebellkeel/Journal/LogAge.h"
+#include "bluebellkeel/Relay/FrontGate.h"
+
+namespace bluebellkeel {
+
+/// Where this instance stands between start and end.
+class gateway_state final : public front_gate {
+public:
+  gateway_state(const log_age &SettingsAge, const time_source &Clock)
+      : Age(SettingsAge), Clock(Clock) {}
+
+  serving_phase phase() const override {
+    absl::MutexLock Lock(&Mutex);
+    return Phase;
+  }
+  /// Moves on to a later phase; never back.
+  void advance(serving_phase To) {
+    absl::MutexLock Lock(&Mutex);
+    if (To > Phase)
+      Phase = To;
+  }
+  milliseconds settingsAge() const override {
+    auto Known = Age.knownAt();
+    if (!Known)
+      return milliseconds::max();
+    return std::chrono::duration_cast<milliseconds>(Clock.monotonicNow() -
+                                                    *Known);
+  }
+
+private:
+  const log_age &Age;
+  const time_source &Clock;
+  mutable absl::Mutex Mutex;
+  serving_phase Phase ABSL_GUARDED_BY(Mutex) = serving_phase::Starting;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_GATEWAY_GATEWAYSTATE_H
--- /dev/null
+++ b/include/bluebellkeel/Gateway/PlatformAccess.h
@@ -0,0 +1,27 @@
+#ifndef BLUEBELLKEEL_GATEWAY_PLATFORMACCESS_H
+#define BLUEBELLKEEL_GATEWAY_PLATFORMACCESS_H
+
+#include "bluebellkeel/Journal/KeyedLog.h"
+#include "bluebellkeel/Membership/InstanceRecord.h"
+#include "bluebellkeel/Policy/RollOutStatusLog.h"
+#include <boost/asio/spawn.hpp>
+#include <memory>
+
+namespace bluebellkeel {
+
+/// Opens the platform's log for one coroutine, which waits while it is used.
+class platform_access {
+public:
+  virtual ~platform_access() = default;
+
+  virtual std::unique_ptr<keyed_log>
+  openLog(boost::asio::yield_context Yield) = 0;
+  virtual std::unique_ptr<roll_out_status_log>
+  openStatusLog(boost::asio::yield_context Yield) = 0;
+  /// This instance's registration under its key.
+  virtual keyed_record registration(const instance_record &Record) = 0;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_GATEWAY_PLATFORMACCESS_H
--- a/include/bluebellkeel/Http/ClientStream.h
+++ b/include/bluebellkeel/Http/ClientStream.h
@@ -24,6 +24,14 @@
   tl::expected<http_response, http_error> open(const network_address &Address,
                                                const http_request &Request);
 
+  /// Drops the answer whose head was read and reads the head of the next one,
+  /// when an upstream sent an answer that nobody had asked for.
+  tl::expected<http_response, http_error> nextAnswer();
+
+  /// Makes whatever waits end with http_error::Cancelled; on the coroutine's
+  /// executor.
+  void cancel();
+
   /// The next piece of the body; empty at its end.
   tl::expected<std::string, http_error> readSome();
 
@@ -32,7 +40,7 @@
 
 private:
   class impl;
-  std::unique_ptr<impl> Impl;
+  std::shared_ptr<impl> Impl;
 };
 
 } // namespace bluebellkeel
--- a/include/bluebellkeel/Http/HttpError.h
+++ b/include/bluebellkeel/Http/HttpError.h
@@ -21,6 +21,8 @@
   Malformed,
   /// The answer was larger than allowed.
   TooLarge,
+  /// This side gave the exchange up.
+  Cancelled,
 };
 
 std::string_view toString(http_error Error);
--- a/include/bluebellkeel/Http/HttpServer.h
+++ b/include/bluebellkeel/Http/HttpServer.h
@@ -2,6 +2,7 @@
 #define BLUEBELLKEEL_HTTP_HTTPSERVER_H
 
 #include "bluebellkeel/Core/NetworkAddress.h"
+#include "bluebellkeel/Core/Time.h"
 #include "bluebellkeel/Http/HttpHandler.h"
 #include "bluebellkeel/Http/HttpLimits.h"
 #include "bluebellkeel/Http/ThreadPool.h"
@@ -20,12 +21,20 @@
   /// Starts to listen; the error names what the system said.
   tl::expected<void, std::string> listen(const network_address &Address);
 
+  /// Closes each connection after its answer; new ones are still taken.
+  void leadAway();
+
   /// Takes no further connections and closes each one after its answer.
   void drain();
 
   /// Requests that are being answered.
   std::size_t active() const;
 
+  /// Waits until no request is being answered; false when \p Limit was up or
+  /// endWait() was called.
+  bool awaitIdle(milliseconds Limit) const;
+  void endWait();
+
 private:
   class impl;
   std::shared_ptr<impl> Impl;
--- a/include/bluebellkeel/Journal/JournalError.h
+++ b/include/bluebellkeel/Journal/JournalError.h
@@ -17,6 +17,8 @@
   Trimmed,
   /// The bounded queue before the log is full; nothing was sent.
   QueueFull,
+  /// The log no longer ends where the append asked for; nothing was appended.
+  Conflict,
 };
 
 std::string_view toString(journal_error Error);
--- /dev/null
+++ b/include/bluebellkeel/Journal/KeyedFollower.h
@@ -0,0 +1,33 @@
+#ifndef BLUEBELLKEEL_JOURNAL_KEYEDFOLLOWER_H
+#define BLUEBELLKEEL_JOURNAL_KEYEDFOLLOWER_H
+
+#include "bluebellkeel/Core/TimeSource.h"
+#include "bluebellkeel/Journal/KeyedLog.h"
+#include "bluebellkeel/Journal/KeyedView.h"
+#include "bluebellkeel/Journal/LogAge.h"
+
+namespace bluebellkeel {
+
+/// Keeps a view up to date with one topic of the log. Used by one coroutine or
+/// thread at a time.
+class keyed_follower {
+public:
+  keyed_follower(keyed_topic Topic, keyed_view &View, log_age &Age,
+                 const time_source &Clock)
+      : Topic(Topic), View(View), Age(Age), Clock(Clock) {}
+
+  /// Reads once: everything at first and after history was dropped, else what
+  /// is new, for which it waits at most \p Wait.
+  tl::expected<void, journal_error> poll(keyed_log &Log, milliseconds Wait);
+
+private:
+  keyed_topic Topic;
+  keyed_view &View;
+  log_age &Age;
+  const time_source &Clock;
+  bool Synced = false;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_JOURNAL_KEYEDFOLLOWER_H
--- /dev/null
+++ b/include/bluebellkeel/Journal/KeyedLog.h
@@ -0,0 +1,33 @@
+#ifndef BLUEBELLKEEL_JOURNAL_KEYEDLOG_H
+#define BLUEBELLKEEL_JOURNAL_KEYEDLOG_H
+
+#include "bluebellkeel/Core/Time.h"
+#include "bluebellkeel/Journal/JournalError.h"
+#include "bluebellkeel/Journal/KeyedPage.h"
+#include "bluebellkeel/Journal/KeyedTopic.h"
+#include <optional>
+#include <tl/expected.hpp>
+
+namespace bluebellkeel {
+
+/// The keyed topics of the platform's log. Each call waits for the answer.
+class keyed_log {
+public:
+  virtual ~keyed_log() = default;
+
+  /// The newest record of each key.
+  virtual tl::expected<keyed_page, journal_error>
+  newest(keyed_topic Topic) = 0;
+  /// The records after \p After; waits at most \p Wait for the first one.
+  /// journal_error::Trimmed when they are no longer kept.
+  virtual tl::expected<keyed_page, journal_error>
+  read(keyed_topic Topic, log_offset After, milliseconds Wait) = 0;
+  /// Appends one record; with \p At only if the topic still ends there.
+  virtual tl::expected<log_offset, journal_error>
+  append(keyed_topic Topic, const std::string &Key, const std::string &Value,
+         std::optional<log_offset> At) = 0;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_JOURNAL_KEYEDLOG_H
--- /dev/null
+++ b/include/bluebellkeel/Journal/KeyedRecord.h
@@ -0,0 +1,32 @@
+#ifndef BLUEBELLKEEL_JOURNAL_KEYEDRECORD_H
+#define BLUEBELLKEEL_JOURNAL_KEYEDRECORD_H
+
+#include "bluebellkeel/Core/Comparable.h"
+#include "bluebellkeel/Core/LogOffset.h"
+#include <string>
+#include <tuple>
+
+namespace bluebellkeel {
+
+/// A record that replaces earlier ones of its key.
+class keyed_record : public comparable<keyed_record> {
+public:
+  keyed_record(std::string Key, std::string Value, log_offset Offset)
+      : Key(std::move(Key)), Value(std::move(Value)), Offset(Offset) {}
+
+  const std::string &name() const { return Key; }
+  /// Empty when the key was dropped.
+  const std::string &value() const { return Value; }
+  bool dropped() const { return Value.empty(); }
+  log_offset offset() const { return Offset; }
+  auto key() const { return std::tie(Key, Value, Offset); }
+
+private:
+  std::string Key;
+  std::string Value;
+  log_offset Offset;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_JOURNAL_KEYEDRECORD_H
--- a/include/bluebellkeel/Membership.h
+++ b/include/bluebellkeel/Membership.h
@@ -3,17 +3,21 @@
 
 #include "bluebellkeel/Membership/AddressAdvice.h"
 #include "bluebellkeel/Membership/AddressAdvisor.h"
+#include "bluebellkeel/Membership/ClosedCentres.h"
 #include "bluebellkeel/Membership/FreshnessJudge.h"
 #include "bluebellkeel/Membership/FreshnessRules.h"
+#include "bluebellkeel/Membership/FrontAdvisor.h"
 #include "bluebellkeel/Membership/Heartbeat.h"
 #include "bluebellkeel/Membership/InstanceDirectory.h"
 #include "bluebellkeel/Membership/InstanceRecord.h"
 #include "bluebellkeel/Membership/InstanceState.h"
+#include "bluebellkeel/Membership/LiveInstances.h"
 #include "bluebellkeel/Membership/LogContact.h"
 #include "bluebellkeel/Membership/Ownership.h"
 #include "bluebellkeel/Membership/PeerSelector.h"
 #include "bluebellkeel/Membership/PeerStatus.h"
 #include "bluebellkeel/Membership/PeerTable.h"
+#include "bluebellkeel/Membership/ServingPhase.h"
 #include "bluebellkeel/Membership/ServingVerdict.h"
 
 #endif // BLUEBELLKEEL_MEMBERSHIP_H
--- /dev/null
+++ b/include/bluebellkeel/Membership/ClosedCentres.h
@@ -0,0 +1,37 @@
+#ifndef BLUEBELLKEEL_MEMBERSHIP_CLOSEDCENTRES_H
+#define BLUEBELLKEEL_MEMBERSHIP_CLOSEDCENTRES_H
+
+#include "absl/base/thread_annotations.h"
+#include "absl/synchronization/mutex.h"
+#include "bluebellkeel/Core/DataCentreId.h"
+#include "bluebellkeel/Core/TimeSource.h"
+#include <map>
+#include <set>
+
+namespace bluebellkeel {
+
+/// The data centres whose upstreams get no new work, by the operators' order.
+class closed_centres {
+public:
+  /// After a return the upstreams may be cold without having said so yet: two
+  /// of their registrations.
+  static constexpr milliseconds UnsureAfterReturn{2600};
+
+  explicit closed_centres(const time_source &Clock) : Clock(Clock) {}
+
+  void replace(std::set<data_centre_id> NowClosed);
+  bool closed(const data_centre_id &Centre) const;
+  /// True for a while after the return of \p Centre.
+  bool reopenedLately(const data_centre_id &Centre) const;
+  std::set<data_centre_id> all() const;
+
+private:
+  const time_source &Clock;
+  mutable absl::Mutex Mutex;
+  std::set<data_centre_id> Closed ABSL_GUARDED_BY(Mutex);
+  std::map<data_centre_id, monotonic_time> Reopened ABSL_GUARDED_BY(Mutex);
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_MEMBERSHIP_CLOSEDCENTRES_H
--- a/include/bluebellkeel/Peer.h
+++ b/include/bluebellkeel/Peer.h
@@ -8,6 +8,7 @@
 #include "bluebellkeel/Peer/GrantReply.h"
 #include "bluebellkeel/Peer/HeartbeatAnswer.h"
 #include "bluebellkeel/Peer/HeartbeatQuery.h"
+#include "bluebellkeel/Peer/InstanceDigest.h"
 #include "bluebellkeel/Peer/PeerBody.h"
 #include "bluebellkeel/Peer/PeerCodec.h"
 #include "bluebellkeel/Peer/PeerEnvelope.h"
@@ -17,6 +18,8 @@
 #include "bluebellkeel/Peer/PeerResponder.h"
 #include "bluebellkeel/Peer/StateAnswer.h"
 #include "bluebellkeel/Peer/StateQuery.h"
+#include "bluebellkeel/Peer/ViewAnswer.h"
+#include "bluebellkeel/Peer/ViewQuery.h"
 #include "bluebellkeel/Peer/WebsocketPeerLink.h"
 
 #endif // BLUEBELLKEEL_PEER_H
--- /dev/null
+++ b/include/bluebellkeel/Peer/InstanceDigest.h
@@ -0,0 +1,59 @@
+#ifndef BLUEBELLKEEL_PEER_INSTANCEDIGEST_H
+#define BLUEBELLKEEL_PEER_INSTANCEDIGEST_H
+
+#include "bluebellkeel/Core/LogOffset.h"
+#include "bluebellkeel/Membership/InstanceRecord.h"
+#include "bluebellkeel/Peer/CrashNotice.h"
+#include "bluebellkeel/Policy/RollOutEvidence.h"
+#include "bluebellkeel/Upstream/OwnLoad.h"
+#include <optional>
+#include <vector>
+
+namespace bluebellkeel {
+
+/// What one instance tells its peers again and again; question and answer of
+/// the exchange are alike.
+class instance_digest : public comparable<instance_digest> {
+public:
+  /// What a digest is made from.
+  struct fields {
+    instance_record Sender;
+    log_offset SettingsEnd;
+    log_offset UpstreamsEnd;
+    /// How old the sender's knowledge of the settings is; empty for never.
+    std::optional<milliseconds> SettingsAge;
+    std::vector<own_load> Loads;
+    std::vector<roll_out_evidence> RollOuts;
+    std::vector<crash_notice> Crashes;
+    std::vector<instance_record> Known;
+  };
+
+  instance_digest() = default;
+  explicit instance_digest(fields Fields) : Held(std::move(Fields)) {}
+
+  const instance_record &sender() const { return Held.Sender; }
+  log_offset settingsEnd() const { return Held.SettingsEnd; }
+  log_offset upstreamsEnd() const { return Held.UpstreamsEnd; }
+  const std::optional<milliseconds> &settingsAge() const {
+    return Held.SettingsAge;
+  }
+  const std::vector<own_load> &loads() const { return Held.Loads; }
+  const std::vector<roll_out_evidence> &rollOuts() const {
+    return Held.RollOuts;
+  }
+  const std::vector<crash_notice> &crashes() const { return Held.Crashes; }
+  /// Other instances that the sender has heard lately.
+  const std::vector<instance_record> &known() const { return Held.Known; }
+  auto key() const {
+    return std::tie(Held.Sender, Held.SettingsEnd, Held.UpstreamsEnd,
+                    Held.SettingsAge, Held.Loads, Held.RollOuts, Held.Crashes,
+                    Held.Known);
+  }
+
+private:
+  fields Held;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_PEER_INSTANCEDIGEST_H
--- a/include/bluebellkeel/Peer/PeerBody.h
+++ b/include/bluebellkeel/Peer/PeerBody.h
@@ -8,8 +8,11 @@
 #include "bluebellkeel/Peer/GrantReply.h"
 #include "bluebellkeel/Peer/HeartbeatAnswer.h"
 #include "bluebellkeel/Peer/HeartbeatQuery.h"
+#include "bluebellkeel/Peer/InstanceDigest.h"
 #include "bluebellkeel/Peer/StateAnswer.h"
 #include "bluebellkeel/Peer/StateQuery.h"
+#include "bluebellkeel/Peer/ViewAnswer.h"
+#include "bluebellkeel/Peer/ViewQuery.h"
 #include <string_view>
 #include <variant>
 
@@ -18,7 +21,8 @@
 /// What instances say to each other.
 using peer_body = std::variant<heartbeat_query, heartbeat_answer, grant_ask,
                                grant_reply, bill_copy, bill_copy_ack,
-                               crash_notice, state_query, state_answer>;
+                               crash_notice, state_query, state_answer,
+                               instance_digest, view_query, view_answer>;
 
 /// A short name of the kind of \p Body, also for counters.
 std::string_view kindOf(const peer_body &Body);
--- /dev/null
+++ b/include/bluebellkeel/Peer/ViewAnswer.h
@@ -0,0 +1,28 @@
+#ifndef BLUEBELLKEEL_PEER_VIEWANSWER_H
+#define BLUEBELLKEEL_PEER_VIEWANSWER_H
+
+#include "bluebellkeel/Journal/KeyedPage.h"
+#include "bluebellkeel/Journal/KeyedTopic.h"
+#include <tuple>
+
+namespace bluebellkeel {
+
+/// What a peer knows of a topic after the offset it was asked for.
+class view_answer : public comparable<view_answer> {
+public:
+  view_answer() = default;
+  view_answer(keyed_topic Topic, keyed_page Page)
+      : Topic(Topic), Page(std::move(Page)) {}
+
+  keyed_topic topic() const { return Topic; }
+  const keyed_page &page() const { return Page; }
+  auto key() const { return std::tie(Topic, Page); }
+
+private:
+  keyed_topic Topic = keyed_topic::Settings;
+  keyed_page Page;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_PEER_VIEWANSWER_H
--- a/include/bluebellkeel/Policy/CrashBook.h
+++ b/include/bluebellkeel/Policy/CrashBook.h
@@ -32,6 +32,10 @@
   /// True after a first crash; such a request runs beside as few others as
   /// possible.
   bool suspected(const fingerprint &Request);
+  /// How many upstreams crashed with the request.
+  std::size_t crashesOf(const fingerprint &Request);
+  /// The crashes of the last while, for peers.
+  std::vector<std::pair<fingerprint, upstream_id>> recent(milliseconds Age);
 
 private:
   struct entry {
@@ -41,7 +45,6 @@
 
   using entry_map = std::map<fingerprint, entry>;
 
-  std::size_t crashesOf(const fingerprint &Request);
   static void dropOld(entry_map &Shard, monotonic_time Now);
 
   const time_source &Clock;
--- /dev/null
+++ b/include/bluebellkeel/Policy/FixedSizePolicy.h
@@ -0,0 +1,28 @@
+#ifndef BLUEBELLKEEL_POLICY_FIXEDSIZEPOLICY_H
+#define BLUEBELLKEEL_POLICY_FIXEDSIZEPOLICY_H
+
+#include "bluebellkeel/Policy/SizePolicy.h"
+#include <algorithm>
+
+namespace bluebellkeel {
+
+/// The baseline: always the size at one position.
+class fixed_size_policy final : public size_policy {
+public:
+  explicit fixed_size_policy(std::size_t Position) : Position(Position) {}
+
+  std::size_t first(const size_question &Question) const override {
+    return std::min(Position, Question.sizes().size() - 1);
+  }
+  std::size_t next(const size_question & /*Question*/, std::size_t Held,
+                   double /*Confidence*/) const override {
+    return Held;
+  }
+
+private:
+  std::size_t Position;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_POLICY_FIXEDSIZEPOLICY_H
--- /dev/null
+++ b/include/bluebellkeel/Policy/LeastLoadedPlacement.h
@@ -0,0 +1,18 @@
+#ifndef BLUEBELLKEEL_POLICY_LEASTLOADEDPLACEMENT_H
+#define BLUEBELLKEEL_POLICY_LEASTLOADEDPLACEMENT_H
+
+#include "bluebellkeel/Policy/PlacementPolicy.h"
+
+namespace bluebellkeel {
+
+/// The baseline: fewest running requests for each slot.
+class least_loaded_placement final : public placement_policy {
+public:
+  std::vector<placement_candidate>
+  order(std::vector<placement_candidate> Candidates, const prompt &Prompt,
+        double Pace) const override;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_POLICY_LEASTLOADEDPLACEMENT_H
--- /dev/null
+++ b/include/bluebellkeel/Policy/PlacementPolicy.h
@@ -0,0 +1,24 @@
+#ifndef BLUEBELLKEEL_POLICY_PLACEMENTPOLICY_H
+#define BLUEBELLKEEL_POLICY_PLACEMENTPOLICY_H
+
+#include "bluebellkeel/Policy/PlacementCandidate.h"
+#include "bluebellkeel/Policy/Prompt.h"
+#include <vector>
+
+namespace bluebellkeel {
+
+/// Orders the upstreams that may take a request, best first.
+class placement_policy {
+public:
+  virtual ~placement_policy() = default;
+
+  /// \param Pace how much longer the chosen model takes for a token than the
+  /// smallest one; 1 for a plain service.
+  virtual std::vector<placement_candidate>
+  order(std::vector<placement_candidate> Candidates, const prompt &Prompt,
+        double Pace) const = 0;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_POLICY_PLACEMENTPOLICY_H
--- /dev/null
+++ b/include/bluebellkeel/Policy/PrefixBook.h
@@ -0,0 +1,43 @@
+#ifndef BLUEBELLKEEL_POLICY_PREFIXBOOK_H
+#define BLUEBELLKEEL_POLICY_PREFIXBOOK_H
+
+#include "bluebellkeel/Core/Sharded.h"
+#include "bluebellkeel/Core/TimeSource.h"
+#include "bluebellkeel/Core/UpstreamId.h"
+#include "bluebellkeel/Policy/Prompt.h"
+#include <map>
+
+namespace bluebellkeel {
+
+/// Which upstreams have read which parts of prompts for a model, from what
+/// this instance sent. Engines drop parts without notice, so it is a guess.
+class prefix_book {
+public:
+  /// A part that was not used for this long is taken for dropped.
+  static constexpr milliseconds Life{10000};
+  /// Most parts that are remembered in one shard.
+  static constexpr std::size_t MaxParts = 512;
+
+  explicit prefix_book(const time_source &Clock) : Clock(Clock) {}
+
+  void noteRead(const std::string &Model, const prompt &Prompt,
+                const upstream_id &Upstream);
+  /// Tokens at the start of \p Prompt that \p Upstream has likely read.
+  std::uint64_t cachedTokens(const std::string &Model, const prompt &Prompt,
+                             const upstream_id &Upstream);
+
+private:
+  using reader_map = std::map<upstream_id, monotonic_time>;
+  using part_map = std::map<std::string, reader_map>;
+
+  static void dropOld(part_map &Shard, monotonic_time Now);
+  bool holds(const std::string &Key, const upstream_id &Upstream,
+             monotonic_time Now);
+
+  const time_source &Clock;
+  sharded<part_map> Parts;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_POLICY_PREFIXBOOK_H
--- /dev/null
+++ b/include/bluebellkeel/Policy/RollOutEvidence.h
@@ -0,0 +1,51 @@
+#ifndef BLUEBELLKEEL_POLICY_ROLLOUTEVIDENCE_H
+#define BLUEBELLKEEL_POLICY_ROLLOUTEVIDENCE_H
+
+#include "bluebellkeel/Policy/RollOutOrder.h"
+#include "bluebellkeel/Policy/RollOutStage.h"
+#include "bluebellkeel/Policy/VersionTally.h"
+#include <string>
+#include <vector>
+
+namespace bluebellkeel {
+
+/// What one instance knows of a roll-out, for its peers.
+class roll_out_evidence : public comparable<roll_out_evidence> {
+public:
+  /// What evidence is made from.
+  struct fields {
+    roll_out_order Order;
+    milliseconds Elapsed{0};
+    roll_out_stage Stage = roll_out_stage::Running;
+    /// The stage that the operators have been told, if any.
+    bool Published = false;
+    version_tally Target;
+    version_tally Others;
+    /// Trial sessions that lately ran on another version than the target.
+    std::vector<std::string> SessionsElsewhere;
+  };
+
+  explicit roll_out_evidence(fields Fields) : Held(std::move(Fields)) {}
+
+  const roll_out_order &order() const { return Held.Order; }
+  milliseconds elapsed() const { return Held.Elapsed; }
+  roll_out_stage stage() const { return Held.Stage; }
+  /// True when the operators have been told the stage.
+  bool published() const { return Held.Published; }
+  const version_tally &target() const { return Held.Target; }
+  const version_tally &others() const { return Held.Others; }
+  const std::vector<std::string> &sessionsElsewhere() const {
+    return Held.SessionsElsewhere;
+  }
+  auto key() const {
+    return std::tie(Held.Order, Held.Elapsed, Held.Stage, Held.Published,
+                    Held.Target, Held.Others, Held.SessionsElsewhere);
+  }
+
+private:
+  fields Held;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_POLICY_ROLLOUTEVIDENCE_H
--- /dev/null
+++ b/include/bluebellkeel/Policy/RollOutStatusPage.h
@@ -0,0 +1,27 @@
+#ifndef BLUEBELLKEEL_POLICY_ROLLOUTSTATUSPAGE_H
+#define BLUEBELLKEEL_POLICY_ROLLOUTSTATUSPAGE_H
+
+#include "bluebellkeel/Core/LogOffset.h"
+#include "bluebellkeel/Policy/RollOutStatus.h"
+#include <vector>
+
+namespace bluebellkeel {
+
+/// What the operators have been told, and where the next record would stand.
+class roll_out_status_page : public comparable<roll_out_status_page> {
+public:
+  roll_out_status_page(std::vector<roll_out_status> Statuses, log_offset End)
+      : Statuses(std::move(Statuses)), End(End) {}
+
+  const std::vector<roll_out_status> &statuses() const { return Statuses; }
+  log_offset end() const { return End; }
+  auto key() const { return std::tie(Statuses, End); }
+
+private:
+  std::vector<roll_out_status> Statuses;
+  log_offset End;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_POLICY_ROLLOUTSTATUSPAGE_H
--- /dev/null
+++ b/include/bluebellkeel/Policy/VersionRule.h
@@ -0,0 +1,33 @@
+#ifndef BLUEBELLKEEL_POLICY_VERSIONRULE_H
+#define BLUEBELLKEEL_POLICY_VERSIONRULE_H
+
+#include "bluebellkeel/Core/Comparable.h"
+#include "bluebellkeel/Core/VersionId.h"
+#include <tuple>
+
+namespace bluebellkeel {
+
+/// Which versions of a service one request may run on.
+class version_rule : public comparable<version_rule> {
+public:
+  enum class kind { Any, Only, Not };
+
+  version_rule() = default;
+  version_rule(kind Kind, version_id Version)
+      : Kind(Kind), Version(std::move(Version)) {}
+
+  bool admits(const version_id &Asked) const {
+    return Kind == kind::Any || (Kind == kind::Only) == (Asked == Version);
+  }
+  kind type() const { return Kind; }
+  const version_id &version() const { return Version; }
+  auto key() const { return std::tie(Kind, Version); }
+
+private:
+  kind Kind = kind::Any;
+  version_id Version;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_POLICY_VERSIONRULE_H
--- /dev/null
+++ b/include/bluebellkeel/Policy/VersionTally.h
@@ -0,0 +1,57 @@
+#ifndef BLUEBELLKEEL_POLICY_VERSIONTALLY_H
+#define BLUEBELLKEEL_POLICY_VERSIONTALLY_H
+
+#include "bluebellkeel/Core/Comparable.h"
+#include <cstdint>
+#include <tuple>
+
+namespace bluebellkeel {
+
+/// Answers of one version, as one instance or several have seen them.
+class version_tally : public comparable<version_tally> {
+public:
+  version_tally() = default;
+  version_tally(std::uint64_t Good, std::uint64_t Bad, std::uint64_t Timed,
+                double LogTimeSum)
+      : Good(Good), Bad(Bad), Timed(Timed), LogTimeSum(LogTimeSum) {}
+
+  std::uint64_t good() const { return Good; }
+  std::uint64_t bad() const { return Bad; }
+  std::uint64_t total() const { return Good + Bad; }
+  /// Answers whose time to the first byte was taken.
+  std::uint64_t timed() const { return Timed; }
+  /// Sum of the natural logarithms of those times in milliseconds.
+  double logTimeSum() const { return LogTimeSum; }
+  double badShare() const {
+    return total() == 0 ? 0
+                        : static_cast<double>(Bad) /
+                              static_cast<double>(total());
+  }
+  /// Mean logarithm of the time to the first byte; 0 when none was taken.
+  double meanLogTime() const {
+    return Timed == 0 ? 0 : LogTimeSum / static_cast<double>(Timed);
+  }
+
+  version_tally withAnswer(bool IsGood) const {
+    return {Good + (IsGood ? 1 : 0), Bad + (IsGood ? 0 : 1), Timed,
+            LogTimeSum};
+  }
+  version_tally withTime(double LogTime) const {
+    return {Good, Bad, Timed + 1, LogTimeSum + LogTime};
+  }
+  version_tally plus(const version_tally &Other) const {
+    return {Good + Other.Good, Bad + Other.Bad, Timed + Other.Timed,
+            LogTimeSum + Other.LogTimeSum};
+  }
+  auto key() const { return std::tie(Good, Bad, Timed, LogTimeSum); }
+
+private:
+  std::uint64_t Good = 0;
+  std::uint64_t Bad = 0;
+  std::uint64_t Timed = 0;
+  double LogTimeSum = 0;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_POLICY_VERSIONTALLY_H
--- a/include/bluebellkeel/Relay/AttemptError.h
+++ b/include/bluebellkeel/Relay/AttemptError.h
@@ -12,6 +12,9 @@
   ConnectFailed,
   /// The upstream answered that it takes no more; it did not run the request.
   TurnedAway,
+  /// Another upstream, or another version, answered at the address; it did not
+  /// run the request.
+  WrongInstance,
   /// No first byte in time.
   FirstByteTimeout,
   /// The answer stopped coming, though the connection stayed open.
@@ -28,6 +31,8 @@
   Failed,
   /// The caller went away or read too slowly.
   CallerGone,
+  /// The time for the final answer was up.
+  TimeLimit,
 };
 
 /// The stable code that counters see.
@@ -37,7 +42,8 @@
 /// True when the upstream surely did not run the request.
 constexpr bool surelyNotRun(attempt_error Error) {
   return Error == attempt_error::ConnectFailed ||
-         Error == attempt_error::TurnedAway;
+         Error == attempt_error::TurnedAway ||
+         Error == attempt_error::WrongInstance;
 }
 
 } // namespace bluebellkeel
--- /dev/null
+++ b/include/bluebellkeel/Relay/ForwardPorts.h
@@ -0,0 +1,55 @@
+#ifndef BLUEBELLKEEL_RELAY_FORWARDPORTS_H
+#define BLUEBELLKEEL_RELAY_FORWARDPORTS_H
+
+#include "bluebellkeel/Core/EventLog.h"
+#include "bluebellkeel/Core/TimeSource.h"
+#include "bluebellkeel/Membership/ClosedCentres.h"
+#include "bluebellkeel/Membership/LiveInstances.h"
+#include "bluebellkeel/Policy/CrashBook.h"
+#include "bluebellkeel/Policy/PlacementPolicy.h"
+#include "bluebellkeel/Policy/PrefixBook.h"
+#include "bluebellkeel/Policy/RetryWindow.h"
+#include "bluebellkeel/Policy/RollOutBook.h"
+#include "bluebellkeel/Policy/SizePolicy.h"
+#include "bluebellkeel/Relay/FrontGate.h"
+#include "bluebellkeel/Relay/RelayMonitor.h"
+#include "bluebellkeel/Routing/RouteTableHolder.h"
+#include "bluebellkeel/Upstream/ColdGate.h"
+#include "bluebellkeel/Upstream/LoadBook.h"
+#include "bluebellkeel/Upstream/UpstreamRoster.h"
+
+namespace bluebellkeel {
+
+/// What forwarding works with; all of it answers at once.
+struct forward_ports {
+  instance_id Self;
+  data_centre_id Home;
+  const time_source &Clock;
+  const front_gate &Gate;
+  const route_table_holder &Tables;
+  upstream_roster &Roster;
+  load_book &Loads;
+  cold_gate &Cold;
+  closed_centres &Centres;
+  live_instances &Instances;
+  roll_out_book &RollOuts;
+  prefix_book &Prefixes;
+  crash_book &Crashes;
+  retry_window &Retries;
+  const placement_policy &Placement;
+  const size_policy &Sizes;
+  relay_monitor &Monitor;
+  event_log &Log;
+
+  /// All instances that may send to upstreams, this one among them.
+  std::vector<instance_id> senders() const {
+    std::vector<instance_id> Ids = {Self};
+    for (const auto &Peer : Instances.alive())
+      Ids.push_back(Peer.id());
+    return Ids;
+  }
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_RELAY_FORWARDPORTS_H
--- /dev/null
+++ b/include/bluebellkeel/Relay/ForwardUpstream.h
@@ -0,0 +1,25 @@
+#ifndef BLUEBELLKEEL_RELAY_FORWARDUPSTREAM_H
+#define BLUEBELLKEEL_RELAY_FORWARDUPSTREAM_H
+
+#include "bluebellkeel/Relay/ForwardAttempt.h"
+#include "bluebellkeel/Relay/TimeLimit.h"
+#include "bluebellkeel/Relay/UpstreamAnswer.h"
+#include <memory>
+
+namespace bluebellkeel {
+
+/// Sends calls to upstreams.
+class forward_upstream {
+public:
+  virtual ~forward_upstream() = default;
+
+  /// Sends and waits for the head of the answer. Once \p Limit is reached or
+  /// the caller is gone, this and all reading of the answer end with that
+  /// error.
+  virtual tl::expected<std::unique_ptr<upstream_answer>, attempt_error>
+  open(const forward_attempt &Attempt, const time_limit &Limit) = 0;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_RELAY_FORWARDUPSTREAM_H
--- /dev/null
+++ b/include/bluebellkeel/Relay/FrontGate.h
@@ -0,0 +1,21 @@
+#ifndef BLUEBELLKEEL_RELAY_FRONTGATE_H
+#define BLUEBELLKEEL_RELAY_FRONTGATE_H
+
+#include "bluebellkeel/Core/Time.h"
+#include "bluebellkeel/Membership/ServingPhase.h"
+
+namespace bluebellkeel {
+
+/// Whether this instance takes requests, and how far its knowledge reaches.
+class front_gate {
+public:
+  virtual ~front_gate() = default;
+
+  virtual serving_phase phase() const = 0;
+  /// How long ago the configuration was known to be the newest.
+  virtual milliseconds settingsAge() const = 0;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_RELAY_FRONTGATE_H
--- /dev/null
+++ b/include/bluebellkeel/Relay/HeaderList.h
@@ -0,0 +1,15 @@
+#ifndef BLUEBELLKEEL_RELAY_HEADERLIST_H
+#define BLUEBELLKEEL_RELAY_HEADERLIST_H
+
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace bluebellkeel {
+
+/// Header fields that pass through unread, in order.
+using header_list = std::vector<std::pair<std::string, std::string>>;
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_RELAY_HEADERLIST_H
--- a/include/bluebellkeel/Relay/RefusalReason.h
+++ b/include/bluebellkeel/Relay/RefusalReason.h
@@ -38,6 +38,12 @@
   AnswerInterrupted,
   OutcomeUnknown,
   CallerGone,
+  /// No route leads from the request's host and path.
+  UnknownRoute,
+  /// The time was up before anything was sent to an upstream.
+  TimeLimitUnsent,
+  /// The time was up and an upstream may have run the request.
+  TimeLimit,
 };
 
 /// The stable code that callers and counters see.
--- /dev/null
+++ b/include/bluebellkeel/Routing/KeyedAccount.h
@@ -0,0 +1,35 @@
+#ifndef BLUEBELLKEEL_ROUTING_KEYEDACCOUNT_H
+#define BLUEBELLKEEL_ROUTING_KEYEDACCOUNT_H
+
+#include "bluebellkeel/Core/AccountId.h"
+#include "bluebellkeel/Core/Comparable.h"
+#include <optional>
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace bluebellkeel {
+
+/// A client account with the keys that its callers show.
+class keyed_account : public comparable<keyed_account> {
+public:
+  keyed_account(account_id Account, std::vector<std::string> Keys,
+                std::optional<unsigned> Priority)
+      : Account(std::move(Account)), Keys(std::move(Keys)),
+        Priority(Priority) {}
+
+  const account_id &account() const { return Account; }
+  const std::vector<std::string> &keys() const { return Keys; }
+  /// Goes before the priority of the route.
+  const std::optional<unsigned> &priority() const { return Priority; }
+  auto key() const { return std::tie(Account, Keys, Priority); }
+
+private:
+  account_id Account;
+  std::vector<std::string> Keys;
+  std::optional<unsigned> Priority;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_ROUTING_KEYEDACCOUNT_H
--- /dev/null
+++ b/include/bluebellkeel/Routing/ModelSize.h
@@ -0,0 +1,28 @@
+#ifndef BLUEBELLKEEL_ROUTING_MODELSIZE_H
+#define BLUEBELLKEEL_ROUTING_MODELSIZE_H
+
+#include "bluebellkeel/Core/Comparable.h"
+#include <string>
+#include <tuple>
+
+namespace bluebellkeel {
+
+/// A model that a service offers, with its price.
+class model_size : public comparable<model_size> {
+public:
+  model_size(std::string Name, double Cost)
+      : Name(std::move(Name)), Cost(Cost) {}
+
+  const std::string &name() const { return Name; }
+  /// Price for 1,000 generated tokens; read tokens count a quarter.
+  double cost() const { return Cost; }
+  auto key() const { return std::tie(Name, Cost); }
+
+private:
+  std::string Name;
+  double Cost;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_ROUTING_MODELSIZE_H
--- /dev/null
+++ b/include/bluebellkeel/Routing/RouteTable.h
@@ -0,0 +1,49 @@
+#ifndef BLUEBELLKEEL_ROUTING_ROUTETABLE_H
+#define BLUEBELLKEEL_ROUTING_ROUTETABLE_H
+
+#include "bluebellkeel/Routing/ForwardRoute.h"
+#include "bluebellkeel/Routing/KeyedAccount.h"
+#include "bluebellkeel/Routing/ServiceTraits.h"
+#include <cstdint>
+#include <map>
+#include <string_view>
+
+namespace bluebellkeel {
+
+/// One version of the operators' configuration.
+class route_table : public comparable<route_table> {
+public:
+  route_table(std::uint64_t Version, std::vector<forward_route> Routes,
+              std::vector<service_traits> Services,
+              std::vector<keyed_account> Accounts);
+
+  std::uint64_t version() const { return Version; }
+  const std::vector<forward_route> &routes() const { return Routes; }
+  const std::vector<service_traits> &services() const { return Services; }
+
+  /// The route of \p Host with the longest prefix of \p Path; null when none
+  /// fits. Lives as long as the table.
+  const forward_route *match(std::string_view Host,
+                             std::string_view Path) const;
+  /// The account that holds \p Key; null when none does.
+  const keyed_account *accountOf(std::string_view Key) const;
+  const service_traits *traitsOf(const service_id &Service) const;
+  /// True when callers have to show keys.
+  bool asksForKeys() const { return !Accounts.empty(); }
+
+  auto key() const { return std::tie(Version, Routes, Services, Accounts); }
+
+private:
+  std::uint64_t Version;
+  std::vector<forward_route> Routes;
+  std::vector<service_traits> Services;
+  std::vector<keyed_account> Accounts;
+  /// Positions in Routes by host, longest prefix first.
+  std::map<std::string, std::vector<std::size_t>, std::less<>> ByHost;
+  /// Positions in Accounts.
+  std::map<std::string, std::size_t, std::less<>> ByKey;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_ROUTING_ROUTETABLE_H
--- /dev/null
+++ b/include/bluebellkeel/Routing/ServiceTraits.h
@@ -0,0 +1,53 @@
+#ifndef BLUEBELLKEEL_ROUTING_SERVICETRAITS_H
+#define BLUEBELLKEEL_ROUTING_SERVICETRAITS_H
+
+#include "bluebellkeel/Core/ServiceId.h"
+#include "bluebellkeel/Core/Time.h"
+#include "bluebellkeel/Routing/ModelSize.h"
+#include <cstdint>
+#include <vector>
+
+namespace bluebellkeel {
+
+/// What the operators say of a service's upstreams.
+class service_traits : public comparable<service_traits> {
+public:
+  /// What traits are made from.
+  struct fields {
+    service_id Service;
+    std::string HealthPath;
+    milliseconds ColdTime{0};
+    double ColdRate = 0;
+    std::uint32_t Slots = 0;
+    std::uint64_t CacheTokens = 0;
+    std::vector<model_size> Models;
+  };
+
+  explicit service_traits(fields Fields) : Held(std::move(Fields)) {}
+
+  const service_id &service() const { return Held.Service; }
+  const std::string &healthPath() const { return Held.HealthPath; }
+  /// How long an upstream stays cold after its start.
+  milliseconds coldTime() const { return Held.ColdTime; }
+  /// Requests a second that a cold upstream bears; 0 when it is never cold.
+  double coldRate() const { return Held.ColdRate; }
+  /// Requests that a model engine batches; 0 for a plain service.
+  std::uint32_t slots() const { return Held.Slots; }
+  /// Tokens that an engine's memory holds.
+  std::uint64_t cacheTokens() const { return Held.CacheTokens; }
+  const std::vector<model_size> &models() const { return Held.Models; }
+  /// Price of a model for 1,000 tokens; 0 when it is unknown.
+  double costOf(const std::string &Model) const;
+
+  auto key() const {
+    return std::tie(Held.Service, Held.HealthPath, Held.ColdTime, Held.ColdRate,
+                    Held.Slots, Held.CacheTokens, Held.Models);
+  }
+
+private:
+  fields Held;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_ROUTING_SERVICETRAITS_H
--- a/include/bluebellkeel/Telemetry.h
+++ b/include/bluebellkeel/Telemetry.h
@@ -1,6 +1,7 @@
 #ifndef BLUEBELLKEEL_TELEMETRY_H
 #define BLUEBELLKEEL_TELEMETRY_H
 
+#include "bluebellkeel/Telemetry/EventWriter.h"
 #include "bluebellkeel/Telemetry/LogPart.h"
 #include "bluebellkeel/Telemetry/LogSetup.h"
 #include "bluebellkeel/Telemetry/Metrics.h"
--- /dev/null
+++ b/include/bluebellkeel/Telemetry/EventWriter.h
@@ -0,0 +1,47 @@
+#ifndef BLUEBELLKEEL_TELEMETRY_EVENTWRITER_H
+#define BLUEBELLKEEL_TELEMETRY_EVENTWRITER_H
+
+#include "absl/base/thread_annotations.h"
+#include "absl/synchronization/mutex.h"
+#include "bluebellkeel/Core/EventLog.h"
+#include "bluebellkeel/Core/TimeSource.h"
+#include <cstdint>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace bluebellkeel {
+
+/// Writes the structured log to standard output from a thread of its own. A
+/// reader that stops reading makes lines be left out, never a request wait.
+class event_writer final : public event_log {
+public:
+  /// Lines that wait to be written.
+  static constexpr std::size_t MaxWaiting = 4096;
+
+  /// \param Instance stands in each line.
+  event_writer(std::string Instance, const time_source &Clock);
+  ~event_writer() override;
+
+  void write(const event_line &Line) override;
+  /// Lines that were left out so far.
+  std::uint64_t leftOut() const;
+
+private:
+  void run();
+  bool hasWork() const ABSL_SHARED_LOCKS_REQUIRED(Mutex) {
+    return !Waiting.empty() || Stopped;
+  }
+
+  const std::string Instance;
+  const time_source &Clock;
+  mutable absl::Mutex Mutex;
+  std::vector<std::string> Waiting ABSL_GUARDED_BY(Mutex);
+  std::uint64_t LeftOut ABSL_GUARDED_BY(Mutex) = 0;
+  bool Stopped ABSL_GUARDED_BY(Mutex) = false;
+  std::thread Thread;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_TELEMETRY_EVENTWRITER_H
--- a/include/bluebellkeel/Telemetry/LogSetup.h
+++ b/include/bluebellkeel/Telemetry/LogSetup.h
@@ -9,6 +9,9 @@
 /// error. False when there is no such level.
 bool setUpLog(std::string_view Level);
 
+/// Sends the structured log, and nothing else, to standard output.
+void setUpEventLog();
+
 } // namespace bluebellkeel
 
 #endif // BLUEBELLKEEL_TELEMETRY_LOGSETUP_H
--- /dev/null
+++ b/include/bluebellkeel/Upstream/LoadBook.h
@@ -0,0 +1,69 @@
+#ifndef BLUEBELLKEEL_UPSTREAM_LOADBOOK_H
+#define BLUEBELLKEEL_UPSTREAM_LOADBOOK_H
+
+#include "bluebellkeel/Core/InstanceId.h"
+#include "bluebellkeel/Core/Sharded.h"
+#include "bluebellkeel/Core/TimeSource.h"
+#include "bluebellkeel/Upstream/OwnLoad.h"
+#include "bluebellkeel/Upstream/QueueReport.h"
+#include "bluebellkeel/Upstream/UpstreamLoad.h"
+#include <map>
+#include <vector>
+
+namespace bluebellkeel {
+
+/// Counts the work at each upstream: this instance's own, what peers say of
+/// theirs, and the upstream's own late reports.
+class load_book {
+public:
+  /// What a peer or an upstream said counts this long.
+  static constexpr milliseconds ReportLife{2000};
+  /// Time in which a failure fades to half.
+  static constexpr milliseconds SuspicionHalfLife{1500};
+
+  explicit load_book(const time_source &Clock) : Clock(Clock) {}
+
+  /// A request was sent that has \p Prefill weighted tokens to read.
+  void noteSent(const upstream_id &Upstream, std::uint64_t Prefill);
+  /// Its answer began.
+  void noteBegun(const upstream_id &Upstream, std::uint64_t Prefill);
+  void noteEnded(const upstream_id &Upstream);
+  /// The upstream's answer told its load.
+  void noteReport(const upstream_id &Upstream, const queue_report &Report);
+  void noteFailure(const upstream_id &Upstream, double Weight);
+  void noteSuccess(const upstream_id &Upstream);
+  void notePeer(const instance_id &Peer, const std::vector<own_load> &Loads);
+
+  upstream_load of(const upstream_id &Upstream);
+  /// Where this instance has requests.
+  std::vector<own_load> own();
+
+private:
+  struct peer_share {
+    std::uint64_t Running = 0;
+    std::uint64_t Prefill = 0;
+    monotonic_time At;
+  };
+
+  struct entry {
+    std::uint64_t Running = 0;
+    std::uint64_t Prefill = 0;
+    std::map<instance_id, peer_share> Peers;
+    std::uint32_t ReportedRunning = 0;
+    std::uint32_t ReportedWaiting = 0;
+    monotonic_time ReportedAt;
+    double Suspicion = 0;
+    monotonic_time SuspectedAt;
+  };
+
+  using entry_map = std::map<upstream_id, entry>;
+
+  static double fadedSuspicion(const entry &Entry, monotonic_time Now);
+
+  const time_source &Clock;
+  sharded<entry_map> Entries;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_UPSTREAM_LOADBOOK_H
--- /dev/null
+++ b/include/bluebellkeel/Upstream/OwnLoad.h
@@ -0,0 +1,32 @@
+#ifndef BLUEBELLKEEL_UPSTREAM_OWNLOAD_H
+#define BLUEBELLKEEL_UPSTREAM_OWNLOAD_H
+
+#include "bluebellkeel/Core/Comparable.h"
+#include "bluebellkeel/Core/UpstreamId.h"
+#include <cstdint>
+#include <tuple>
+
+namespace bluebellkeel {
+
+/// What one instance has at one upstream.
+class own_load : public comparable<own_load> {
+public:
+  own_load() = default;
+  own_load(upstream_id Upstream, std::uint64_t Running, std::uint64_t Prefill)
+      : Upstream(std::move(Upstream)), Running(Running), Prefill(Prefill) {}
+
+  const upstream_id &upstream() const { return Upstream; }
+  std::uint64_t running() const { return Running; }
+  /// Weighted prompt tokens of requests that have not begun to answer.
+  std::uint64_t prefill() const { return Prefill; }
+  auto key() const { return std::tie(Upstream, Running, Prefill); }
+
+private:
+  upstream_id Upstream;
+  std::uint64_t Running = 0;
+  std::uint64_t Prefill = 0;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_UPSTREAM_OWNLOAD_H
--- /dev/null
+++ b/include/bluebellkeel/Upstream/RosterEntry.h
@@ -0,0 +1,28 @@
+#ifndef BLUEBELLKEEL_UPSTREAM_ROSTERENTRY_H
+#define BLUEBELLKEEL_UPSTREAM_ROSTERENTRY_H
+
+#include "bluebellkeel/Upstream/UpstreamListing.h"
+
+namespace bluebellkeel {
+
+/// A listing with what this instance knows of its age.
+class roster_entry : public comparable<roster_entry> {
+public:
+  roster_entry(upstream_listing Listing, monotonic_time LearntAt,
+               monotonic_time ColdUntil)
+      : Listing(std::move(Listing)), LearntAt(LearntAt), ColdUntil(ColdUntil) {}
+
+  const upstream_listing &listing() const { return Listing; }
+  monotonic_time learntAt() const { return LearntAt; }
+  monotonic_time coldUntil() const { return ColdUntil; }
+  auto key() const { return std::tie(Listing, LearntAt, ColdUntil); }
+
+private:
+  upstream_listing Listing;
+  monotonic_time LearntAt;
+  monotonic_time ColdUntil;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_UPSTREAM_ROSTERENTRY_H
--- /dev/null
+++ b/include/bluebellkeel/Upstream/UpstreamListing.h
@@ -0,0 +1,63 @@
+#ifndef BLUEBELLKEEL_UPSTREAM_UPSTREAMLISTING_H
+#define BLUEBELLKEEL_UPSTREAM_UPSTREAMLISTING_H
+
+#include "bluebellkeel/Core/DataCentreId.h"
+#include "bluebellkeel/Core/NetworkAddress.h"
+#include "bluebellkeel/Core/ServiceId.h"
+#include "bluebellkeel/Core/Time.h"
+#include "bluebellkeel/Core/UpstreamId.h"
+#include "bluebellkeel/Core/VersionId.h"
+
+namespace bluebellkeel {
+
+/// What an upstream says of itself when it registers.
+class upstream_listing : public comparable<upstream_listing> {
+public:
+  /// What a listing is made from.
+  struct fields {
+    upstream_id Id;
+    service_id Service;
+    network_address Address;
+    data_centre_id DataCentre;
+    version_id Version;
+    std::uint32_t Slots = 0;
+    bool Leaving = false;
+    milliseconds ColdLeft{0};
+    std::uint64_t Incarnation = 0;
+    std::uint64_t Sequence = 0;
+  };
+
+  upstream_listing() = default;
+  explicit upstream_listing(fields Fields) : Held(std::move(Fields)) {}
+
+  const upstream_id &id() const { return Held.Id; }
+  const service_id &service() const { return Held.Service; }
+  const network_address &address() const { return Held.Address; }
+  const data_centre_id &dataCentre() const { return Held.DataCentre; }
+  /// Version of the upstream's software.
+  const version_id &version() const { return Held.Version; }
+  std::uint32_t slots() const { return Held.Slots; }
+  /// True once it has said that it will go.
+  bool leaving() const { return Held.Leaving; }
+  /// How much longer it was cold when it registered.
+  milliseconds coldLeft() const { return Held.ColdLeft; }
+  /// Grows with each start under the same id.
+  std::uint64_t incarnation() const { return Held.Incarnation; }
+  /// Grows with each registration of one incarnation.
+  std::uint64_t sequence() const { return Held.Sequence; }
+  /// Orders the listings of one upstream by age.
+  auto age() const { return std::tie(Held.Incarnation, Held.Sequence); }
+
+  auto key() const {
+    return std::tie(Held.Id, Held.Service, Held.Address, Held.DataCentre,
+                    Held.Version, Held.Slots, Held.Leaving, Held.ColdLeft,
+                    Held.Incarnation, Held.Sequence);
+  }
+
+private:
+  fields Held;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_UPSTREAM_UPSTREAMLISTING_H
--- /dev/null
+++ b/include/bluebellkeel/Upstream/UpstreamLoad.h
@@ -0,0 +1,38 @@
+#ifndef BLUEBELLKEEL_UPSTREAM_UPSTREAMLOAD_H
+#define BLUEBELLKEEL_UPSTREAM_UPSTREAMLOAD_H
+
+#include "bluebellkeel/Core/Comparable.h"
+#include <cstdint>
+#include <tuple>
+
+namespace bluebellkeel {
+
+/// What is known of the work at one upstream.
+class upstream_load : public comparable<upstream_load> {
+public:
+  upstream_load() = default;
+  upstream_load(double Running, double Prefill, double Waiting,
+                double Suspicion)
+      : Running(Running), Prefill(Prefill), Waiting(Waiting),
+        Suspicion(Suspicion) {}
+
+  /// Requests of all instances, as far as known.
+  double running() const { return Running; }
+  /// Prompt tokens that still have to be read, weighted by the model's pace.
+  double prefill() const { return Prefill; }
+  /// Requests in its queue at its last report.
+  double waiting() const { return Waiting; }
+  /// Recent failures; each fades within seconds.
+  double suspicion() const { return Suspicion; }
+  auto key() const { return std::tie(Running, Prefill, Waiting, Suspicion); }
+
+private:
+  double Running = 0;
+  double Prefill = 0;
+  double Waiting = 0;
+  double Suspicion = 0;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_UPSTREAM_UPSTREAMLOAD_H
--- /dev/null
+++ b/include/bluebellkeel/Upstream/UpstreamRoster.h
@@ -0,0 +1,50 @@
+#ifndef BLUEBELLKEEL_UPSTREAM_UPSTREAMROSTER_H
+#define BLUEBELLKEEL_UPSTREAM_UPSTREAMROSTER_H
+
+#include "bluebellkeel/Core/Sharded.h"
+#include "bluebellkeel/Core/TimeSource.h"
+#include "bluebellkeel/Upstream/RosterEntry.h"
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace bluebellkeel {
+
+/// The upstreams that have registered. A listing older than the one known is
+/// passed over, and an incarnation that was seen leaving never comes back.
+class upstream_roster {
+public:
+  explicit upstream_roster(const time_source &Clock) : Clock(Clock) {}
+
+  /// False when the listing is older than what is known.
+  bool learn(const upstream_listing &Listing);
+  void remove(const upstream_id &Id);
+  /// Removes every upstream that is not in \p Listed.
+  void retain(const std::set<upstream_id> &Listed);
+  /// An upstream said that it stays cold until then.
+  void noteCold(const upstream_id &Id, monotonic_time Until);
+  /// An upstream of another id answered at this one's address.
+  void noteReplaced(const upstream_id &Id, const network_address &Address);
+
+  std::optional<roster_entry> find(const upstream_id &Id);
+  /// Upstreams of \p Service that are not leaving, by id.
+  std::vector<roster_entry> serving(const service_id &Service);
+  std::vector<roster_entry> all();
+
+private:
+  struct state {
+    std::map<upstream_id, roster_entry> Entries;
+    /// The last listing of upstreams that were removed.
+    std::map<upstream_id, upstream_listing> Removed;
+  };
+
+  static void removeFrom(state &Shard, const upstream_id &Id);
+
+  const time_source &Clock;
+  sharded<state> Shards;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_UPSTREAM_UPSTREAMROSTER_H
--- a/lib/Backend/EngineClient.cpp
+++ b/lib/Backend/EngineClient.cpp
@@ -1,6 +1,6 @@
 #include "bluebellkeel/Backend/EngineClient.h"
 #include "AnswerReader.h"
-#include "AttemptErrorOf.h"
+#include "bluebellkeel/Backend/AttemptErrorOf.h"
 #include "EventReader.h"
 #include "bluebellkeel/Codec/JsonText.h"
 #include "bluebellkeel/Http/ClientStream.h"
--- a/lib/Backend/ServiceClient.cpp
+++ b/lib/Backend/ServiceClient.cpp
@@ -1,5 +1,5 @@
 #include "bluebellkeel/Backend/ServiceClient.h"
-#include "AttemptErrorOf.h"
+#include "bluebellkeel/Backend/AttemptErrorOf.h"
 #include "bluebellkeel/Http/ClientStream.h"
 
 using namespace bluebellkeel;
--- /dev/null
+++ b/lib/Gateway/GatewayRuntime.cpp
@@ -0,0 +1,208 @@
+#include "bluebellkeel/Gateway/GatewayRuntime.h"
+#include "DigestDesk.h"
+#include "ContactWatch.h"
+#include "PeerCounter.h"
+#include "bluebellkeel/Http/Await.h"
+#include "bluebellkeel/Journal/KeyedFollower.h"
+#include "bluebellkeel/Peer/WebsocketPeerLink.h"
+#include <boost/asio/detached.hpp>
+#include <boost/asio/strand.hpp>
+
+using namespace bluebellkeel;
+
+namespace asio = boost::asio;
+
+/// How long one read waits for a change of the settings. A connection that has
+/// gone silent is noticed after it, which must stay below the time in which a
+/// change is to be in force.
+static constexpr milliseconds SettingsWait{2000};
+
+/// Upstreams register all the time, so their topic is read at an interval well
+/// inside the time in which a leaving one may still be used.
+static constexpr milliseconds UpstreamsInterval{900};
+
+/// Pause after a read that failed.
+static constexpr milliseconds FailurePause{250};
+
+static constexpr milliseconds DigestInterval{700};
+static constexpr milliseconds DutyInterval{400};
+
+/// When the list of instances is read: soon after the start, when all of them
+/// have registered, then seldom, since peers pass on whom they know.
+static constexpr milliseconds FirstInstancesPause{600};
+static constexpr milliseconds InstancesInterval{20000};
+static constexpr milliseconds LonelyInterval{2000};
+
+class gateway_runtime::impl : public std::enable_shared_from_this<impl> {
+public:
+  impl(gateway_parts &Parts, listeners Listeners, platform_access &Access,
+       thread_pool &Pool)
+      : Parts(Parts), Access(Access), Pool(Pool),
+        SettingsView(Listeners.Settings), UpstreamsView(Listeners.Upstreams),
+        InstancesView(Listeners.Instances), Signer(Parts.Settings.PeerKey),
+        Counter(Parts.Metrics),
+        Link(Parts.Settings.Instance, Signer, Parts.Clock, Counter),
+        Desk(Parts, SettingsView, UpstreamsView, Link) {}
+
+  tl::expected<void, std::string> start();
+  void announceLeaving() { Desk.round(); }
+  void stop() { Link.stop(); }
+
+private:
+  template <typename round_t> void spawn(round_t Round);
+  void followSettings(asio::yield_context Yield);
+  void followUpstreams(asio::yield_context Yield);
+  void registerSelf(asio::yield_context Yield);
+  void followInstances(asio::yield_context Yield);
+  void exchangeDigests(asio::yield_context Yield);
+  void doDuties(asio::yield_context Yield);
+  void serveOnceKnown();
+
+  gateway_parts &Parts;
+  platform_access &Access;
+  thread_pool &Pool;
+  keyed_view SettingsView;
+  keyed_view UpstreamsView;
+  keyed_view InstancesView;
+  log_age InstancesAge;
+  hmac_signer Signer;
+  peer_counter Counter;
+  websocket_peer_link Link;
+  digest_desk Desk;
+};
+
+template <typename round_t>
+void gateway_runtime::impl::spawn(round_t Round) {
+  asio::spawn(
+      asio::make_strand(Pool.context()),
+      [Self = shared_from_this(), Round](asio::yield_context Yield) {
+        (Self.get()->*Round)(Yield);
+      },
+      asio::detached);
+}
+
+tl::expected<void, std::string> gateway_runtime::impl::start() {
+  auto Linked = Link.start(Parts.Settings.PeerAddress, Desk);
+  if (!Linked)
+    return Linked;
+  spawn(&impl::followSettings);
+  spawn(&impl::followUpstreams);
+  spawn(&impl::followInstances);
+  spawn(&impl::exchangeDigests);
+  spawn(&impl::doDuties);
+  return {};
+}
+
+void gateway_runtime::impl::serveOnceKnown() {
+  if (Parts.State.phase() != serving_phase::Starting ||
+      !Parts.Tables.current() || !Parts.UpstreamsAge.knownAt())
+    return;
+  Parts.State.advance(serving_phase::Serving);
+  event_line Line("gateway", "serving");
+  Line.add("settings",
+           static_cast<std::int64_t>(Parts.Tables.current()->version()));
+  Parts.Log.write(Line);
+}
+
+void gateway_runtime::impl::followSettings(asio::yield_context Yield) {
+  auto Log = Access.openLog(Yield);
+  keyed_follower Follower(keyed_topic::Settings, SettingsView,
+                          Parts.SettingsAge, Parts.Clock);
+  contact_watch Contact(keyed_topic::Settings, Parts.Clock, Parts.Log);
+  while (true) {
+    auto Read = Follower.poll(*Log, SettingsWait);
+    if (!Read) {
+      Contact.failed(Read.error());
+      awaitTime(Yield, FailurePause);
+      continue;
+    }
+    Contact.succeeded();
+    serveOnceKnown();
+  }
+}
+
+void gateway_runtime::impl::followUpstreams(asio::yield_context Yield) {
+  auto Log = Access.openLog(Yield);
+  keyed_follower Follower(keyed_topic::Upstreams, UpstreamsView,
+                          Parts.UpstreamsAge, Parts.Clock);
+  contact_watch Contact(keyed_topic::Upstreams, Parts.Clock, Parts.Log);
+  while (true) {
+    auto Read = Follower.poll(*Log, milliseconds(0));
+    if (!Read)
+      Contact.failed(Read.error());
+    else if (Contact.succeeded())
+      Parts.Keeper.logReturned();
+    for (const auto &Gone : Parts.Keeper.sweep()) {
+      event_line Line("upstreams", "gone_after_return");
+      Line.add("upstream", Gone.text());
+      Parts.Log.write(Line);
+    }
+    serveOnceKnown();
+    awaitTime(Yield, Read ? UpstreamsInterval : FailurePause);
+  }
+}
+
+void gateway_runtime::impl::registerSelf(asio::yield_context Yield) {
+  auto Log = Access.openLog(Yield);
+  keyed_record Record = Access.registration(Parts.self());
+  while (!Log->append(keyed_topic::Instances, Record.name(), Record.value(),
+                      std::nullopt))
+    awaitTime(Yield, FailurePause);
+}
+
+void gateway_runtime::impl::followInstances(asio::yield_context Yield) {
+  registerSelf(Yield);
+  awaitTime(Yield, FirstInstancesPause);
+  auto Log = Access.openLog(Yield);
+  keyed_follower Follower(keyed_topic::Instances, InstancesView, InstancesAge,
+                          Parts.Clock);
+  contact_watch Contact(keyed_topic::Instances, Parts.Clock, Parts.Log);
+  while (true) {
+    auto Read = Follower.poll(*Log, milliseconds(0));
+    if (Read)
+      Contact.succeeded();
+    else
+      Contact.failed(Read.error());
+    bool Lonely = !Read || Parts.Instances.alive().empty();
+    awaitTime(Yield, Lonely ? LonelyInterval : InstancesInterval);
+  }
+}
+
+void gateway_runtime::impl::exchangeDigests(asio::yield_context Yield) {
+  while (true) {
+    Desk.round();
+    awaitTime(Yield, DigestInterval);
+  }
+}
+
+void gateway_runtime::impl::doDuties(asio::yield_context Yield) {
+  auto StatusLog = Access.openStatusLog(Yield);
+  roll_out_duty Duty(Parts.Settings.Instance, Parts.Clock, Parts.RollOuts,
+                     *StatusLog);
+  while (true) {
+    if (Parts.State.phase() == serving_phase::Serving) {
+      for (const auto &Written : Duty.run(Parts.ports().senders())) {
+        event_line Line("roll_out", "status_written");
+        Line.add("service", Written.service().text())
+            .add("target", Written.target().text())
+            .add("stage", static_cast<std::int64_t>(Written.stage()));
+        Parts.Log.write(Line);
+      }
+    }
+    awaitTime(Yield, DutyInterval);
+  }
+}
+
+gateway_runtime::gateway_runtime(gateway_parts &Parts, listeners Listeners,
+                                 platform_access &Access, thread_pool &Pool)
+    : Impl(std::make_shared<impl>(Parts, Listeners, Access, Pool)) {}
+
+gateway_runtime::~gateway_runtime() { stop(); }
+
+tl::expected<void, std::string> gateway_runtime::start() {
+  return Impl->start();
+}
+
+void gateway_runtime::announceLeaving() { Impl->announceLeaving(); }
+
+void gateway_runtime::stop() { Impl->stop(); }
--- /dev/null
+++ b/lib/Gateway/PeerCounter.h
@@ -0,0 +1,28 @@
+#ifndef BLUEBELLKEEL_LIB_GATEWAY_PEERCOUNTER_H
+#define BLUEBELLKEEL_LIB_GATEWAY_PEERCOUNTER_H
+
+#include "bluebellkeel/Peer/PeerMonitor.h"
+#include "bluebellkeel/Telemetry/Metrics.h"
+
+namespace bluebellkeel {
+
+/// Gives the counters of peer messages to the metrics.
+class peer_counter final : public peer_monitor {
+public:
+  explicit peer_counter(metrics &Metrics) : Metrics(Metrics) {}
+
+  void countPeerMessage(const std::string &Kind, bool Sent,
+                        std::size_t Bytes) override {
+    Metrics.countPeerMessage(Kind, Sent, Bytes);
+  }
+  void countPeerFault(peer_error Error) override {
+    Metrics.countPeerFault(std::string(toString(Error)));
+  }
+
+private:
+  metrics &Metrics;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_LIB_GATEWAY_PEERCOUNTER_H
--- a/lib/Http/ClientStream.cpp
+++ b/lib/Http/ClientStream.cpp
@@ -16,34 +16,48 @@
 static constexpr std::size_t MaxHeaderBytes = 16UL * 1024;
 static constexpr std::size_t PieceBytes = 16UL * 1024;
 
-class client_stream::impl {
+class client_stream::impl : public std::enable_shared_from_this<impl> {
 public:
   impl(asio::yield_context Yield, http_timeouts Timeouts)
       : Yield(Yield), Timeouts(Timeouts), Stream(Yield.get_executor()) {}
 
   tl::expected<http_response, http_error> open(const network_address &Address,
                                                const http_request &Request);
+  tl::expected<http_response, http_error> nextAnswer();
   tl::expected<std::string, http_error> readSome();
+  void cancel();
 
 private:
+  using message = http::request<http::string_body>;
+
   bool connect(const network_address &Address);
-  bool write(const network_address &Address, const http_request &Request);
-  static http_error errorOf(const error_code &Code, http_error OnTimeout);
+  void startWrite(const network_address &Address, const http_request &Request);
+  tl::expected<http_response, http_error> readHead();
+  http_error errorOf(const error_code &Code, http_error OnTimeout) const;
 
   asio::yield_context Yield;
   http_timeouts Timeouts;
   beast::tcp_stream Stream;
   beast::flat_buffer Buffer;
-  http::response_parser<http::buffer_body> Parser;
+  std::optional<http::response_parser<http::buffer_body>> Parser;
+  bool Cancelled = false;
 };
 
 client_stream::client_stream(asio::yield_context Yield, http_timeouts Timeouts)
-    : Impl(std::make_unique<impl>(Yield, Timeouts)) {}
+    : Impl(std::make_shared<impl>(Yield, Timeouts)) {}
+
+/// A write that still runs holds the stream until it has noticed.
+client_stream::~client_stream() { Impl->cancel(); }
 
-client_stream::~client_stream() = default;
+void client_stream::impl::cancel() {
+  Cancelled = true;
+  Stream.close();
+}
 
 http_error client_stream::impl::errorOf(const error_code &Code,
-                                        http_error OnTimeout) {
+                                        http_error OnTimeout) const {
+  if (Cancelled)
+    return http_error::Cancelled;
   if (Code == beast::error::timeout)
     return OnTimeout;
   if (Code == http::error::header_limit || Code == http::error::body_limit)
@@ -72,58 +86,84 @@
   return true;
 }
 
-bool client_stream::impl::write(const network_address &Address,
-                                const http_request &Request) {
+/// Writes beside the reading, since an answer may come before a long body is
+/// out; whether it went out shows in the answer.
+void client_stream::impl::startWrite(const network_address &Address,
+                                     const http_request &Request) {
   constexpr unsigned Http11 = 11;
-  http::request<http::string_body> Message;
-  Message.version(Http11);
-  Message.method_string(Request.method());
-  Message.target(Request.target());
-  Message.set(http::field::host, Address.text());
-  Message.keep_alive(false);
-  for (const auto &[Name, Value] : Request.headers().fields())
-    Message.set(Name, Value);
-  Message.body() = Request.body();
-  Message.prepare_payload();
-  error_code Code;
-  http::async_write(Stream, Message, Yield[Code]);
-  return !Code;
+  auto Message = std::make_shared<message>();
+  Message->version(Http11);
+  Message->method_string(Request.method());
+  Message->target(Request.target());
+  Message->set(http::field::host, Address.text());
+  for (const auto &[Name, Value] : Request.headers().fields()) {
+    if (beast::iequals(Name, "Host"))
+      Message->set(http::field::host, Value);
+    else
+      Message->insert(Name, Value);
+  }
+  Message->keep_alive(false);
+  Message->body() = Request.body();
+  Message->prepare_payload();
+  http::async_write(Stream, *Message,
+                    [Self = shared_from_this(), Message](
+                        const error_code & /*Code*/, std::size_t /*Size*/) {});
 }
 
 tl::expected<http_response, http_error>
 client_stream::impl::open(const network_address &Address,
                           const http_request &Request) {
   if (!connect(Address))
-    return tl::unexpected(http_error::ConnectFailed);
+    return tl::unexpected(Cancelled ? http_error::Cancelled
+                                    : http_error::ConnectFailed);
   Stream.expires_after(Timeouts.firstByte());
-  if (!write(Address, Request))
-    return tl::unexpected(http_error::SendFailed);
-  Parser.header_limit(MaxHeaderBytes);
-  Parser.body_limit(boost::none);
-  error_code Code;
-  http::async_read_header(Stream, Buffer, Parser, Yield[Code]);
-  if (Code)
-    return tl::unexpected(errorOf(Code, http_error::FirstByteTimeout));
+  startWrite(Address, Request);
+  return readHead();
+}
+
+tl::expected<http_response, http_error> client_stream::impl::readHead() {
+  constexpr unsigned FirstFinalStatus = 200;
+  do {
+    Parser.emplace();
+    Parser->header_limit(MaxHeaderBytes);
+    Parser->body_limit(boost::none);
+    error_code Code;
+    http::async_read_header(Stream, Buffer, *Parser, Yield[Code]);
+    if (Code)
+      return tl::unexpected(errorOf(Code, http_error::FirstByteTimeout));
+  } while (Parser->get().result_int() < FirstFinalStatus);
   std::vector<http_headers::field> Fields;
-  for (const auto &Field : Parser.get())
+  for (const auto &Field : Parser->get())
     Fields.emplace_back(std::string(Field.name_string()),
                         std::string(Field.value()));
-  return http_response(static_cast<int>(Parser.get().result_int()),
+  return http_response(static_cast<int>(Parser->get().result_int()),
                        http_headers(std::move(Fields)), "");
 }
 
+tl::expected<http_response, http_error> client_stream::impl::nextAnswer() {
+  while (true) {
+    auto Piece = readSome();
+    if (!Piece)
+      return tl::unexpected(Piece.error());
+    if (Piece->empty())
+      break;
+  }
+  Stream.expires_after(Timeouts.firstByte());
+  return readHead();
+}
+
 tl::expected<std::string, http_error> client_stream::impl::readSome() {
   std::array<char, PieceBytes> Piece = {};
-  while (!Parser.is_done()) {
-    Parser.get().body().data = Piece.data();
-    Parser.get().body().size = Piece.size();
-    Parser.get().body().more = true;
+  while (!Parser->is_done()) {
+    Parser->get().body().data = Piece.data();
+    Parser->get().body().size = Piece.size();
+    Parser->get().body().more = true;
     Stream.expires_after(Timeouts.between());
     error_code Code;
-    http::async_read_some(Stream, Buffer, Parser, Yield[Code]);
+    http::async_read_some(Stream, Buffer, *Parser, Yield[Code]);
     if (Code == http::error::need_buffer)
       Code = {};
-    std::size_t Size = Piece.size() - Parser.get().body().size;
+    std::size_t Size = Piece.size() - Parser->get().body().size;
     if (Code)
       return tl::unexpected(errorOf(Code, http_error::ReadTimeout));
     if (Size > 0)
@@ -138,6 +178,12 @@
   return Impl->open(Address, Request);
 }
 
+tl::expected<http_response, http_error> client_stream::nextAnswer() {
+  return Impl->nextAnswer();
+}
+
+void client_stream::cancel() { Impl->cancel(); }
+
 tl::expected<std::string, http_error> client_stream::readSome() {
   return Impl->readSome();
 }
--- a/lib/Http/HttpError.cpp
+++ b/lib/Http/HttpError.cpp
@@ -18,6 +18,8 @@
     return "malformed";
   case http_error::TooLarge:
     return "too_large";
+  case http_error::Cancelled:
+    return "cancelled";
   }
   return "";
 }
--- a/lib/Http/HttpServer.cpp
+++ b/lib/Http/HttpServer.cpp
@@ -18,8 +18,11 @@
         Acceptor(asio::make_strand(Pool.context())) {}
 
   tl::expected<void, std::string> listen(const network_address &Address);
+  void leadAway() { State.Draining = true; }
   void drain();
-  std::size_t active() const { return State.Active; }
+  std::size_t active() const { return State.active(); }
+  void endWait() { State.endWait(); }
+  bool awaitIdle(milliseconds Limit) const { return State.awaitIdle(Limit); }
 
 private:
   void acceptLoop(asio::yield_context Yield);
@@ -103,6 +106,14 @@
   return Impl->listen(Address);
 }
 
+void http_server::leadAway() { Impl->leadAway(); }
+
 void http_server::drain() { Impl->drain(); }
 
 std::size_t http_server::active() const { return Impl->active(); }
+
+bool http_server::awaitIdle(milliseconds Limit) const {
+  return Impl->awaitIdle(Limit);
+}
+
+void http_server::endWait() { Impl->endWait(); }
--- a/lib/Http/ServerConnection.cpp
+++ b/lib/Http/ServerConnection.cpp
@@ -20,23 +20,33 @@
                                      server_state &State,
                                      asio::yield_context Yield)
     : Stream(std::move(Socket)), Handler(Handler), Limits(Limits), State(State),
-      Yield(Yield) {
+      Yield(Yield),
+      Watch(std::make_shared<caller_watch>(this->Stream.socket())) {
   ++State.Connections;
 }
 
-server_connection::~server_connection() { --State.Connections; }
+server_connection::~server_connection() {
+  Watch->detach();
+  --State.Connections;
+}
+
+void server_connection::watch(std::function<void()> Gone) {
+  Watch->arm(std::move(Gone));
+}
 
 void server_connection::run() {
   error_code Ignored;
   Stream.socket().set_option(asio::ip::tcp::no_delay(true), Ignored);
+  // The watch looks without waiting.
+  Stream.socket().non_blocking(true, Ignored);
   while (KeepAlive) {
     auto Message = readRequest();
     if (!Message)
       break;
     KeepAlive = Message->keep_alive() && !State.Draining;
-    ++State.Active;
+    State.beginRequest();
     answer(*Message);
-    --State.Active;
+    State.endRequest();
   }
   Stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, Ignored);
 }
@@ -72,6 +82,7 @@
                        std::string(Message.target()),
                        http_headers(std::move(Fields)), Message.body());
   Handler.handle(Request, *this, Yield);
+  Watch->disarm();
   if (!Started)
     refuse(500, "no answer");
   // An answer that was begun and not ended must not look whole.
--- a/lib/Http/ServerConnection.h
+++ b/lib/Http/ServerConnection.h
@@ -1,6 +1,7 @@
 #ifndef BLUEBELLKEEL_LIB_HTTP_SERVERCONNECTION_H
 #define BLUEBELLKEEL_LIB_HTTP_SERVERCONNECTION_H
 
+#include "CallerWatch.h"
 #include "ServerState.h"
 #include "bluebellkeel/Http/HttpHandler.h"
 #include "bluebellkeel/Http/HttpLimits.h"
@@ -35,6 +36,7 @@
   bool end() override;
   void abandon() override;
   bool started() const override { return Started; }
+  void watch(std::function<void()> Gone) override;
 
   boost::beast::tcp_stream Stream;
   http_handler &Handler;
@@ -42,6 +44,7 @@
   server_state &State;
   boost::asio::yield_context Yield;
   boost::beast::flat_buffer Buffer;
+  std::shared_ptr<caller_watch> Watch;
   bool Started = false;
   /// True while a streamed answer has begun and not ended.
   bool Open = false;
--- a/lib/Http/ServerState.h
+++ b/lib/Http/ServerState.h
@@ -1,16 +1,55 @@
 #ifndef BLUEBELLKEEL_LIB_HTTP_SERVERSTATE_H
 #define BLUEBELLKEEL_LIB_HTTP_SERVERSTATE_H
 
+#include "absl/base/thread_annotations.h"
+#include "absl/synchronization/mutex.h"
+#include "absl/time/time.h"
 #include <atomic>
+#include <chrono>
 #include <cstddef>
 
 namespace bluebellkeel {
 
 /// What the connections of a server share.
-struct server_state {
+class server_state {
+public:
   std::atomic<std::size_t> Connections{0};
-  std::atomic<std::size_t> Active{0};
   std::atomic<bool> Draining{false};
+
+  /// A request is being answered from here until it ends.
+  void beginRequest() {
+    absl::MutexLock Lock(&Mutex);
+    ++Active;
+  }
+  void endRequest() {
+    absl::MutexLock Lock(&Mutex);
+    --Active;
+  }
+  std::size_t active() const {
+    absl::MutexLock Lock(&Mutex);
+    return Active;
+  }
+  /// Waits until no request is being answered; false when \p Limit was up or
+  /// the wait was ended.
+  bool awaitIdle(std::chrono::milliseconds Limit) const {
+    absl::MutexLock Lock(&Mutex);
+    Mutex.AwaitWithTimeout(absl::Condition(this, &server_state::mayGoOn),
+                           absl::FromChrono(Limit));
+    return Active == 0;
+  }
+  void endWait() {
+    absl::MutexLock Lock(&Mutex);
+    WaitEnded = true;
+  }
+
+private:
+  bool mayGoOn() const ABSL_SHARED_LOCKS_REQUIRED(Mutex) {
+    return Active == 0 || WaitEnded;
+  }
+
+  mutable absl::Mutex Mutex;
+  std::size_t Active ABSL_GUARDED_BY(Mutex) = 0;
+  bool WaitEnded ABSL_GUARDED_BY(Mutex) = false;
 };
 
 } // namespace bluebellkeel
--- a/lib/Journal/JournalError.cpp
+++ b/lib/Journal/JournalError.cpp
@@ -14,6 +14,8 @@
     return "trimmed";
   case journal_error::QueueFull:
     return "queue_full";
+  case journal_error::Conflict:
+    return "conflict";
   }
   return "";
 }
--- /dev/null
+++ b/lib/Journal/KeyedView.cpp
@@ -0,0 +1,76 @@
+#include "bluebellkeel/Journal/KeyedView.h"
+#include <algorithm>
+
+using namespace bluebellkeel;
+
+bool keyed_view::takeNewer(const keyed_record &Record) {
+  auto Known = Records.find(Record.name());
+  if (Known == Records.end()) {
+    Records.emplace(Record.name(), Record);
+    return true;
+  }
+  if (Known->second.offset() >= Record.offset())
+    return false;
+  Known->second = Record;
+  return true;
+}
+
+void keyed_view::apply(const keyed_page &Page) {
+  absl::MutexLock InOrder(&Order);
+  for (const auto &Record : Page.records()) {
+    bool Newer = false;
+    {
+      absl::MutexLock Lock(&Mutex);
+      Newer = takeNewer(Record);
+    }
+    if (Newer)
+      Listener.changed(Record);
+  }
+  absl::MutexLock Lock(&Mutex);
+  End = std::max(End, Page.end());
+}
+
+void keyed_view::replace(const keyed_page &Page) {
+  std::map<std::string, const keyed_record *> Present;
+  for (const auto &Record : Page.records())
+    Present.emplace(Record.name(), &Record);
+  std::vector<keyed_record> All = Page.records();
+  {
+    absl::MutexLock Lock(&Mutex);
+    for (const auto &[Key, Record] : Records) {
+      if (Present.count(Key) > 0 || Record.dropped())
+        continue;
+      // The page was begun at its end: what is newer than that stays.
+      if (Record.offset() <= Page.end())
+        All.emplace_back(Key, "", Page.end());
+    }
+  }
+  apply(keyed_page(std::move(All), Page.end()));
+}
+
+log_offset keyed_view::end() const {
+  absl::MutexLock Lock(&Mutex);
+  return End;
+}
+
+keyed_page keyed_view::since(log_offset After) const {
+  absl::MutexLock Lock(&Mutex);
+  std::vector<keyed_record> Newer;
+  for (const auto &[Key, Record] : Records) {
+    if (Record.offset() > After)
+      Newer.push_back(Record);
+  }
+  std::sort(Newer.begin(), Newer.end(),
+            [](const keyed_record &L, const keyed_record &R) {
+              return L.offset() < R.offset();
+            });
+  return keyed_page(std::move(Newer), End);
+}
+
+std::optional<keyed_record> keyed_view::find(const std::string &Key) const {
+  absl::MutexLock Lock(&Mutex);
+  auto Known = Records.find(Key);
+  if (Known == Records.end())
+    return std::nullopt;
+  return Known->second;
+}
--- a/lib/Peer/BodyForms.cpp
+++ b/lib/Peer/BodyForms.cpp
@@ -1,4 +1,5 @@
 #include "BodyForms.h"
+#include "DigestForms.h"
 #include "bluebellkeel/Codec.h"
 #include "bluebellkeel/Codec/FieldReader.h"
 #include <nlohmann/json.hpp>
@@ -174,6 +175,12 @@
   });
 }
 
+static json formOf(const instance_digest &Body) { return digestForm(Body); }
+
+static json formOf(const view_query &Body) { return viewQueryForm(Body); }
+
+static json formOf(const view_answer &Body) { return viewAnswerForm(Body); }
+
 json bluebellkeel::bodyToForm(const peer_body &Body) {
   return std::visit([](const auto &Held) { return formOf(Held); }, Body);
 }
@@ -198,5 +205,11 @@
     return peer_body(state_query());
   if (Kind == "state_answer")
     return stateAnswerFrom(Form);
+  if (Kind == "instance_digest")
+    return digestFrom(Form);
+  if (Kind == "view_query")
+    return viewQueryFrom(Form);
+  if (Kind == "view_answer")
+    return viewAnswerFrom(Form);
   return tl::unexpected(codec_error("unknown kind of message"));
 }
--- /dev/null
+++ b/lib/Peer/DigestForms.cpp
@@ -0,0 +1,204 @@
+#include "DigestForms.h"
+#include "bluebellkeel/Codec.h"
+#include "bluebellkeel/Codec/FieldReader.h"
+#include <nlohmann/json.hpp>
+
+using namespace bluebellkeel;
+
+using nlohmann::json;
+
+using body_result = tl::expected<peer_body, codec_error>;
+
+static json formOf(const version_tally &Tally) {
+  return {{"g", Tally.good()},
+          {"b", Tally.bad()},
+          {"t", Tally.timed()},
+          {"l", Tally.logTimeSum()}};
+}
+
+static version_tally tallyFrom(const json &Form, field_reader &Outer) {
+  field_reader Fields(Form);
+  std::uint64_t Good = Fields.number("g");
+  std::uint64_t Bad = Fields.number("b");
+  std::uint64_t Timed = Fields.number("t");
+  double LogTimeSum = Fields.real("l");
+  if (Fields.failed())
+    Outer.fail(Fields.error().message());
+  return version_tally(Good, Bad, Timed, LogTimeSum);
+}
+
+static json formOf(const roll_out_evidence &Evidence) {
+  const roll_out_order &Order = Evidence.order();
+  return {{"s", Order.service().text()},
+          {"v", Order.target().text()},
+          {"d", static_cast<std::uint64_t>(Order.duration().count())},
+          {"o", Order.offset().value()},
+          {"e", static_cast<std::uint64_t>(Evidence.elapsed().count())},
+          {"st", static_cast<std::uint64_t>(Evidence.stage())},
+          {"p", Evidence.published()},
+          {"tt", formOf(Evidence.target())},
+          {"to", formOf(Evidence.others())},
+          {"se", Evidence.sessionsElsewhere()}};
+}
+
+static roll_out_evidence evidenceFrom(const json &Form, field_reader &Outer) {
+  field_reader Fields(Form);
+  roll_out_evidence::fields Evidence;
+  service_id Service(Fields.text("s"));
+  version_id Target(Fields.text("v"));
+  milliseconds Duration(Fields.number("d"));
+  Evidence.Order = roll_out_order(Service, Target, Duration,
+                                  log_offset(Fields.number("o")));
+  Evidence.Elapsed = milliseconds(Fields.number("e"));
+  std::uint64_t Stage = Fields.number("st");
+  if (Stage > static_cast<std::uint64_t>(roll_out_stage::RolledBack))
+    Fields.fail("unknown stage");
+  else
+    Evidence.Stage = static_cast<roll_out_stage>(Stage);
+  Evidence.Published = Fields.flag("p");
+  Evidence.Target = tallyFrom(Fields.optional("tt"), Fields);
+  Evidence.Others = tallyFrom(Fields.optional("to"), Fields);
+  for (const auto &Session : Fields.array("se")) {
+    if (Session.is_string())
+      Evidence.SessionsElsewhere.push_back(Session.get<std::string>());
+  }
+  if (Fields.failed())
+    Outer.fail(Fields.error().message());
+  return roll_out_evidence(std::move(Evidence));
+}
+
+json bluebellkeel::digestForm(const instance_digest &Body) {
+  json Loads = json::array();
+  for (const auto &Load : Body.loads())
+    Loads.push_back({{"u", Load.upstream().text()},
+                     {"r", Load.running()},
+                     {"p", Load.prefill()}});
+  json RollOuts = json::array();
+  for (const auto &Evidence : Body.rollOuts())
+    RollOuts.push_back(formOf(Evidence));
+  json Crashes = json::array();
+  for (const auto &Crash : Body.crashes())
+    Crashes.push_back(
+        {{"f", Crash.request().text()}, {"u", Crash.upstream().text()}});
+  json Known = json::array();
+  for (const auto &Record : Body.known())
+    Known.push_back(toJson(Record));
+  json Form = {{"i", toJson(Body.sender())},
+               {"so", Body.settingsEnd().value()},
+               {"uo", Body.upstreamsEnd().value()},
+               {"l", std::move(Loads)},
+               {"r", std::move(RollOuts)},
+               {"c", std::move(Crashes)},
+               {"k", std::move(Known)}};
+  if (Body.settingsAge())
+    Form["a"] = static_cast<std::uint64_t>(Body.settingsAge()->count());
+  return Form;
+}
+
+static std::vector<own_load> loadsFrom(field_reader &Fields) {
+  std::vector<own_load> Loads;
+  for (const auto &Item : Fields.array("l")) {
+    field_reader Load(Item);
+    upstream_id Upstream(Load.text("u"));
+    std::uint64_t Running = Load.number("r");
+    std::uint64_t Prefill = Load.number("p");
+    if (Load.failed())
+      Fields.fail(Load.error().message());
+    Loads.emplace_back(Upstream, Running, Prefill);
+  }
+  return Loads;
+}
+
+static std::vector<crash_notice> crashesFrom(field_reader &Fields) {
+  std::vector<crash_notice> Crashes;
+  for (const auto &Item : Fields.array("c")) {
+    field_reader Crash(Item);
+    fingerprint Request(Crash.text("f"));
+    upstream_id Upstream(Crash.text("u"));
+    if (Crash.failed())
+      Fields.fail(Crash.error().message());
+    Crashes.emplace_back(Request, Upstream);
+  }
+  return Crashes;
+}
+
+static instance_record recordFrom(const json &Form, field_reader &Fields) {
+  auto Record = instanceRecordFrom(Form);
+  if (!Record) {
+    Fields.fail(Record.error().message());
+    return instance_record();
+  }
+  return *Record;
+}
+
+body_result bluebellkeel::digestFrom(const json &Form) {
+  field_reader Fields(Form);
+  instance_digest::fields Digest;
+  Digest.Sender = recordFrom(Fields.optional("i"), Fields);
+  Digest.SettingsEnd = log_offset(Fields.number("so"));
+  Digest.UpstreamsEnd = log_offset(Fields.number("uo"));
+  if (!Fields.optional("a").is_null())
+    Digest.SettingsAge = milliseconds(Fields.number("a"));
+  Digest.Loads = loadsFrom(Fields);
+  for (const auto &Item : Fields.array("r"))
+    Digest.RollOuts.push_back(evidenceFrom(Item, Fields));
+  Digest.Crashes = crashesFrom(Fields);
+  for (const auto &Item : Fields.array("k"))
+    Digest.Known.push_back(recordFrom(Item, Fields));
+  if (Fields.failed())
+    return tl::unexpected(Fields.error());
+  return peer_body(instance_digest(std::move(Digest)));
+}
+
+json bluebellkeel::viewQueryForm(const view_query &Body) {
+  return {{"t", static_cast<std::uint64_t>(Body.topic())},
+          {"o", Body.after().value()}};
+}
+
+static keyed_topic topicFrom(field_reader &Fields) {
+  std::uint64_t Topic = Fields.number("t");
+  if (Topic > static_cast<std::uint64_t>(keyed_topic::Statuses)) {
+    Fields.fail("unknown topic");
+    return keyed_topic::Settings;
+  }
+  return static_cast<keyed_topic>(Topic);
+}
+
+body_result bluebellkeel::viewQueryFrom(const json &Form) {
+  field_reader Fields(Form);
+  keyed_topic Topic = topicFrom(Fields);
+  log_offset After(Fields.number("o"));
+  if (Fields.failed())
+    return tl::unexpected(Fields.error());
+  return peer_body(view_query(Topic, After));
+}
+
+json bluebellkeel::viewAnswerForm(const view_answer &Body) {
+  json Records = json::array();
+  for (const auto &Record : Body.page().records())
+    Records.push_back({{"k", Record.name()},
+                       {"v", Record.value()},
+                       {"o", Record.offset().value()}});
+  return {{"t", static_cast<std::uint64_t>(Body.topic())},
+          {"e", Body.page().end().value()},
+          {"r", std::move(Records)}};
+}
+
+body_result bluebellkeel::viewAnswerFrom(const json &Form) {
+  field_reader Fields(Form);
+  keyed_topic Topic = topicFrom(Fields);
+  log_offset End(Fields.number("e"));
+  std::vector<keyed_record> Records;
+  for (const auto &Item : Fields.array("r")) {
+    field_reader Record(Item);
+    std::string Key = Record.text("k");
+    std::string Value = Record.text("v");
+    log_offset Offset(Record.number("o"));
+    if (Record.failed())
+      Fields.fail(Record.error().message());
+    Records.emplace_back(Key, Value, Offset);
+  }
+  if (Fields.failed())
+    return tl::unexpected(Fields.error());
+  return peer_body(view_answer(Topic, keyed_page(std::move(Records), End)));
+}
--- a/lib/Peer/PeerBody.cpp
+++ b/lib/Peer/PeerBody.cpp
@@ -7,6 +7,7 @@
   static constexpr std::array<std::string_view, std::variant_size_v<peer_body>>
       Names = {"heartbeat_query", "heartbeat_answer", "grant_ask",
                "grant_reply",     "bill_copy",        "bill_copy_ack",
-               "crash_notice",    "state_query",      "state_answer"};
+               "crash_notice",    "state_query",      "state_answer",
+               "instance_digest", "view_query",       "view_answer"};
   return Names[Body.index()];
 }
--- a/lib/Peer/PeerChannel.h
+++ b/lib/Peer/PeerChannel.h
@@ -23,6 +23,8 @@
   };
 
   network_address Address;
+  /// When something was last to be sent on it.
+  monotonic_time UsedAt;
   websocketpp::connection_hdl Connection;
   /// Tells this dial from earlier ones, whose late events are passed over.
   std::uint64_t Dial = 0;
--- a/lib/Peer/PeerCodec.cpp
+++ b/lib/Peer/PeerCodec.cpp
@@ -87,7 +87,9 @@
   if (!Envelope)
     return Envelope;
   auto Age = Now - Envelope->sentAt();
-  if (Envelope->to() != Self || Age > MaxAge || Age < -MaxAge)
+  // Seeds are asked by address, before their names are known.
+  bool ForUs = Envelope->to().empty() || Envelope->to() == Self;
+  if (!ForUs || Age > MaxAge || Age < -MaxAge)
     return tl::unexpected(peer_error::Stale);
   return Envelope;
 }
--- a/lib/Peer/WebsocketPeerLink.cpp
+++ b/lib/Peer/WebsocketPeerLink.cpp
@@ -22,6 +22,9 @@
 /// for silent and replaced.
 static constexpr unsigned SilentLimit = 2;
 
+/// A connection on which nothing was sent for so long is closed.
+static constexpr milliseconds UnusedLimit{30000};
+
 /// Frames that wait for one connection to open.
 static constexpr std::size_t MaxUnsent = 256;
 
@@ -44,11 +47,11 @@
                      const peer_body &Body);
   std::optional<peer_envelope> decode(const std::string &Bytes);
   peer_channel &channelOf(const instance_record &Peer);
-  void sendOn(peer_channel &Channel, const instance_id &Id, std::string Frame);
-  void dial(peer_channel &Channel, const instance_id &Id);
-  void onOpen(const instance_id &Id, std::uint64_t Dial);
-  void onClosed(const instance_id &Id, std::uint64_t Dial);
-  void onAnswer(const std::string &Bytes);
+  void sendOn(peer_channel &Channel, std::string Frame);
+  void dial(peer_channel &Channel);
+  void onOpen(const network_address &Address, std::uint64_t Dial);
+  void onClosed(const network_address &Address, std::uint64_t Dial);
+  void onAnswer(const network_address &Address, const std::string &Bytes);
   void onQuestion(connection_hdl Connection, const std::string &Bytes);
   void reset(peer_channel &Channel);
   void sweep();
@@ -64,7 +67,7 @@
   ws_client Client;
   ws_server Server;
   boost::asio::steady_timer SweepTimer;
-  std::map<instance_id, peer_channel> Channels;
+  std::map<network_address, peer_channel> Channels;
   std::uint64_t LastNumber = 0;
   std::uint64_t LastDial = 0;
   std::thread Thread;
@@ -140,11 +143,9 @@
 
 peer_channel &
 websocket_peer_link::impl::channelOf(const instance_record &Peer) {
-  peer_channel &Channel = Channels[Peer.id()];
-  if (Channel.Address != Peer.peerAddress()) {
-    reset(Channel);
-    Channel.Address = Peer.peerAddress();
-  }
+  peer_channel &Channel = Channels[Peer.peerAddress()];
+  Channel.Address = Peer.peerAddress();
+  Channel.UsedAt = Clock.monotonicNow();
   return Channel;
 }
 
@@ -154,20 +155,18 @@
     peer_channel &Channel = channelOf(Peer);
     std::uint64_t Number = ++LastNumber;
     Channel.Questions[Number] = {Done, Clock.monotonicNow() + QuestionTimeout};
-    sendOn(Channel, Peer.id(), encode(Peer.id(), Number, Question));
+    sendOn(Channel, encode(Peer.id(), Number, Question));
   });
 }
 
 void websocket_peer_link::impl::tell(const instance_record &Peer,
                                      peer_body Message) {
   boost::asio::post(Io, [=] {
-    sendOn(channelOf(Peer), Peer.id(),
-           encode(Peer.id(), ++LastNumber, Message));
+    sendOn(channelOf(Peer), encode(Peer.id(), ++LastNumber, Message));
   });
 }
 
 void websocket_peer_link::impl::sendOn(peer_channel &Channel,
-                                       const instance_id &Id,
                                        std::string Frame) {
   if (Channel.Stage == peer_channel::stage::Open) {
     websocketpp::lib::error_code Ignored;
@@ -178,47 +177,48 @@
   if (Channel.Unsent.size() < MaxUnsent)
     Channel.Unsent.push_back(std::move(Frame));
   if (Channel.Stage == peer_channel::stage::Closed)
-    dial(Channel, Id);
+    dial(Channel);
 }
 
-void websocket_peer_link::impl::dial(peer_channel &Channel,
-                                     const instance_id &Id) {
+void websocket_peer_link::impl::dial(peer_channel &Channel) {
   websocketpp::lib::error_code Code;
   auto Connection =
       Client.get_connection("ws://" + Channel.Address.text() + "/peer", Code);
   if (Code)
     return;
   std::uint64_t Dial = ++LastDial;
+  network_address Address = Channel.Address;
   Connection->set_open_handler(
-      [this, Id, Dial](connection_hdl) { onOpen(Id, Dial); });
+      [this, Address, Dial](connection_hdl) { onOpen(Address, Dial); });
   Connection->set_fail_handler(
-      [this, Id, Dial](connection_hdl) { onClosed(Id, Dial); });
+      [this, Address, Dial](connection_hdl) { onClosed(Address, Dial); });
   Connection->set_close_handler(
-      [this, Id, Dial](connection_hdl) { onClosed(Id, Dial); });
-  Connection->set_message_handler([this](connection_hdl, message_ptr Message) {
-    onAnswer(Message->get_payload());
-  });
+      [this, Address, Dial](connection_hdl) { onClosed(Address, Dial); });
+  Connection->set_message_handler(
+      [this, Address](connection_hdl, message_ptr Message) {
+        onAnswer(Address, Message->get_payload());
+      });
   Channel.Dial = Dial;
   Channel.Stage = peer_channel::stage::Dialling;
   Channel.Connection = Connection->get_handle();
   Client.connect(Connection);
 }
 
-void websocket_peer_link::impl::onOpen(const instance_id &Id,
+void websocket_peer_link::impl::onOpen(const network_address &Address,
                                        std::uint64_t Dial) {
-  peer_channel &Channel = Channels[Id];
+  peer_channel &Channel = Channels[Address];
   if (Channel.Dial != Dial)
     return;
   Channel.Stage = peer_channel::stage::Open;
   std::vector<std::string> Frames = std::move(Channel.Unsent);
   Channel.Unsent.clear();
   for (auto &Frame : Frames)
-    sendOn(Channel, Id, std::move(Frame));
+    sendOn(Channel, std::move(Frame));
 }
 
-void websocket_peer_link::impl::onClosed(const instance_id &Id,
+void websocket_peer_link::impl::onClosed(const network_address &Address,
                                          std::uint64_t Dial) {
-  peer_channel &Channel = Channels[Id];
+  peer_channel &Channel = Channels[Address];
   if (Channel.Dial == Dial)
     reset(Channel);
 }
@@ -240,11 +240,12 @@
     Question.Done(std::nullopt);
 }
 
-void websocket_peer_link::impl::onAnswer(const std::string &Bytes) {
+void websocket_peer_link::impl::onAnswer(const network_address &Address,
+                                         const std::string &Bytes) {
   auto Envelope = decode(Bytes);
   if (!Envelope)
     return;
-  peer_channel &Channel = Channels[Envelope->from()];
+  peer_channel &Channel = Channels[Address];
   auto Found = Channel.Questions.find(Envelope->number());
   if (Found == Channel.Questions.end())
     return;
@@ -287,8 +288,14 @@
 
 void websocket_peer_link::impl::sweep() {
   monotonic_time Now = Clock.monotonicNow();
-  for (auto &[Id, Channel] : Channels)
+  for (auto It = Channels.begin(); It != Channels.end();) {
+    peer_channel &Channel = It->second;
     sweepChannel(Channel, Now);
+    bool Unused = Channel.Questions.empty() && Now - Channel.UsedAt > UnusedLimit;
+    if (Unused)
+      reset(Channel);
+    It = Unused ? Channels.erase(It) : std::next(It);
+  }
   scheduleSweep();
 }
 
--- /dev/null
+++ b/lib/Policy/ConfidenceSizePolicy.cpp
@@ -0,0 +1,28 @@
+#include "bluebellkeel/Policy/ConfidenceSizePolicy.h"
+#include <algorithm>
+
+using namespace bluebellkeel;
+
+/// Confidence below which an answer is asked for again when the service is
+/// idle, and how much that falls as its slots fill; docs/MEASURES.md has the
+/// runs.
+static constexpr double IdleThreshold = 45;
+static constexpr double ThresholdFall = 60;
+static constexpr double LowestThreshold = 20;
+
+std::size_t
+confidence_size_policy::first(const size_question & /*Question*/) const {
+  return 0;
+}
+
+std::size_t confidence_size_policy::next(const size_question &Question,
+                                         std::size_t Held,
+                                         double Confidence) const {
+  std::size_t Largest = Question.sizes().size() - 1;
+  if (Held >= Largest)
+    return Held;
+  double Threshold =
+      std::max(LowestThreshold,
+               IdleThreshold - ThresholdFall * Question.occupancy());
+  return Confidence < Threshold ? Largest : Held;
+}
--- a/lib/Policy/CrashBook.cpp
+++ b/lib/Policy/CrashBook.cpp
@@ -56,3 +56,18 @@
 bool crash_book::suspected(const fingerprint &Request) {
   return crashesOf(Request) > 0;
 }
+
+std::vector<std::pair<fingerprint, upstream_id>>
+crash_book::recent(milliseconds Age) {
+  monotonic_time Now = Clock.monotonicNow();
+  std::vector<std::pair<fingerprint, upstream_id>> Crashes;
+  Entries.forEachShard([&](entry_map &Shard) {
+    for (const auto &[Request, Entry] : Shard) {
+      if (Now - Entry.Latest > Age)
+        continue;
+      for (const auto &Upstream : Entry.Crashed)
+        Crashes.emplace_back(Request, Upstream);
+    }
+  });
+  return Crashes;
+}
--- /dev/null
+++ b/lib/Policy/RollOutBook.cpp
@@ -0,0 +1,257 @@
+#include "bluebellkeel/Policy/RollOutBook.h"
+#include "bluebellkeel/Core/StableHash.h"
+#include "bluebellkeel/Policy/RollOutJudge.h"
+#include "bluebellkeel/Policy/RollOutSchedule.h"
+#include <algorithm>
+#include <cmath>
+
+using namespace bluebellkeel;
+
+/// Sessions that are remembered for one roll-out.
+static constexpr std::size_t MaxSessions = 2048;
+
+/// A place from 0 up to 1 that a session keeps for one roll-out.
+static double placeOf(const roll_out_order &Order, const std::string &Session) {
+  constexpr std::uint64_t Steps = 10000;
+  std::string Key = Order.service().text() + "|" + Order.target().text() + "|" +
+                    Session;
+  return static_cast<double>(stableHash(Key) % Steps) /
+         static_cast<double>(Steps);
+}
+
+milliseconds roll_out_book::elapsedOf(const entry &Entry) const {
+  return std::chrono::duration_cast<milliseconds>(Clock.monotonicNow() -
+                                                  Entry.StartedAt);
+}
+
+void roll_out_book::noteOrder(const roll_out_order &Order) {
+  Shards.withShard(Order.service().text(), [&](state &Shard) {
+    auto Known = Shard.Entries.find(Order.service());
+    if (Known != Shard.Entries.end() &&
+        Known->second.Order.offset() >= Order.offset())
+      return;
+    entry Entry;
+    Entry.Order = Order;
+    Entry.StartedAt = Clock.monotonicNow();
+    Shard.TakenBack[Order.service()].erase(Order.target());
+    Shard.Entries[Order.service()] = std::move(Entry);
+  });
+}
+
+void roll_out_book::withdraw(const service_id &Service) {
+  Shards.withShard(Service.text(), [&](state &Shard) {
+    auto Known = Shard.Entries.find(Service);
+    if (Known == Shard.Entries.end())
+      return;
+    // Half-way, the new version is no longer wanted.
+    if (Known->second.Stage == roll_out_stage::Running)
+      settle(Shard, Known->second, roll_out_stage::RolledBack);
+    Shard.Entries.erase(Known);
+  });
+}
+
+void roll_out_book::noteStatus(const roll_out_status &Status) {
+  Shards.withShard(Status.service().text(), [&](state &Shard) {
+    auto Known = Shard.Entries.find(Status.service());
+    if (Known == Shard.Entries.end() ||
+        Known->second.Order.target() != Status.target())
+      return;
+    entry &Entry = Known->second;
+    if (!Entry.Published || *Entry.Published < Status.stage())
+      Entry.Published = Status.stage();
+    if (Status.stage() > Entry.Stage)
+      settle(Shard, Entry, Status.stage());
+  });
+}
+
+void roll_out_book::noteEstablished(const service_id &Service,
+                                    const version_id &Version) {
+  Shards.withShard(Service.text(), [&](state &Shard) {
+    Shard.Established[Service].insert(Version);
+  });
+}
+
+void roll_out_book::settle(state &Shard, entry &Entry, roll_out_stage Stage) {
+  Entry.Stage = Stage;
+  const service_id &Service = Entry.Order.service();
+  if (Stage == roll_out_stage::Complete)
+    Shard.Established[Service] = {Entry.Order.target()};
+  if (Stage != roll_out_stage::RolledBack)
+    return;
+  Shard.TakenBack[Service].insert(Entry.Order.target());
+  Shard.Established[Service].erase(Entry.Order.target());
+}
+
+void roll_out_book::advance(state &Shard, entry &Entry) const {
+  if (Entry.Stage != roll_out_stage::Running)
+    return;
+  version_tally Target = Entry.Target;
+  version_tally Others = Entry.Others;
+  for (const auto &[Peer, Tallies] : Entry.Peers) {
+    Target = Target.plus(Tallies.first);
+    Others = Others.plus(Tallies.second);
+  }
+  roll_out_schedule Schedule(Entry.Order.duration(), Limits);
+  if (roll_out_judge::isBad(Target, Others))
+    settle(Shard, Entry, roll_out_stage::RolledBack);
+  else if (Schedule.finished(elapsedOf(Entry)))
+    settle(Shard, Entry, roll_out_stage::Complete);
+}
+
+bool roll_out_book::inTrial(const entry &Entry, const std::string &Session,
+                            double Share) const {
+  return placeOf(Entry.Order, Session) < Share;
+}
+
+version_rule roll_out_book::ruleFor(const service_id &Service,
+                                    const std::string &Session) {
+  using kind = version_rule::kind;
+  return Shards.withShard(Service.text(), [&](state &Shard) {
+    auto Known = Shard.Entries.find(Service);
+    if (Known == Shard.Entries.end())
+      return version_rule();
+    entry &Entry = Known->second;
+    advance(Shard, Entry);
+    const version_id &Target = Entry.Order.target();
+    if (Entry.Stage == roll_out_stage::Complete)
+      return version_rule(kind::Only, Target);
+    if (Entry.Stage == roll_out_stage::RolledBack)
+      return version_rule(kind::Not, Target);
+    roll_out_schedule Schedule(Entry.Order.duration(), Limits);
+    milliseconds Elapsed = elapsedOf(Entry);
+    if (!inTrial(Entry, Session, Schedule.shareAt(Elapsed)))
+      return version_rule(kind::Not, Target);
+    auto Elsewhere = Entry.Elsewhere.find(Session);
+    if (Schedule.pinsSessions(Elapsed) && Elsewhere != Entry.Elsewhere.end() &&
+        Clock.monotonicNow() - Elsewhere->second <= Limits.sessionLife())
+      return version_rule(kind::Not, Target);
+    return version_rule(kind::Only, Target);
+  });
+}
+
+bool roll_out_book::usable(const service_id &Service,
+                           const version_id &Version) {
+  return Shards.withShard(Service.text(), [&](state &Shard) {
+    if (Shard.TakenBack[Service].count(Version) > 0)
+      return false;
+    const auto &Established = Shard.Established[Service];
+    if (Established.empty() || Established.count(Version) > 0)
+      return true;
+    auto Known = Shard.Entries.find(Service);
+    return Known != Shard.Entries.end() &&
+           Known->second.Order.target() == Version;
+  });
+}
+
+void roll_out_book::noteSession(const service_id &Service,
+                                const std::string &Session,
+                                const version_id &Version) {
+  Shards.withShard(Service.text(), [&](state &Shard) {
+    auto Known = Shard.Entries.find(Service);
+    if (Known == Shard.Entries.end())
+      return;
+    entry &Entry = Known->second;
+    roll_out_schedule Schedule(Entry.Order.duration(), Limits);
+    if (Entry.Stage != roll_out_stage::Running ||
+        Version == Entry.Order.target() ||
+        !Schedule.pinsSessions(elapsedOf(Entry)) ||
+        !inTrial(Entry, Session, Schedule.shareAt(elapsedOf(Entry))))
+      return;
+    if (Entry.Elsewhere.size() < MaxSessions)
+      Entry.Elsewhere[Session] = Clock.monotonicNow();
+  });
+}
+
+void roll_out_book::noteAnswer(const service_id &Service,
+                               const version_id &Version, bool Good) {
+  Shards.withShard(Service.text(), [&](state &Shard) {
+    auto Known = Shard.Entries.find(Service);
+    if (Known == Shard.Entries.end())
+      return;
+    entry &Entry = Known->second;
+    version_tally &Tally =
+        Version == Entry.Order.target() ? Entry.Target : Entry.Others;
+    Tally = Tally.withAnswer(Good);
+  });
+}
+
+void roll_out_book::noteFirstByte(const service_id &Service,
+                                  const version_id &Version,
+                                  milliseconds Time) {
+  double LogTime = std::log(std::max<double>(1, Time.count()));
+  Shards.withShard(Service.text(), [&](state &Shard) {
+    auto Known = Shard.Entries.find(Service);
+    if (Known == Shard.Entries.end())
+      return;
+    entry &Entry = Known->second;
+    version_tally &Tally =
+        Version == Entry.Order.target() ? Entry.Target : Entry.Others;
+    Tally = Tally.withTime(LogTime);
+  });
+}
+
+std::vector<roll_out_evidence> roll_out_book::evidence() {
+  std::vector<roll_out_evidence> Evidence;
+  monotonic_time Now = Clock.monotonicNow();
+  Shards.forEachShard([&](state &Shard) {
+    for (auto &[Service, Entry] : Shard.Entries) {
+      advance(Shard, Entry);
+      roll_out_evidence::fields Fields;
+      Fields.Order = Entry.Order;
+      Fields.Elapsed = elapsedOf(Entry);
+      Fields.Stage = Entry.Stage;
+      Fields.Published = Entry.Published == Entry.Stage;
+      Fields.Target = Entry.Target;
+      Fields.Others = Entry.Others;
+      for (const auto &[Session, At] : Entry.Elsewhere) {
+        if (Now - At <= Limits.sessionLife())
+          Fields.SessionsElsewhere.push_back(Session);
+      }
+      Evidence.emplace_back(std::move(Fields));
+    }
+  });
+  return Evidence;
+}
+
+void roll_out_book::absorb(const instance_id &Peer,
+                           const std::vector<roll_out_evidence> &Evidence) {
+  for (const auto &One : Evidence)
+    absorbOne(Peer, One);
+}
+
+void roll_out_book::absorbOne(const instance_id &Peer,
+                              const roll_out_evidence &Evidence) {
+  noteOrder(Evidence.order());
+  monotonic_time Now = Clock.monotonicNow();
+  const service_id &Service = Evidence.order().service();
+  Shards.withShard(Service.text(), [&](state &Shard) {
+    auto Known = Shard.Entries.find(Service);
+    if (Known == Shard.Entries.end() ||
+        Known->second.Order != Evidence.order())
+      return;
+    entry &Entry = Known->second;
+    Entry.StartedAt = std::min(Entry.StartedAt, Now - Evidence.elapsed());
+    Entry.Peers[Peer] = {Evidence.target(), Evidence.others()};
+    if (Evidence.stage() > Entry.Stage)
+      settle(Shard, Entry, Evidence.stage());
+    if (Evidence.published() &&
+        (!Entry.Published || *Entry.Published < Evidence.stage()))
+      Entry.Published = Evidence.stage();
+    for (const auto &Session : Evidence.sessionsElsewhere()) {
+      if (Entry.Elsewhere.size() < MaxSessions)
+        Entry.Elsewhere.emplace(Session, Now);
+    }
+  });
+}
+
+std::vector<roll_out_status> roll_out_book::unpublished() {
+  std::vector<roll_out_status> Statuses;
+  Shards.forEachShard([&](state &Shard) {
+    for (auto &[Service, Entry] : Shard.Entries) {
+      advance(Shard, Entry);
+      if (!Entry.Published || *Entry.Published < Entry.Stage)
+        Statuses.emplace_back(Service, Entry.Order.target(), Entry.Stage);
+    }
+  });
+  return Statuses;
+}
--- /dev/null
+++ b/lib/Policy/RollOutSchedule.cpp
@@ -0,0 +1,40 @@
+#include "bluebellkeel/Policy/RollOutSchedule.h"
+#include <algorithm>
+#include <cmath>
+
+using namespace bluebellkeel;
+
+/// Part of the allowed share that the trial takes; the rest is left for the
+/// requests that come between the first bad answers and the end of the trial.
+static constexpr double TrialPart = 0.55;
+
+/// Parts of the duration. Sessions must not move before half of it; the clocks
+/// of instances differ by less than the rest.
+static constexpr double TrialEnd = 0.53;
+static constexpr double AllMoved = 0.80;
+static constexpr double Finished = 0.92;
+
+/// Makes the growth slow at first, when a fault under load shows.
+static constexpr double GrowthPower = 1.5;
+
+double roll_out_schedule::partOf(milliseconds Elapsed) const {
+  if (Duration.count() <= 0)
+    return 1;
+  return static_cast<double>(Elapsed.count()) /
+         static_cast<double>(Duration.count());
+}
+
+double roll_out_schedule::shareAt(milliseconds Elapsed) const {
+  double Trial = TrialPart * Limits.trialShare();
+  double Grown = (partOf(Elapsed) - TrialEnd) / (AllMoved - TrialEnd);
+  Grown = std::clamp(Grown, 0.0, 1.0);
+  return Trial + (1 - Trial) * std::pow(Grown, GrowthPower);
+}
+
+bool roll_out_schedule::pinsSessions(milliseconds Elapsed) const {
+  return partOf(Elapsed) < TrialEnd;
+}
+
+bool roll_out_schedule::finished(milliseconds Elapsed) const {
+  return partOf(Elapsed) >= Finished;
+}
--- a/lib/Relay/AttemptError.cpp
+++ b/lib/Relay/AttemptError.cpp
@@ -8,6 +8,8 @@
     return "connect_failed";
   case attempt_error::TurnedAway:
     return "turned_away";
+  case attempt_error::WrongInstance:
+    return "wrong_instance";
   case attempt_error::FirstByteTimeout:
     return "first_byte_timeout";
   case attempt_error::Silent:
@@ -24,6 +26,8 @@
     return "failed";
   case attempt_error::CallerGone:
     return "caller_gone";
+  case attempt_error::TimeLimit:
+    return "time_limit";
   }
   return "";
 }
@@ -31,9 +35,11 @@
 const std::vector<attempt_error> &bluebellkeel::allAttemptErrors() {
   static const std::vector<attempt_error> All = {
       attempt_error::ConnectFailed,    attempt_error::TurnedAway,
+      attempt_error::WrongInstance,
       attempt_error::FirstByteTimeout, attempt_error::Silent,
       attempt_error::Truncated,        attempt_error::Crossed,
       attempt_error::Malformed,        attempt_error::TooLarge,
-      attempt_error::Failed,           attempt_error::CallerGone};
+      attempt_error::Failed,           attempt_error::CallerGone,
+      attempt_error::TimeLimit};
   return All;
 }
--- /dev/null
+++ b/lib/Relay/EventSplitter.cpp
@@ -0,0 +1,52 @@
+#include "bluebellkeel/Relay/EventSplitter.h"
+#include <charconv>
+
+using namespace bluebellkeel;
+
+/// The number in a line `id: 12`; empty when the event has none.
+static std::optional<std::uint64_t> numberOf(std::string_view Event) {
+  constexpr std::string_view Field = "id:";
+  std::size_t Start = 0;
+  while (Start < Event.size()) {
+    std::size_t End = Event.find('\n', Start);
+    std::string_view Line = Event.substr(Start, End - Start);
+    Start = End == std::string_view::npos ? Event.size() : End + 1;
+    if (Line.substr(0, Field.size()) != Field)
+      continue;
+    Line.remove_prefix(Field.size());
+    while (!Line.empty() && Line.front() == ' ')
+      Line.remove_prefix(1);
+    std::uint64_t Number = 0;
+    auto Read =
+        std::from_chars(Line.data(), Line.data() + Line.size(), Number);
+    if (Read.ec == std::errc())
+      return Number;
+  }
+  return std::nullopt;
+}
+
+/// The length of the first event in \p Bytes with the empty line that ends it;
+/// 0 when none is whole.
+static std::size_t firstEventSize(std::string_view Bytes) {
+  constexpr std::string_view Plain = "\n\n";
+  constexpr std::string_view WithReturns = "\r\n\r\n";
+  std::size_t AtPlain = Bytes.find(Plain);
+  std::size_t AtReturns = Bytes.find(WithReturns);
+  if (AtPlain == std::string_view::npos && AtReturns == std::string_view::npos)
+    return 0;
+  return AtPlain < AtReturns ? AtPlain + Plain.size()
+                             : AtReturns + WithReturns.size();
+}
+
+std::vector<stream_event> event_splitter::feed(std::string_view Bytes) {
+  Rest.append(Bytes);
+  std::vector<stream_event> Events;
+  std::string_view Left = Rest;
+  while (std::size_t Size = firstEventSize(Left)) {
+    std::string_view Event = Left.substr(0, Size);
+    Events.emplace_back(numberOf(Event), std::string(Event));
+    Left.remove_prefix(Size);
+  }
+  Rest = std::string(Left);
+  return Events;
+}
--- /dev/null
+++ b/lib/Relay/ForwardLimit.cpp
@@ -0,0 +1,14 @@
+#include "bluebellkeel/Relay/ForwardLimit.h"
+#include <algorithm>
+
+using namespace bluebellkeel;
+
+monotonic_time forward_limit::at() const {
+  milliseconds Wait = std::min(Longest, Call.deadline().value_or(Longest));
+  auto Table = Tables.current();
+  const forward_route *Route =
+      Table ? Table->match(Call.host(), Call.path()) : nullptr;
+  if (Route && Route->timeout().count() > 0)
+    Wait = std::min(Wait, Route->timeout());
+  return Call.arrived() + Wait;
+}
--- a/lib/Relay/RefusalReason.cpp
+++ b/lib/Relay/RefusalReason.cpp
@@ -41,6 +41,9 @@
     {refusal_reason::AnswerInterrupted, "answer_interrupted", 502},
     {refusal_reason::OutcomeUnknown, "outcome_unknown", 504},
     {refusal_reason::CallerGone, "caller_gone", 499},
+    {refusal_reason::UnknownRoute, "unknown_route", 404},
+    {refusal_reason::TimeLimitUnsent, "time_limit_unsent", 503},
+    {refusal_reason::TimeLimit, "time_limit", 504},
 };
 
 const reason_entry &entryOf(refusal_reason Reason) {
--- /dev/null
+++ b/lib/Routing/RouteTable.cpp
@@ -0,0 +1,58 @@
+#include "bluebellkeel/Routing/RouteTable.h"
+#include <algorithm>
+
+using namespace bluebellkeel;
+
+double service_traits::costOf(const std::string &Model) const {
+  for (const auto &Size : Held.Models) {
+    if (Size.name() == Model)
+      return Size.cost();
+  }
+  return 0;
+}
+
+route_table::route_table(std::uint64_t Version,
+                         std::vector<forward_route> Routes,
+                         std::vector<service_traits> Services,
+                         std::vector<keyed_account> Accounts)
+    : Version(Version), Routes(std::move(Routes)),
+      Services(std::move(Services)), Accounts(std::move(Accounts)) {
+  for (std::size_t I = 0; I < this->Routes.size(); ++I)
+    ByHost[this->Routes[I].host()].push_back(I);
+  auto Longer = [this](std::size_t L, std::size_t R) {
+    return this->Routes[L].pathPrefix().size() >
+           this->Routes[R].pathPrefix().size();
+  };
+  for (auto &[Host, Positions] : ByHost)
+    std::stable_sort(Positions.begin(), Positions.end(), Longer);
+  for (std::size_t I = 0; I < this->Accounts.size(); ++I) {
+    for (const auto &Key : this->Accounts[I].keys())
+      ByKey.emplace(Key, I);
+  }
+}
+
+const forward_route *route_table::match(std::string_view Host,
+                                        std::string_view Path) const {
+  auto Found = ByHost.find(Host);
+  if (Found == ByHost.end())
+    return nullptr;
+  for (std::size_t Position : Found->second) {
+    const std::string &Prefix = Routes[Position].pathPrefix();
+    if (Path.substr(0, Prefix.size()) == Prefix)
+      return &Routes[Position];
+  }
+  return nullptr;
+}
+
+const keyed_account *route_table::accountOf(std::string_view Key) const {
+  auto Found = ByKey.find(Key);
+  return Found == ByKey.end() ? nullptr : &Accounts[Found->second];
+}
+
+const service_traits *route_table::traitsOf(const service_id &Service) const {
+  for (const auto &Traits : Services) {
+    if (Traits.service() == Service)
+      return &Traits;
+  }
+  return nullptr;
+}
--- a/lib/Runtime/InstanceRuntime.cpp
+++ b/lib/Runtime/InstanceRuntime.cpp
@@ -20,9 +20,6 @@
 static constexpr milliseconds LoadInterval{500};
 static constexpr milliseconds RatingInterval{1000};
 
-/// How often a shutdown looks whether it may go on.
-static constexpr milliseconds DrainStep{50};
-
 class instance_runtime::impl {
 public:
   explicit impl(const startup_settings &Startup)
@@ -30,7 +27,7 @@
 
   tl::expected<void, std::string> start();
   std::size_t shutDown();
-  void hurry() { Hurried = true; }
+  void hurry();
 
 private:
   void startTasks();
@@ -40,7 +37,7 @@
   void readList();
   void showState();
   frontend_parts frontendParts();
-  void waitHurried(milliseconds Time) const;
+  void waitHurried(milliseconds Time);
   std::size_t waitForRequests();
   void flushLedgers();
 
@@ -61,7 +58,7 @@
   std::unique_ptr<thread_pool> Pool;
   std::unique_ptr<http_server> Server;
   std::vector<std::thread> Committers;
-  std::atomic<bool> Hurried{false};
+  absl::Notification Hurried;
 };
 
 frontend_parts instance_runtime::impl::frontendParts() {
@@ -162,20 +159,20 @@
   Parts.Metrics.setActive(static_cast<double>(Server->active()));
 }
 
-void instance_runtime::impl::waitHurried(milliseconds Time) const {
-  for (auto Waited = milliseconds(0); Waited < Time && !Hurried;
-       Waited += DrainStep)
-    std::this_thread::sleep_for(DrainStep);
+void instance_runtime::impl::hurry() {
+  if (!Hurried.HasBeenNotified())
+    Hurried.Notify();
+  if (Server)
+    Server->endWait();
+}
+
+void instance_runtime::impl::waitHurried(milliseconds Time) {
+  Hurried.WaitForNotificationWithTimeout(absl::FromChrono(Time));
 }
 
 std::size_t instance_runtime::impl::waitForRequests() {
-  milliseconds Limit = Parts.Startup.Limits.Drain;
-  for (auto Waited = milliseconds(0); Waited < Limit && !Hurried;
-       Waited += DrainStep) {
-    if (Server->active() == 0)
-      return 0;
-    std::this_thread::sleep_for(DrainStep);
-  }
+  if (!Hurried.HasBeenNotified())
+    Server->awaitIdle(Parts.Startup.Limits.Drain);
   return Server->active();
 }
 
--- /dev/null
+++ b/lib/Startup/GatewaySettingsReader.cpp
@@ -0,0 +1,72 @@
+#include "bluebellkeel/Startup/GatewaySettingsReader.h"
+#include "ObjectReader.h"
+#include "bluebellkeel/Codec/JsonText.h"
+#include <cmath>
+
+using namespace bluebellkeel;
+
+/// Shortest key that is taken, in bytes.
+static constexpr std::size_t MinKeyBytes = 16;
+
+/// Largest count and longest time that a setting may give.
+static constexpr double MaxCount = 1e6;
+static constexpr double HourInSeconds = 3600;
+
+static milliseconds secondsOf(object_reader &Reader, const char *Name) {
+  constexpr double MillisPerSecond = 1000;
+  double Seconds = Reader.real(Name, 0, HourInSeconds);
+  return milliseconds(std::lround(Seconds * MillisPerSecond));
+}
+
+static void readListen(object_reader &Root, gateway_settings &Settings) {
+  object_reader Listen = Root.object("listen", /*Required=*/true);
+  Settings.CallerAddress = Listen.address("callers");
+  Settings.ReadyAddress = Listen.address("ready");
+  Settings.DirectoryAddress = Listen.address("directory");
+  Settings.PeerAddress = Listen.address("peers");
+  Settings.MetricsAddress = Listen.address("metrics");
+  Listen.finish();
+}
+
+static void readPeers(object_reader &Root, gateway_settings &Settings) {
+  object_reader Peers = Root.object("peers", /*Required=*/true);
+  Settings.Seeds = Peers.addresses("seeds");
+  Settings.PeerKey = Peers.text("key", MinKeyBytes);
+  Peers.finish();
+}
+
+static void readRules(object_reader &Root, gateway_settings &Settings) {
+  object_reader Rules = Root.object("rules", /*Required=*/true);
+  Settings.RetryRatio = Rules.real("retry_ratio", 0, MaxCount);
+  Settings.RetrySlack = Rules.real("retry_slack", 0, MaxCount);
+  Settings.RetryWindow = secondsOf(Rules, "retry_window_s");
+  Settings.TrialShare = Rules.real("trial_share", 0, 1);
+  Settings.SessionLife = secondsOf(Rules, "session_life_s");
+  Settings.Grace = secondsOf(Rules, "grace_s");
+  Settings.AdviceLife = secondsOf(Rules, "advice_life_s");
+  Rules.finish();
+}
+
+tl::expected<gateway_settings, std::vector<settings_error>>
+bluebellkeel::readGatewaySettings(std::string_view Text) {
+  std::vector<settings_error> Errors;
+  auto Json = parseJson(Text, /*Comments=*/true);
+  if (!Json) {
+    Errors.emplace_back("/", "JSON with comments", Json.error().message());
+    return tl::unexpected(Errors);
+  }
+  gateway_settings Settings;
+  object_reader Root(*Json, "", Errors);
+  Settings.Instance = instance_id(Root.text("instance", 1));
+  Settings.DataCentre = data_centre_id(Root.text("data_centre", 1));
+  Settings.LogAddress = Root.address("log");
+  readListen(Root, Settings);
+  readPeers(Root, Settings);
+  readRules(Root, Settings);
+  Settings.LogLevel =
+      Root.choiceOr("log_level", "info", {"debug", "info", "warn", "error"});
+  Root.finish();
+  if (!Errors.empty())
+    return tl::unexpected(Errors);
+  return Settings;
+}
--- a/lib/Startup/ObjectReader.cpp
+++ b/lib/Startup/ObjectReader.cpp
@@ -74,6 +74,37 @@
   return Default;
 }
 
+double object_reader::real(const std::string &Name, double Low, double High) {
+  const json *Found = find(Name);
+  if (Found && Found->is_number()) {
+    auto Value = Found->get<double>();
+    if (Value >= Low && Value <= High)
+      return Value;
+  }
+  fail(Name, absl::StrCat("a number from ", Low, " to ", High), Found);
+  return Low;
+}
+
+std::vector<network_address>
+object_reader::addresses(const std::string &Name) {
+  std::vector<network_address> Addresses;
+  const json *Found = find(Name);
+  if (!Found || !Found->is_array()) {
+    fail(Name, "an array of addresses", Found);
+    return Addresses;
+  }
+  for (const auto &Item : *Found) {
+    auto Address = Item.is_string()
+                       ? network_address::parse(Item.get<std::string>())
+                       : std::nullopt;
+    if (Address)
+      Addresses.push_back(*Address);
+    else
+      fail(Name, "an address as IP-number:port", &Item);
+  }
+  return Addresses;
+}
+
 std::string object_reader::choiceOr(const std::string &Name,
                                     const std::string &Default,
                                     const std::vector<std::string> &Choices) {
--- a/lib/Startup/ObjectReader.h
+++ b/lib/Startup/ObjectReader.h
@@ -27,6 +27,10 @@
   /// A whole number from \p Low to \p High; \p Default when it is missing.
   std::uint64_t numberOr(const std::string &Name, std::uint64_t Default,
                          std::uint64_t Low, std::uint64_t High);
+  /// A number from \p Low to \p High.
+  double real(const std::string &Name, double Low, double High);
+  /// The addresses in the array below \p Name.
+  std::vector<network_address> addresses(const std::string &Name);
   std::string choiceOr(const std::string &Name, const std::string &Default,
                        const std::vector<std::string> &Choices);
   /// The object below \p Name; an empty one, with a fault if \p Required.
--- a/lib/Telemetry/LogSetup.cpp
+++ b/lib/Telemetry/LogSetup.cpp
@@ -25,3 +25,14 @@
   Root->setLevel(Found->second);
   return true;
 }
+
+void bluebellkeel::setUpEventLog() {
+  auto Layout =
+      std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("%m%n"));
+  auto Appender = std::make_shared<log4cxx::ConsoleAppender>(
+      Layout, log4cxx::ConsoleAppender::getSystemOut());
+  auto Logger = log4cxx::Logger::getLogger("bluebellkeel.events");
+  Logger->addAppender(Appender);
+  Logger->setAdditivity(false);
+  Logger->setLevel(log4cxx::Level::getInfo());
+}
--- /dev/null
+++ b/lib/Upstream/LoadBook.cpp
@@ -0,0 +1,113 @@
+#include "bluebellkeel/Upstream/LoadBook.h"
+#include <algorithm>
+#include <cmath>
+
+using namespace bluebellkeel;
+
+void load_book::noteSent(const upstream_id &Upstream, std::uint64_t Prefill) {
+  Entries.withShard(Upstream.text(), [&](entry_map &Shard) {
+    entry &Entry = Shard[Upstream];
+    ++Entry.Running;
+    Entry.Prefill += Prefill;
+  });
+}
+
+void load_book::noteBegun(const upstream_id &Upstream, std::uint64_t Prefill) {
+  Entries.withShard(Upstream.text(), [&](entry_map &Shard) {
+    entry &Entry = Shard[Upstream];
+    Entry.Prefill -= std::min(Prefill, Entry.Prefill);
+  });
+}
+
+void load_book::noteEnded(const upstream_id &Upstream) {
+  Entries.withShard(Upstream.text(), [&](entry_map &Shard) {
+    entry &Entry = Shard[Upstream];
+    Entry.Running -= std::min<std::uint64_t>(1, Entry.Running);
+  });
+}
+
+void load_book::noteReport(const upstream_id &Upstream,
+                           const queue_report &Report) {
+  monotonic_time Now = Clock.monotonicNow();
+  Entries.withShard(Upstream.text(), [&](entry_map &Shard) {
+    entry &Entry = Shard[Upstream];
+    Entry.ReportedRunning = Report.running();
+    Entry.ReportedWaiting = Report.waiting();
+    Entry.ReportedAt = Now;
+  });
+}
+
+double load_book::fadedSuspicion(const entry &Entry, monotonic_time Now) {
+  using seconds_t = std::chrono::duration<double>;
+  double HalfLives = seconds_t(Now - Entry.SuspectedAt).count() /
+                     seconds_t(SuspicionHalfLife).count();
+  return Entry.Suspicion * std::exp2(-HalfLives);
+}
+
+void load_book::noteFailure(const upstream_id &Upstream, double Weight) {
+  monotonic_time Now = Clock.monotonicNow();
+  Entries.withShard(Upstream.text(), [&](entry_map &Shard) {
+    entry &Entry = Shard[Upstream];
+    Entry.Suspicion = fadedSuspicion(Entry, Now) + Weight;
+    Entry.SuspectedAt = Now;
+  });
+}
+
+void load_book::noteSuccess(const upstream_id &Upstream) {
+  /// Part of the suspicion that one success leaves standing.
+  constexpr double Remaining = 0.7;
+  Entries.withShard(Upstream.text(), [&](entry_map &Shard) {
+    Shard[Upstream].Suspicion *= Remaining;
+  });
+}
+
+void load_book::notePeer(const instance_id &Peer,
+                         const std::vector<own_load> &Loads) {
+  monotonic_time Now = Clock.monotonicNow();
+  Entries.forEachShard([&](entry_map &Shard) {
+    for (auto &[Upstream, Entry] : Shard)
+      Entry.Peers.erase(Peer);
+  });
+  for (const auto &Load : Loads) {
+    Entries.withShard(Load.upstream().text(), [&](entry_map &Shard) {
+      Shard[Load.upstream()].Peers[Peer] = {Load.running(), Load.prefill(),
+                                            Now};
+    });
+  }
+}
+
+upstream_load load_book::of(const upstream_id &Upstream) {
+  monotonic_time Now = Clock.monotonicNow();
+  return Entries.withShard(Upstream.text(), [&](entry_map &Shard) {
+    auto Found = Shard.find(Upstream);
+    if (Found == Shard.end())
+      return upstream_load();
+    const entry &Entry = Found->second;
+    auto Running = static_cast<double>(Entry.Running);
+    auto Prefill = static_cast<double>(Entry.Prefill);
+    for (const auto &[Peer, Share] : Entry.Peers) {
+      if (Now - Share.At > ReportLife)
+        continue;
+      Running += static_cast<double>(Share.Running);
+      Prefill += static_cast<double>(Share.Prefill);
+    }
+    double Waiting = 0;
+    if (Now - Entry.ReportedAt <= ReportLife) {
+      Running = std::max(Running, double(Entry.ReportedRunning));
+      Waiting = Entry.ReportedWaiting;
+    }
+    return upstream_load(Running, Prefill, Waiting,
+                         fadedSuspicion(Entry, Now));
+  });
+}
+
+std::vector<own_load> load_book::own() {
+  std::vector<own_load> Loads;
+  Entries.forEachShard([&](entry_map &Shard) {
+    for (const auto &[Upstream, Entry] : Shard) {
+      if (Entry.Running > 0)
+        Loads.emplace_back(Upstream, Entry.Running, Entry.Prefill);
+    }
+  });
+  return Loads;
+}
--- /dev/null
+++ b/lib/Upstream/UpstreamRoster.cpp
@@ -0,0 +1,104 @@
+#include "bluebellkeel/Upstream/UpstreamRoster.h"
+#include <algorithm>
+
+using namespace bluebellkeel;
+
+bool upstream_roster::learn(const upstream_listing &Listing) {
+  monotonic_time Now = Clock.monotonicNow();
+  return Shards.withShard(Listing.id().text(), [&](state &Shard) {
+    auto Removed = Shard.Removed.find(Listing.id());
+    if (Removed != Shard.Removed.end()) {
+      const upstream_listing &Last = Removed->second;
+      bool SameLife = Last.incarnation() == Listing.incarnation();
+      if (Listing.age() <= Last.age() || (SameLife && Last.leaving()))
+        return false;
+      Shard.Removed.erase(Removed);
+    }
+    auto Known = Shard.Entries.find(Listing.id());
+    if (Known != Shard.Entries.end()) {
+      const upstream_listing &Last = Known->second.listing();
+      bool SameLife = Last.incarnation() == Listing.incarnation();
+      if (Listing.age() < Last.age() || (SameLife && Last.leaving()))
+        return false;
+      Shard.Entries.erase(Known);
+    }
+    Shard.Entries.emplace(
+        Listing.id(), roster_entry(Listing, Now, Now + Listing.coldLeft()));
+    return true;
+  });
+}
+
+void upstream_roster::removeFrom(state &Shard, const upstream_id &Id) {
+  auto Known = Shard.Entries.find(Id);
+  if (Known == Shard.Entries.end())
+    return;
+  Shard.Removed[Id] = Known->second.listing();
+  Shard.Entries.erase(Known);
+}
+
+void upstream_roster::remove(const upstream_id &Id) {
+  Shards.withShard(Id.text(), [&](state &Shard) { removeFrom(Shard, Id); });
+}
+
+void upstream_roster::retain(const std::set<upstream_id> &Listed) {
+  Shards.forEachShard([&](state &Shard) {
+    std::vector<upstream_id> Gone;
+    for (const auto &[Id, Entry] : Shard.Entries) {
+      if (Listed.count(Id) == 0)
+        Gone.push_back(Id);
+    }
+    for (const auto &Id : Gone)
+      removeFrom(Shard, Id);
+  });
+}
+
+void upstream_roster::noteCold(const upstream_id &Id, monotonic_time Until) {
+  Shards.withShard(Id.text(), [&](state &Shard) {
+    auto Known = Shard.Entries.find(Id);
+    if (Known == Shard.Entries.end())
+      return;
+    roster_entry Colder(Known->second.listing(), Known->second.learntAt(),
+                        std::max(Until, Known->second.coldUntil()));
+    Known->second = Colder;
+  });
+}
+
+void upstream_roster::noteReplaced(const upstream_id &Id,
+                                   const network_address &Address) {
+  Shards.withShard(Id.text(), [&](state &Shard) {
+    auto Known = Shard.Entries.find(Id);
+    if (Known != Shard.Entries.end() &&
+        Known->second.listing().address() == Address)
+      removeFrom(Shard, Id);
+  });
+}
+
+std::optional<roster_entry> upstream_roster::find(const upstream_id &Id) {
+  return Shards.withShard(Id.text(),
+                          [&](state &Shard) -> std::optional<roster_entry> {
+                            auto Known = Shard.Entries.find(Id);
+                            if (Known == Shard.Entries.end())
+                              return std::nullopt;
+                            return Known->second;
+                          });
+}
+
+std::vector<roster_entry>
+upstream_roster::serving(const service_id &Service) {
+  std::vector<roster_entry> Serving;
+  for (auto &Entry : all()) {
+    if (Entry.listing().service() == Service && !Entry.listing().leaving())
+      Serving.push_back(std::move(Entry));
+  }
+  return Serving;
+}
+
+std::vector<roster_entry> upstream_roster::all() {
+  std::vector<roster_entry> Entries;
+  Shards.forEachShard([&](state &Shard) {
+    for (const auto &[Id, Entry] : Shard.Entries)
+      Entries.push_back(Entry);
+  });
+  std::sort(Entries.begin(), Entries.end());
+  return Entries;
+}
