--- a/include/bluebellkeel/Gateway/GatewayParts.h
+++ b/include/bluebellkeel/Gateway/GatewayParts.h
@@ -3,6 +3,7 @@
 
 #include "bluebellkeel/Core.h"
 #include "bluebellkeel/Gateway/GatewayState.h"
+#include "bluebellkeel/Http/ClientStream.h"
 #include "bluebellkeel/Membership.h"
 #include "bluebellkeel/Policy.h"
 #include "bluebellkeel/Relay/ForwardPorts.h"
@@ -28,8 +29,8 @@
   system_clock Clock;
   event_writer Log;
   metrics Metrics;
-  log_age SettingsAge;
-  log_age UpstreamsAge;
+  log_age SettingsAge{client_stream::SilenceLimit};
+  log_age UpstreamsAge{client_stream::SilenceLimit};
   gateway_state State;
   route_table_holder Tables;
   upstream_roster Roster;
--- a/include/bluebellkeel/Gateway/GatewayState.h
+++ b/include/bluebellkeel/Gateway/GatewayState.h
@@ -26,11 +26,10 @@
       Phase = To;
   }
   milliseconds settingsAge() const override {
-    auto Known = Age.knownAt();
-    if (!Known)
-      return milliseconds::max();
-    return std::chrono::duration_cast<milliseconds>(Clock.monotonicNow() -
-                                                    *Known);
+    monotonic_time Now = Clock.monotonicNow();
+    auto Known = Age.knownAt(Now);
+    return Known ? std::chrono::duration_cast<milliseconds>(Now - *Known)
+                 : milliseconds::max();
   }
 
 private:
--- a/include/bluebellkeel/Http/ClientStream.h
+++ b/include/bluebellkeel/Http/ClientStream.h
@@ -16,6 +16,10 @@
 /// coroutine. Destroying it cancels what still runs at the other end.
 class client_stream {
 public:
+  /// A connection on which an answer may take longer than this is probed, and
+  /// given up after so long without a sign of the other end.
+  static constexpr milliseconds SilenceLimit{3000};
+
   client_stream(boost::asio::yield_context Yield, http_timeouts Timeouts);
   ~client_stream();
 
--- a/include/bluebellkeel/Journal/KeyedFollower.h
+++ b/include/bluebellkeel/Journal/KeyedFollower.h
@@ -21,6 +21,9 @@
   tl::expected<void, journal_error> poll(keyed_log &Log, milliseconds Wait);
 
 private:
+  tl::expected<keyed_page, journal_error> readOn(keyed_log &Log,
+                                                 milliseconds Wait);
+
   keyed_topic Topic;
   keyed_view &View;
   log_age &Age;
--- a/include/bluebellkeel/Journal/LogAge.h
+++ b/include/bluebellkeel/Journal/LogAge.h
@@ -10,9 +10,21 @@
 namespace bluebellkeel {
 
 /// When a view of the log was last known to be complete, by this instance's
-/// own reading or by a peer's.
+/// own reading or by a peer's. While a read waits for news on a connection
+/// that is probed, there is none.
 class log_age {
 public:
+  /// \param SilenceLimit time after which probes give a silent connection up.
+  explicit log_age(milliseconds SilenceLimit) : SilenceLimit(SilenceLimit) {}
+
+  void beginWait() {
+    absl::MutexLock Lock(&Mutex);
+    Waiting = true;
+  }
+  void endWait() {
+    absl::MutexLock Lock(&Mutex);
+    Waiting = false;
+  }
   /// The log was read; what it answered was asked for at \p AskedAt.
   void noteRead(monotonic_time AskedAt) {
     absl::MutexLock Lock(&Mutex);
@@ -25,19 +37,29 @@
     KnownAt = std::max(KnownAt.value_or(At), At);
   }
 
-  /// Empty before the first time.
-  std::optional<monotonic_time> knownAt() const {
+  /// As of \p Now; empty before the first time.
+  std::optional<monotonic_time> knownAt(monotonic_time Now) const {
     absl::MutexLock Lock(&Mutex);
-    return KnownAt;
+    return atLeastProbed(KnownAt, Now);
   }
   /// The same for this instance's own reading.
-  std::optional<monotonic_time> ownAt() const {
+  std::optional<monotonic_time> ownAt(monotonic_time Now) const {
     absl::MutexLock Lock(&Mutex);
-    return OwnAt;
+    return atLeastProbed(OwnAt, Now);
   }
 
 private:
+  std::optional<monotonic_time>
+  atLeastProbed(std::optional<monotonic_time> At, monotonic_time Now) const
+      ABSL_SHARED_LOCKS_REQUIRED(Mutex) {
+    if (At && Waiting)
+      return std::max(*At, Now - SilenceLimit);
+    return At;
+  }
+
+  const milliseconds SilenceLimit;
   mutable absl::Mutex Mutex;
+  bool Waiting ABSL_GUARDED_BY(Mutex) = false;
   std::optional<monotonic_time> OwnAt ABSL_GUARDED_BY(Mutex);
   std::optional<monotonic_time> KnownAt ABSL_GUARDED_BY(Mutex);
 };
--- a/lib/Gateway/DigestDesk.cpp
+++ b/lib/Gateway/DigestDesk.cpp
@@ -14,7 +14,7 @@
   Fields.Sender = Parts.self();
   Fields.SettingsEnd = Settings.end();
   Fields.UpstreamsEnd = Upstreams.end();
-  if (Parts.SettingsAge.knownAt())
+  if (Parts.SettingsAge.knownAt(Parts.Clock.monotonicNow()))
     Fields.SettingsAge = Parts.State.settingsAge();
   Fields.Loads = Parts.Loads.own();
   Fields.RollOuts = Parts.RollOuts.evidence();
@@ -44,7 +44,8 @@
 }
 
 static bool silent(const log_age &Age, monotonic_time Now) {
-  return !Age.ownAt() || Now - *Age.ownAt() > LogPatience;
+  auto ReadAt = Age.ownAt(Now);
+  return !ReadAt || Now - *ReadAt > LogPatience;
 }
 
 void digest_desk::fetchMissing(const instance_digest &Digest) {
--- a/lib/Gateway/GatewayRuntime.cpp
+++ b/lib/Gateway/GatewayRuntime.cpp
@@ -12,17 +12,17 @@
 
 namespace asio = boost::asio;
 
-/// How long one read waits for a change of the settings. A connection that has
-/// gone silent is noticed after it, which must stay below the time in which a
-/// change is to be in force.
-static constexpr milliseconds SettingsWait{2000};
+/// How long one read waits for news. Calls are paid for; the probes of the
+/// connection notice sooner when it has gone silent.
+static constexpr milliseconds NewsWait{20000};
 
-/// Upstreams register all the time, so their topic is read at an interval well
-/// inside the time in which a leaving one may still be used.
-static constexpr milliseconds UpstreamsInterval{900};
+/// Pause after a read that brought news, so that a burst of changes costs few
+/// calls; small against the time in which a change is to be in force.
+static constexpr milliseconds NewsPause{100};
 
-/// Pause after a read that failed.
+/// Pause after a read that failed; doubles up to the longest one.
 static constexpr milliseconds FailurePause{250};
+static constexpr milliseconds LongestFailurePause{1000};
 
 static constexpr milliseconds DigestInterval{700};
 static constexpr milliseconds DutyInterval{400};
@@ -50,6 +50,8 @@
 
 private:
   template <typename round_t> void spawn(round_t Round);
+  void follow(keyed_topic Topic, keyed_view &View, log_age &Age,
+              asio::yield_context Yield);
   void followSettings(asio::yield_context Yield);
   void followUpstreams(asio::yield_context Yield);
   void registerSelf(asio::yield_context Yield);
@@ -57,6 +59,7 @@
   void exchangeDigests(asio::yield_context Yield);
   void doDuties(asio::yield_context Yield);
   void serveOnceKnown();
+  void removeMissing();
 
   gateway_parts &Parts;
   platform_access &Access;
@@ -64,7 +67,7 @@
   keyed_view SettingsView;
   keyed_view UpstreamsView;
   keyed_view InstancesView;
-  log_age InstancesAge;
+  log_age InstancesAge{client_stream::SilenceLimit};
   hmac_signer Signer;
   peer_counter Counter;
   websocket_peer_link Link;
@@ -95,7 +98,8 @@
 
 void gateway_runtime::impl::serveOnceKnown() {
   if (Parts.State.phase() != serving_phase::Starting ||
-      !Parts.Tables.current() || !Parts.UpstreamsAge.knownAt())
+      !Parts.Tables.current() ||
+      !Parts.UpstreamsAge.knownAt(Parts.Clock.monotonicNow()))
     return;
   Parts.State.advance(serving_phase::Serving);
   event_line Line("gateway", "serving");
@@ -104,41 +108,41 @@
   Parts.Log.write(Line);
 }
 
-void gateway_runtime::impl::followSettings(asio::yield_context Yield) {
+void gateway_runtime::impl::follow(keyed_topic Topic, keyed_view &View,
+                                   log_age &Age, asio::yield_context Yield) {
   auto Log = Access.openLog(Yield);
-  keyed_follower Follower(keyed_topic::Settings, SettingsView,
-                          Parts.SettingsAge, Parts.Clock);
-  contact_watch Contact(keyed_topic::Settings, Parts.Clock, Parts.Log);
+  keyed_follower Follower(Topic, View, Age, Parts.Clock);
+  contact_watch Contact(Topic, Parts.Clock, Parts.Log);
+  milliseconds Pause = FailurePause;
   while (true) {
-    auto Read = Follower.poll(*Log, SettingsWait);
+    auto Read = Follower.poll(*Log, NewsWait);
     if (!Read) {
       Contact.failed(Read.error());
-      awaitTime(Yield, FailurePause);
+      awaitTime(Yield, Pause);
+      Pause = std::min(2 * Pause, LongestFailurePause);
       continue;
     }
-    Contact.succeeded();
+    Pause = FailurePause;
+    if (Contact.succeeded())
+      Parts.Keeper.logReturned();
     serveOnceKnown();
+    awaitTime(Yield, NewsPause);
   }
 }
 
+void gateway_runtime::impl::followSettings(asio::yield_context Yield) {
+  follow(keyed_topic::Settings, SettingsView, Parts.SettingsAge, Yield);
+}
+
 void gateway_runtime::impl::followUpstreams(asio::yield_context Yield) {
-  auto Log = Access.openLog(Yield);
-  keyed_follower Follower(keyed_topic::Upstreams, UpstreamsView,
-                          Parts.UpstreamsAge, Parts.Clock);
-  contact_watch Contact(keyed_topic::Upstreams, Parts.Clock, Parts.Log);
-  while (true) {
-    auto Read = Follower.poll(*Log, milliseconds(0));
-    if (!Read)
-      Contact.failed(Read.error());
-    else if (Contact.succeeded())
-      Parts.Keeper.logReturned();
-    for (const auto &Gone : Parts.Keeper.sweep()) {
-      event_line Line("upstreams", "gone_after_return");
-      Line.add("upstream", Gone.text());
-      Parts.Log.write(Line);
-    }
-    serveOnceKnown();
-    awaitTime(Yield, Read ? UpstreamsInterval : FailurePause);
+  follow(keyed_topic::Upstreams, UpstreamsView, Parts.UpstreamsAge, Yield);
+}
+
+void gateway_runtime::impl::removeMissing() {
+  for (const auto &Gone : Parts.Keeper.sweep()) {
+    event_line Line("upstreams", "gone_after_return");
+    Line.add("upstream", Gone.text());
+    Parts.Log.write(Line);
   }
 }
 
@@ -189,6 +193,7 @@
         Parts.Log.write(Line);
       }
     }
+    removeMissing();
     awaitTime(Yield, DutyInterval);
   }
 }
--- a/lib/Http/ClientStream.cpp
+++ b/lib/Http/ClientStream.cpp
@@ -1,5 +1,6 @@
 #include "bluebellkeel/Http/ClientStream.h"
 #include <array>
+#include <netinet/tcp.h>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -31,6 +32,7 @@
   using message = http::request<http::string_body>;
 
   bool connect(const network_address &Address);
+  void probe();
   void startWrite(const network_address &Address, const http_request &Request);
   tl::expected<http_response, http_error> readHead();
   http_error errorOf(const error_code &Code, http_error OnTimeout) const;
@@ -83,9 +85,30 @@
     return false;
   error_code Ignored;
   Stream.socket().set_option(asio::ip::tcp::no_delay(true), Ignored);
+  if (Timeouts.firstByte() > SilenceLimit)
+    probe();
   return true;
 }
 
+/// Without probes a connection that has gone silent looks like an answer that
+/// takes its time.
+void client_stream::impl::probe() {
+  using asio::detail::socket_option::integer;
+  constexpr int IdleSeconds = 1;
+  constexpr int IntervalSeconds = 1;
+  constexpr int Probes = 2;
+  constexpr int UnacknowledgedMs = 2000;
+  auto &Socket = Stream.socket();
+  error_code Ignored;
+  Socket.set_option(asio::socket_base::keep_alive(true), Ignored);
+  Socket.set_option(integer<IPPROTO_TCP, TCP_KEEPIDLE>(IdleSeconds), Ignored);
+  Socket.set_option(integer<IPPROTO_TCP, TCP_KEEPINTVL>(IntervalSeconds),
+                    Ignored);
+  Socket.set_option(integer<IPPROTO_TCP, TCP_KEEPCNT>(Probes), Ignored);
+  Socket.set_option(integer<IPPROTO_TCP, TCP_USER_TIMEOUT>(UnacknowledgedMs),
+                    Ignored);
+}
+
 /// Writes beside the reading, since an answer may come before a long body is
 /// out; whether it went out shows in the answer.
 void client_stream::impl::startWrite(const network_address &Address,
--- a/lib/Journal/KeyedFollower.cpp
+++ b/lib/Journal/KeyedFollower.cpp
@@ -2,10 +2,18 @@
 
 using namespace bluebellkeel;
 
+tl::expected<keyed_page, journal_error>
+keyed_follower::readOn(keyed_log &Log, milliseconds Wait) {
+  Age.beginWait();
+  auto Page = Log.read(Topic, View.end(), Wait);
+  Age.endWait();
+  return Page;
+}
+
 tl::expected<void, journal_error> keyed_follower::poll(keyed_log &Log,
                                                        milliseconds Wait) {
   monotonic_time AskedAt = Clock.monotonicNow();
-  auto Page = Synced ? Log.read(Topic, View.end(), Wait) : Log.newest(Topic);
+  auto Page = Synced ? readOn(Log, Wait) : Log.newest(Topic);
   if (!Page && Page.error() == journal_error::Trimmed) {
     Synced = false;
     Page = Log.newest(Topic);
--- a/lib/Relay/ForwardRelay.cpp
+++ b/lib/Relay/ForwardRelay.cpp
@@ -14,8 +14,8 @@
 static constexpr std::size_t CrashLimit = 3;
 
 /// Age of the configuration from which on a missing route or key is not taken
-/// for certain: longer than a change takes to reach a connected instance.
-static constexpr milliseconds StaleSettings{3000};
+/// for certain: longer than it takes to notice that the log is silent.
+static constexpr milliseconds StaleSettings{3500};
 
 /// What one failure and one request that was turned away count in the
 /// placement.
--- a/lib/Upstream/ColdGate.cpp
+++ b/lib/Upstream/ColdGate.cpp
@@ -1,25 +1,30 @@
 #include "bluebellkeel/Upstream/ColdGate.h"
 #include "bluebellkeel/Core/StableHash.h"
 #include <algorithm>
-#include <cmath>
 
 using namespace bluebellkeel;
 
+/// Each sender may have one request more in a window than its part of the rate,
+/// so there are at most half as many as the rate has requests a second: the sum
+/// then stays within one and a half times the rate.
+static std::size_t sendersFor(double Rate, std::size_t Instances) {
+  constexpr double SendersPerRate = 0.5;
+  auto Most = static_cast<std::size_t>(std::max(1.0, SendersPerRate * Rate));
+  return std::clamp<std::size_t>(Instances, 1, Most);
+}
+
 bool cold_gate::admit(const upstream_id &Upstream, double Rate,
                       const std::vector<instance_id> &Instances) {
-  auto Senders = std::min<std::size_t>(
-      Instances.size(), std::max(1L, std::lround(std::floor(Rate))));
+  std::size_t Senders = sendersFor(Rate, Instances.size());
   std::uint64_t OwnWeight = rendezvousWeight(Upstream.text(), Self.text());
-  std::size_t Before = 0;
-  for (const auto &Instance : Instances) {
-    if (rendezvousWeight(Upstream.text(), Instance.text()) > OwnWeight)
-      ++Before;
-  }
-  if (Before >= std::max<std::size_t>(Senders, 1))
+  auto Before = std::count_if(
+      Instances.begin(), Instances.end(), [&](const instance_id &Instance) {
+        return rendezvousWeight(Upstream.text(), Instance.text()) > OwnWeight;
+      });
+  if (static_cast<std::size_t>(Before) >= Senders)
     return false;
-  std::chrono::duration<double> Interval(
-      static_cast<double>(std::max<std::size_t>(Senders, 1)) /
-      std::max(Rate, 1.0));
+  std::chrono::duration<double> Interval(static_cast<double>(Senders) /
+                                         std::max(Rate, 1.0));
   monotonic_time Now = Clock.monotonicNow();
   return LastSent.withShard(Upstream.text(), [&](auto &Shard) {
     auto Found = Shard.find(Upstream);
--- /dev/null
+++ b/unittests/Adapter/RequestReaderTest.cpp
@@ -0,0 +1,153 @@
+#include "AttemptWriter.h"
+#include "HeadReader.h"
+#include "RequestReader.h"
+#include "Support/ListingOf.h"
+#include "WireNames.h"
+#include <gtest/gtest.h>
+
+using namespace bluebellkeel;
+
+namespace {
+
+class request_reader_test : public testing::Test {
+protected:
+  static http_request requestWith(std::vector<http_headers::field> Fields) {
+    return http_request("POST", "/a/b?c=d", http_headers(std::move(Fields)),
+                        "body");
+  }
+  static forward_call read(std::vector<http_headers::field> Fields) {
+    return readRequest(requestWith(std::move(Fields)), monotonic_time());
+  }
+  static http_request written(const forward_call &Call,
+                              const std::string &Model = "") {
+    forward_attempt::fields Fields;
+    Fields.Call = std::make_shared<const forward_call>(Call);
+    Fields.Upstream = upstream_listing(listingOf("u1"));
+    Fields.Account = account_id("mill");
+    Fields.Model = Model;
+    Fields.TimeLeft = milliseconds(700);
+    return writeAttempt(forward_attempt(Fields));
+  }
+  static int countOf(const http_request &Request, std::string_view Name) {
+    int Count = 0;
+    for (const auto &Field : Request.headers().fields())
+      Count += Field.first == Name ? 1 : 0;
+    return Count;
+  }
+};
+
+} // namespace
+
+TEST_F(request_reader_test, fieldsOfACall_areDecoded) {
+  forward_call Call = read({{"Host", "A.Example:8080"},
+                            {"Bluebellkeel-Request-Id", "r1"},
+                            {"Api-Key", "k"},
+                            {"Session", "s"},
+                            {"Bluebellkeel-Deadline-Ms", "1500"},
+                            {"Last-Event-Id", "12"},
+                            {"Bluebellkeel-Token-Count", "1460,80"},
+                            {"Bluebellkeel-Length-Hint", "33"},
+                            {"Bluebellkeel-Prompt-Prefix", "5c:800,91:410"}});
+  EXPECT_EQ("a.example", Call.host());
+  EXPECT_EQ("/a/b", Call.path());
+  EXPECT_EQ("/a/b?c=d", Call.target());
+  EXPECT_EQ("r1", Call.id().text());
+  EXPECT_EQ("k", Call.accountKey());
+  EXPECT_EQ(milliseconds(1500), Call.deadline());
+  EXPECT_EQ(12U, Call.lastEvent());
+  EXPECT_EQ(prompt(1460, 80, 33, {{"5c", 800}, {"91", 410}}), Call.text());
+}
+
+TEST_F(request_reader_test, unreadableFields_areTakenForMissing) {
+  forward_call Call = read({{"Bluebellkeel-Deadline-Ms", "soon"},
+                            {"Last-Event-Id", "-1"},
+                            {"Bluebellkeel-Token-Count", "x"},
+                            {"Bluebellkeel-Prompt-Prefix", ",,a,b:c,d:4"}});
+  EXPECT_FALSE(Call.deadline());
+  EXPECT_FALSE(Call.lastEvent());
+  EXPECT_EQ(prompt(0, 0, 0, {{"d", 4}}), Call.text());
+}
+
+TEST_F(request_reader_test, fieldsOfTheSystem_sentByACaller_areNotPassedOn) {
+  std::vector<http_headers::field> Forged;
+  for (auto Name :
+       {wire::Tenant, wire::ApiKey, wire::ExpectInstance, wire::ExpectVersion,
+        wire::Priority, wire::Hold, wire::PinTime, wire::CacheBackup,
+        wire::CacheFrom, wire::CacheFetch})
+    Forged.emplace_back(std::string(Name), "forged");
+  http_request Sent = written(read(Forged));
+  for (const auto &[Name, Value] : Sent.headers().fields())
+    EXPECT_NE("forged", Value) << Name;
+  EXPECT_EQ("mill", Sent.headers().get(wire::Tenant));
+}
+
+TEST_F(request_reader_test, fieldsOfOneConnection_areNotPassedOn) {
+  http_request Sent = written(read({{"Connection", "keep-alive, X-Mine"},
+                                    {"X-Mine", "1"},
+                                    {"Keep-Alive", "timeout=5"},
+                                    {"Transfer-Encoding", "chunked"},
+                                    {"Content-Length", "4"},
+                                    {"X-Other", "2"}}));
+  EXPECT_EQ("", Sent.headers().get("X-Mine"));
+  EXPECT_EQ("", Sent.headers().get("Keep-Alive"));
+  EXPECT_EQ("", Sent.headers().get("Transfer-Encoding"));
+  EXPECT_EQ("2", Sent.headers().get("X-Other"));
+}
+
+TEST_F(request_reader_test, attempt_namesUpstreamAccountAndTimeOnce) {
+  http_request Sent = written(read({{"Bluebellkeel-Deadline-Ms", "99999"},
+                                    {"Bluebellkeel-Request-Id", "r1"},
+                                    {"Bluebellkeel-Model", "named"}}));
+  EXPECT_EQ("u1", Sent.headers().get(wire::ExpectInstance));
+  EXPECT_EQ("700", Sent.headers().get(wire::Deadline));
+  EXPECT_EQ("r1", Sent.headers().get(wire::RequestId));
+  EXPECT_EQ("named", Sent.headers().get(wire::Model));
+  EXPECT_EQ(1, countOf(Sent, wire::Deadline));
+}
+
+TEST_F(request_reader_test, chosenModel_replacesTheCallersStar) {
+  http_request Sent = written(read({{"bluebellkeel-model", "*"}}), "small");
+  EXPECT_EQ("small", Sent.headers().get(wire::Model));
+  EXPECT_EQ(0, countOf(Sent, "bluebellkeel-model"));
+}
+
+TEST_F(request_reader_test, head_ofAGoodAnswer_isVouched) {
+  answer_head Head = readHead(http_response(
+      200,
+      http_headers({{"Bluebellkeel-Server-Stamp", "s"},
+                    {"Bluebellkeel-Confidence", "42"},
+                    {"Bluebellkeel-Runner-Load", "3,1,8"},
+                    {"Connection", "close"}}),
+      ""));
+  EXPECT_TRUE(Head.vouched());
+  EXPECT_EQ(42, *Head.confidence());
+  EXPECT_EQ(queue_report(3, 1), *Head.queue());
+  EXPECT_EQ(3U, Head.headers().size());
+}
+
+TEST_F(request_reader_test, head_ofAnEncodedBody_isNotVouched) {
+  answer_head Head = readHead(
+      http_response(200,
+                    http_headers()
+                        .with("Bluebellkeel-Server-Stamp", "s")
+                        .with("Content-Encoding", "gzip"),
+                    ""));
+  EXPECT_FALSE(Head.vouched());
+}
+
+TEST_F(request_reader_test, head_ofARefusal_saysThatNothingRan) {
+  EXPECT_TRUE(readHead(http_response(
+                           503,
+                           http_headers().with("Bluebellkeel-Not-Executed", "1"),
+                           ""))
+                  .notRun());
+  EXPECT_TRUE(readHead(http_response(421, http_headers(), "")).elsewhere());
+  EXPECT_FALSE(readHead(http_response(503, http_headers(), "")).notRun());
+}
+
+TEST_F(request_reader_test, answerOfAnotherRequest_isTold) {
+  http_response Response(
+      200, http_headers().with("Bluebellkeel-Request-Id", "r2"), "");
+  EXPECT_TRUE(belongsToAnother(Response, request_id("r1")));
+  EXPECT_FALSE(belongsToAnother(Response, request_id("r2")));
+}
--- /dev/null
+++ b/unittests/Adapter/StoreRecordsTest.cpp
@@ -0,0 +1,169 @@
+#include "ConfigurationReader.h"
+#include "RecordFrames.h"
+#include "RegistrationReader.h"
+#include "SettingsListener.h"
+#include "UpstreamListener.h"
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+using namespace bluebellkeel;
+
+namespace {
+
+const char *const Configuration = R"({"version":7,
+ "routes":[{"name":"r1","host":"A.example","path_prefix":"/p/",
+   "kind":"streaming","timeout_ms":20000,"slo_ms":1500,"priority":2,
+   "sizes":["s","l"],"service":"one","attempts":3,"public":false,
+   "sticky":true,"resumable":true,"gap_slo_ms":1200},
+  {"name":"r2","host":"a.example","path_prefix":"/q/","kind":"idempotent",
+   "timeout_ms":800,"slo_ms":100,"priority":1,"attempts":2,"public":true,
+   "backends":[{"service":"one","weight":90},{"service":"two","weight":10}]}],
+ "services":[{"name":"one","health_path":"/healthz","cold_start_s":3.0,
+   "cold_per_s":14.0,"engine":{"slots":64,"kv_tokens":517935,
+   "models":[{"name":"s","cost":0.024},{"name":"l","cost":0.36}]}},
+  {"name":"two","health_path":"/healthz"}],
+ "limits":{"max_header_bytes":16384},
+ "tenants":[{"name":"mill","api_keys":["k1","k2"],"priority":1}],
+ "later_field":{"x":1}})";
+
+const char *const Registration =
+    R"({"service":"one","address":"10.0.0.9:8080","zone":"north",
+ "version":"v1","slots":64,"state":"ready","cold_left_ms":250,"seq":4,
+ "born":1785798316334,"stage":"both","models":[]})";
+
+class store_records_test : public testing::Test {
+protected:
+  static gateway_settings settings() {
+    gateway_settings Settings;
+    Settings.Instance = instance_id("self");
+    Settings.TrialShare = 0.15;
+    Settings.SessionLife = milliseconds(5000);
+    return Settings;
+  }
+  static keyed_record record(const std::string &Key, const std::string &Value,
+                             std::uint64_t Offset) {
+    return keyed_record(Key, Value, log_offset(Offset));
+  }
+
+  gateway_parts Parts{settings()};
+  settings_listener Settings{Parts};
+  upstream_listener Upstreams{Parts};
+};
+
+} // namespace
+
+TEST_F(store_records_test, configuration_isDecoded) {
+  auto Table = readConfiguration(Configuration);
+  ASSERT_TRUE(Table.has_value());
+  EXPECT_EQ(7U, Table->version());
+  const forward_route *Stream = Table->match("a.example", "/p/x");
+  ASSERT_NE(nullptr, Stream);
+  EXPECT_EQ(route_kind::Stream, Stream->kind());
+  EXPECT_TRUE(Stream->resumable());
+  EXPECT_EQ(milliseconds(1200), Stream->gapObjective());
+  EXPECT_EQ((std::vector<std::string>{"s", "l"}), Stream->sizes());
+  const forward_route *Split = Table->match("a.example", "/q/");
+  EXPECT_TRUE(Split->leadsTo(service_id("two")));
+  EXPECT_TRUE(Split->isPublic());
+  EXPECT_EQ(14, Table->traitsOf(service_id("one"))->coldRate());
+  EXPECT_EQ(0.36, Table->traitsOf(service_id("one"))->costOf("l"));
+  EXPECT_EQ(1U, *Table->accountOf("k2")->priority());
+}
+
+TEST_F(store_records_test, configuration_withFaults_isRefusedWhole) {
+  EXPECT_FALSE(readConfiguration("no json"));
+  EXPECT_FALSE(readConfiguration("[]"));
+  EXPECT_FALSE(readConfiguration(R"({"version":"x","routes":[],"services":[]})"));
+  EXPECT_FALSE(readConfiguration(
+      R"({"version":1,"routes":[{"name":"r"}],"services":[]})"));
+  EXPECT_FALSE(readConfiguration(
+      R"({"version":1,"routes":[1],"services":[2],"tenants":[3]})"));
+}
+
+TEST_F(store_records_test, registration_isDecoded) {
+  auto Listing = readRegistration("i-1", Registration);
+  ASSERT_TRUE(Listing.has_value());
+  EXPECT_EQ("i-1", Listing->id().text());
+  EXPECT_EQ(network_address("10.0.0.9", 8080), Listing->address());
+  EXPECT_EQ(milliseconds(250), Listing->coldLeft());
+  EXPECT_EQ(1785798316334U, Listing->incarnation());
+  EXPECT_FALSE(Listing->leaving());
+}
+
+TEST_F(store_records_test, registration_byAForeignWriter_isRefused) {
+  EXPECT_FALSE(readRegistration("i", "\xff\xfe"));
+  EXPECT_FALSE(readRegistration("i", "{}"));
+  EXPECT_FALSE(readRegistration("i", "7"));
+  for (auto [From, To] :
+       std::vector<std::pair<std::string, std::string>>{
+           {"\"ready\"", "\"asleep\""},
+           {"\"10.0.0.9:8080\"", "\"here\""},
+           {"\"seq\":4", "\"seq\":\"4\""},
+           {"1785798316334", "1.5"},
+           {"\"slots\":64", "\"slots\":null"}}) {
+    std::string Text = Registration;
+    Text.replace(Text.find(From), From.size(), To);
+    EXPECT_FALSE(readRegistration("i", Text)) << To;
+  }
+}
+
+TEST_F(store_records_test, foreignRegistration_removesOnlyItsOwnKey) {
+  Upstreams.changed(record("i-1", Registration, 1));
+  Upstreams.changed(record("i-2", Registration, 2));
+  Upstreams.changed(record("i-2", "garbage", 3));
+  EXPECT_EQ(1U, Parts.Roster.serving(service_id("one")).size());
+}
+
+TEST_F(store_records_test, olderConfiguration_isNeverPutInForce) {
+  Settings.changed(record("config", Configuration, 5));
+  std::string Older = Configuration;
+  Older.replace(Older.find("\"version\":7"), 11, "\"version\":6");
+  Settings.changed(record("config", Older, 6));
+  EXPECT_EQ(7U, Parts.Tables.current()->version());
+}
+
+TEST_F(store_records_test, unreadableConfiguration_leavesTheOneInForce) {
+  Settings.changed(record("config", Configuration, 5));
+  Settings.changed(record("config", "{", 6));
+  Settings.changed(record("unknown", "x", 7));
+  EXPECT_EQ(7U, Parts.Tables.current()->version());
+}
+
+TEST_F(store_records_test, evacuation_holdsUntilItsKeyIsDropped) {
+  Settings.changed(record("evacuate/north", "{}", 1));
+  EXPECT_TRUE(Parts.Centres.closed(data_centre_id("north")));
+  Settings.changed(record("evacuate/north", "", 2));
+  EXPECT_FALSE(Parts.Centres.closed(data_centre_id("north")));
+}
+
+TEST_F(store_records_test, rollOutOrder_isTakenWithItsDuration) {
+  Settings.changed(record(
+      "rollout/one", R"({"service":"one","target":"v2","duration_s":12})", 3));
+  auto Evidence = Parts.RollOuts.evidence();
+  ASSERT_EQ(1U, Evidence.size());
+  EXPECT_EQ(roll_out_order(service_id("one"), version_id("v2"),
+                           milliseconds(12000), log_offset(3)),
+            Evidence[0].order());
+}
+
+TEST_F(store_records_test, frames_writtenAndRead_areTheSame) {
+  std::string Bytes(16, '\0');
+  Bytes += writeRecordFrame("key", "value") + writeRecordFrame("gone", "");
+  auto Page = readRecordFrames(Bytes, log_offset(10));
+  ASSERT_TRUE(Page.has_value());
+  ASSERT_EQ(2U, Page->records().size());
+  EXPECT_EQ(record("key", "value", 11), Page->records()[0]);
+  EXPECT_TRUE(Page->records()[1].dropped());
+  EXPECT_EQ(log_offset(12), Page->end());
+}
+
+RC_GTEST_FIXTURE_PROP(store_records_test, anyBytes_areReadOrRefused, ()) {
+  auto Bytes = *rc::gen::arbitrary<std::string>();
+  readRecordFrames(Bytes, log_offset(0));
+  readConfiguration(Bytes);
+  readRegistration("i", Bytes);
+  Settings.changed(record("config", Bytes + "x", 1));
+  Settings.changed(record("rollout/one", Bytes + "x", 1));
+  Upstreams.changed(record("i", Bytes + "x", 1));
+}
--- /dev/null
+++ b/unittests/Journal/KeyedViewTest.cpp
@@ -0,0 +1,142 @@
+#include "Support/ManualClock.h"
+#include "bluebellkeel/Journal.h"
+#include <deque>
+#include <gtest/gtest.h>
+
+using namespace bluebellkeel;
+
+namespace {
+
+/// Keeps what it is told.
+class recording_listener final : public keyed_listener {
+public:
+  void changed(const keyed_record &Record) override {
+    Records.push_back(Record);
+  }
+  std::vector<keyed_record> Records;
+};
+
+/// A log that answers as it is told.
+class scripted_log final : public keyed_log {
+public:
+  using result = tl::expected<keyed_page, journal_error>;
+
+  result newest(keyed_topic /*Topic*/) override {
+    ++Newest;
+    return NewestAnswer;
+  }
+  result read(keyed_topic /*Topic*/, log_offset After,
+              milliseconds /*Wait*/) override {
+    ReadAfter = After;
+    result Answer = Reads.front();
+    Reads.pop_front();
+    return Answer;
+  }
+  tl::expected<log_offset, journal_error>
+  append(keyed_topic /*Topic*/, const std::string & /*Key*/,
+         const std::string & /*Value*/,
+         std::optional<log_offset> /*At*/) override {
+    return tl::unexpected(journal_error::Unavailable);
+  }
+
+  int Newest = 0;
+  result NewestAnswer;
+  std::deque<result> Reads;
+  log_offset ReadAfter;
+};
+
+class keyed_view_test : public testing::Test {
+protected:
+  static keyed_record record(const std::string &Key, const std::string &Value,
+                             std::uint64_t Offset) {
+    return keyed_record(Key, Value, log_offset(Offset));
+  }
+  static keyed_page page(std::vector<keyed_record> Records,
+                         std::uint64_t End) {
+    return keyed_page(std::move(Records), log_offset(End));
+  }
+
+  manual_clock Clock;
+  recording_listener Listener;
+  keyed_view View{Listener};
+  log_age Age{milliseconds(3000)};
+  scripted_log Log;
+  keyed_follower Follower{keyed_topic::Settings, View, Age, Clock};
+};
+
+} // namespace
+
+TEST_F(keyed_view_test, olderRecord_ofAKnownKey_changesNothing) {
+  View.apply(page({record("a", "new", 5)}, 5));
+  View.apply(page({record("a", "old", 3)}, 5));
+  EXPECT_EQ(1U, Listener.Records.size());
+  EXPECT_EQ("new", View.find("a")->value());
+}
+
+TEST_F(keyed_view_test, replace_withoutAKey_dropsIt) {
+  View.apply(page({record("a", "1", 1), record("b", "2", 2)}, 2));
+  View.replace(page({record("b", "2", 2)}, 7));
+  ASSERT_EQ(3U, Listener.Records.size());
+  EXPECT_EQ("a", Listener.Records[2].name());
+  EXPECT_TRUE(Listener.Records[2].dropped());
+  EXPECT_EQ(log_offset(7), View.end());
+}
+
+TEST_F(keyed_view_test, replace_byAnOlderPage_keepsWhatIsNewer) {
+  View.apply(page({record("a", "1", 9)}, 9));
+  View.replace(page({}, 4));
+  EXPECT_EQ("1", View.find("a")->value());
+  EXPECT_EQ(log_offset(9), View.end());
+}
+
+TEST_F(keyed_view_test, since_anOffset_bringsAPeerUpToDate) {
+  View.apply(page({record("a", "1", 1), record("b", "2", 2)}, 2));
+  View.apply(page({record("a", "", 3)}, 3));
+  recording_listener Other;
+  keyed_view Peer(Other);
+  Peer.apply(page({record("a", "1", 1)}, 1));
+  Peer.apply(View.since(Peer.end()));
+  EXPECT_TRUE(Peer.find("a")->dropped());
+  EXPECT_EQ("2", Peer.find("b")->value());
+  EXPECT_EQ(View.end(), Peer.end());
+}
+
+TEST_F(keyed_view_test, poll_atFirst_readsAllAndThenWhatFollows) {
+  Log.NewestAnswer = page({record("a", "1", 4)}, 6);
+  EXPECT_TRUE(Follower.poll(Log, milliseconds(0)));
+  Log.Reads = {page({record("a", "2", 7)}, 7)};
+  EXPECT_TRUE(Follower.poll(Log, milliseconds(0)));
+  EXPECT_EQ(log_offset(6), Log.ReadAfter);
+  EXPECT_EQ("2", View.find("a")->value());
+  EXPECT_EQ(1, Log.Newest);
+}
+
+TEST_F(keyed_view_test, poll_withHistoryDropped_readsAllAgain) {
+  Log.NewestAnswer = page({record("a", "1", 4)}, 6);
+  Follower.poll(Log, milliseconds(0));
+  Log.Reads = {tl::unexpected(journal_error::Trimmed)};
+  Log.NewestAnswer = page({record("b", "1", 20)}, 20);
+  EXPECT_TRUE(Follower.poll(Log, milliseconds(0)));
+  EXPECT_TRUE(View.find("a")->dropped());
+  EXPECT_EQ("1", View.find("b")->value());
+}
+
+TEST_F(keyed_view_test, poll_thatFails_leavesTheAgeAlone) {
+  Follower.poll(Log, milliseconds(0));
+  auto Before = Age.knownAt(Clock.monotonicNow());
+  Clock.advance(milliseconds(5000));
+  Log.Reads = {tl::unexpected(journal_error::Unavailable)};
+  EXPECT_FALSE(Follower.poll(Log, milliseconds(0)));
+  EXPECT_EQ(Before, Age.knownAt(Clock.monotonicNow()));
+}
+
+TEST_F(keyed_view_test, age_whileAReadWaits_isAtMostTheSilenceLimit) {
+  Age.noteRead(Clock.monotonicNow());
+  Age.beginWait();
+  Clock.advance(milliseconds(60000));
+  EXPECT_EQ(Clock.monotonicNow() - milliseconds(3000),
+            *Age.knownAt(Clock.monotonicNow()));
+  Age.endWait();
+  EXPECT_EQ(Clock.monotonicNow() - milliseconds(60000),
+            *Age.knownAt(Clock.monotonicNow()));
+}
--- /dev/null
+++ b/unittests/Membership/LiveInstancesTest.cpp
@@ -0,0 +1,80 @@
+#include "Support/ManualClock.h"
+#include "bluebellkeel/Membership.h"
+#include <gtest/gtest.h>
+
+using namespace bluebellkeel;
+
+namespace {
+
+class live_instances_test : public testing::Test {
+protected:
+  static instance_record record(const std::string &Id,
+                                const std::string &Centre = "north",
+                                std::uint16_t Port = 1) {
+    return instance_record(instance_id(Id), data_centre_id(Centre),
+                           network_address("10.0.0.1", Port),
+                           network_address("10.0.0.1", 99),
+                           instance_state::Live);
+  }
+
+  manual_clock Clock;
+  live_instances Instances{Clock};
+};
+
+} // namespace
+
+TEST_F(live_instances_test, namedByOthers_isKnownButNotAlive) {
+  Instances.learn(record("a"));
+  EXPECT_EQ(1U, Instances.known().size());
+  EXPECT_TRUE(Instances.alive().empty());
+}
+
+TEST_F(live_instances_test, silent_isDeadWithinTheDirectorysBound) {
+  Instances.hear(record("a"));
+  EXPECT_EQ(1U, Instances.alive().size());
+  // A directory may name a dead instance for 6 s, of which 3 s are the touch.
+  Clock.advance(milliseconds(3000));
+  EXPECT_TRUE(Instances.alive().empty());
+  EXPECT_EQ(1U, Instances.known().size());
+}
+
+TEST_F(live_instances_test, silentForLong_isForgotten) {
+  Instances.hear(record("a"));
+  Clock.advance(live_instances::ForgetAfter + milliseconds(1));
+  EXPECT_TRUE(Instances.known().empty());
+}
+
+TEST_F(live_instances_test, ownWord_goesBeforeThatOfOthers) {
+  Instances.hear(record("a", "north", 7));
+  Instances.learn(record("a", "north", 8));
+  EXPECT_EQ(7, Instances.alive()[0].callerAddress().port());
+}
+
+TEST_F(live_instances_test, advice_withEnoughNear_namesOnlyThese) {
+  auto Addresses = front_advisor::advise(
+      {record("a", "north", 1), record("b", "north", 2),
+       record("c", "south", 3)},
+      data_centre_id("north"));
+  EXPECT_EQ(2U, Addresses.size());
+}
+
+TEST_F(live_instances_test, advice_withFewNear_namesOthersToo) {
+  auto Addresses = front_advisor::advise(
+      {record("a", "north", 1), record("c", "south", 3)},
+      data_centre_id("north"));
+  ASSERT_EQ(2U, Addresses.size());
+  EXPECT_EQ(1, Addresses[0].port());
+}
+
+TEST_F(live_instances_test, closedCentre_afterItsReturn_isUnsureForAWhile) {
+  closed_centres Centres(Clock);
+  data_centre_id North("north");
+  Centres.replace({North});
+  EXPECT_TRUE(Centres.closed(North));
+  EXPECT_FALSE(Centres.reopenedLately(North));
+  Centres.replace({});
+  EXPECT_FALSE(Centres.closed(North));
+  EXPECT_TRUE(Centres.reopenedLately(North));
+  Clock.advance(closed_centres::UnsureAfterReturn);
+  EXPECT_FALSE(Centres.reopenedLately(North));
+}
--- /dev/null
+++ b/unittests/Peer/DigestTest.cpp
@@ -0,0 +1,76 @@
+#include "Support/ManualClock.h"
+#include "bluebellkeel/Core.h"
+#include "bluebellkeel/Peer.h"
+#include <gtest/gtest.h>
+
+using namespace bluebellkeel;
+
+namespace {
+
+class digest_test : public testing::Test {
+protected:
+  peer_body travel(peer_body Body, const instance_id &To) {
+    std::string Bytes = Codec.encode(peer_envelope(
+        instance_id("a"), To, 1, Clock.wallNow(), std::move(Body)));
+    auto Envelope = Codec.decode(Bytes, instance_id("b"), Clock.wallNow());
+    EXPECT_TRUE(Envelope.has_value());
+    return Envelope ? Envelope->body() : peer_body();
+  }
+
+  manual_clock Clock;
+  hmac_signer Signer{"a key for the tests"};
+  peer_codec Codec{Signer};
+  instance_record Record{instance_id("a"), data_centre_id("north"),
+                         network_address("10.0.0.1", 1),
+                         network_address("10.0.0.1", 2),
+                         instance_state::Leaving};
+};
+
+} // namespace
+
+TEST_F(digest_test, digest_encodedAndDecoded_isTheSame) {
+  roll_out_evidence::fields Evidence;
+  Evidence.Order = roll_out_order(service_id("s"), version_id("v"),
+                                  milliseconds(24000), log_offset(3));
+  Evidence.Elapsed = milliseconds(700);
+  Evidence.Stage = roll_out_stage::RolledBack;
+  Evidence.Published = true;
+  Evidence.Target = version_tally(1, 2, 3, 4.5);
+  Evidence.SessionsElsewhere = {"x"};
+  instance_digest::fields Fields;
+  Fields.Sender = Record;
+  Fields.SettingsEnd = log_offset(7);
+  Fields.UpstreamsEnd = log_offset(8);
+  Fields.SettingsAge = milliseconds(9);
+  Fields.Loads = {own_load(upstream_id("u"), 2, 300)};
+  Fields.RollOuts = {roll_out_evidence(Evidence)};
+  Fields.Crashes = {crash_notice(fingerprint("f"), upstream_id("u"))};
+  Fields.Known = {Record};
+  peer_body Digest = instance_digest(Fields);
+  EXPECT_EQ(Digest, travel(Digest, instance_id("b")));
+}
+
+TEST_F(digest_test, digestToASeed_whoseNameIsUnknown_isTaken) {
+  instance_digest::fields Fields;
+  Fields.Sender = Record;
+  peer_body Digest = instance_digest(Fields);
+  EXPECT_EQ(Digest, travel(Digest, instance_id()));
+}
+
+TEST_F(digest_test, viewMessages_encodedAndDecoded_areTheSame) {
+  peer_body Query = view_query(keyed_topic::Upstreams, log_offset(4));
+  EXPECT_EQ(Query, travel(Query, instance_id("b")));
+  peer_body Answer = view_answer(
+      keyed_topic::Settings,
+      keyed_page({keyed_record("k", "{\"v\":1}", log_offset(5)),
+                  keyed_record("gone", "", log_offset(6))},
+                 log_offset(6)));
+  EXPECT_EQ(Answer, travel(Answer, instance_id("b")));
+}
+
+TEST_F(digest_test, messageToAnother_isRefused) {
+  std::string Bytes =
+      Codec.encode(peer_envelope(instance_id("a"), instance_id("c"), 1,
+                                 Clock.wallNow(), view_query()));
+  EXPECT_FALSE(Codec.decode(Bytes, instance_id("b"), Clock.wallNow()));
+}
--- /dev/null
+++ b/unittests/Policy/PlacementTest.cpp
@@ -0,0 +1,86 @@
+#include "Support/ListingOf.h"
+#include "Support/ManualClock.h"
+#include "bluebellkeel/Policy.h"
+#include <gtest/gtest.h>
+
+using namespace bluebellkeel;
+
+namespace {
+
+class placement_test : public testing::Test {
+protected:
+  static placement_candidate candidate(const std::string &Id,
+                                       upstream_load Load,
+                                       std::uint64_t Cached = 0,
+                                       bool Cold = false) {
+    return placement_candidate(upstream_listing(listingOf(Id)), Load, Cached,
+                               /*SameCentre=*/true, Cold);
+  }
+  std::string best(std::vector<placement_candidate> Candidates) const {
+    return Policy.order(std::move(Candidates), Prompt, 1)
+        .front()
+        .listing()
+        .id()
+        .text();
+  }
+
+  cheapest_placement Policy;
+  prompt Prompt{6000, 400, 300, {{"shared", 5000}, {"own", 1000}}};
+};
+
+} // namespace
+
+TEST_F(placement_test, cachedPart_isPreferredAtEqualLoad) {
+  EXPECT_EQ("b", best({candidate("a", {}), candidate("b", {}, 5000),
+                       candidate("c", {})}));
+}
+
+TEST_F(placement_test, cachedPart_atABusyUpstream_isReadAgainElsewhere) {
+  EXPECT_EQ("a", best({candidate("a", {}, 100),
+                       candidate("b", {4, 20000, 0, 0}, 5000)}));
+}
+
+TEST_F(placement_test, unknownParts_meetAtOneUpstreamOnEveryInstance) {
+  auto First = best({candidate("a", {}), candidate("b", {}),
+                     candidate("c", {}), candidate("d", {})});
+  auto Second = best({candidate("d", {}), candidate("c", {}),
+                      candidate("b", {}), candidate("a", {})});
+  EXPECT_EQ(First, Second);
+}
+
+TEST_F(placement_test, failingUpstream_isPassedOver) {
+  EXPECT_EQ("a", best({candidate("a", {2, 0, 0, 0}, 100),
+                       candidate("b", {0, 0, 0, 3}, 100)}));
+}
+
+TEST_F(placement_test, fullUpstream_isPassedOver) {
+  EXPECT_EQ("b", best({candidate("a", {8, 0, 3, 0}, 100),
+                       candidate("b", {5, 0, 0, 0}, 100)}));
+}
+
+TEST_F(placement_test, coldUpstream_isTheLastResort) {
+  EXPECT_EQ("b", best({candidate("a", {}, 100, /*Cold=*/true),
+                       candidate("b", {5, 0, 0, 0}, 100)}));
+}
+
+TEST_F(placement_test, baseline_takesTheFewestRunning) {
+  least_loaded_placement Baseline;
+  auto Ordered = Baseline.order({candidate("a", {3, 0, 0, 0}),
+                                 candidate("b", {1, 0, 0, 0})},
+                                Prompt, 1);
+  EXPECT_EQ("b", Ordered.front().listing().id().text());
+}
+
+TEST_F(placement_test, prefixBook_countsOnlyAnUnbrokenStart) {
+  manual_clock Clock;
+  prefix_book Book(Clock);
+  upstream_id U("u");
+  Book.noteRead("m", prompt(0, 0, 0, {{"x", 10}, {"y", 20}}), U);
+  EXPECT_EQ(30U, Book.cachedTokens("m", prompt(0, 0, 0, {{"x", 10}, {"y", 20}}),
+                                   U));
+  EXPECT_EQ(0U,
+            Book.cachedTokens("m", prompt(0, 0, 0, {{"z", 5}, {"y", 20}}), U));
+  EXPECT_EQ(0U, Book.cachedTokens("n", prompt(0, 0, 0, {{"x", 10}}), U));
+  Clock.advance(prefix_book::Life + milliseconds(1));
+  EXPECT_EQ(0U, Book.cachedTokens("m", prompt(0, 0, 0, {{"x", 10}}), U));
+}
--- /dev/null
+++ b/unittests/Policy/RollOutDutyTest.cpp
@@ -0,0 +1,123 @@
+#include "Support/ManualClock.h"
+#include "bluebellkeel/Policy.h"
+#include <algorithm>
+#include <functional>
+#include <gtest/gtest.h>
+
+using namespace bluebellkeel;
+
+namespace {
+
+/// The operators' log in memory.
+class memory_status_log final : public roll_out_status_log {
+public:
+  std::optional<roll_out_status_page> readStatuses() override {
+    if (Down)
+      return std::nullopt;
+    roll_out_status_page Page(Written, log_offset(Written.size()));
+    if (AfterRead)
+      AfterRead();
+    return Page;
+  }
+  bool append(const roll_out_status &Status, log_offset End) override {
+    if (Down || End != log_offset(Written.size()))
+      return false;
+    Written.push_back(Status);
+    return true;
+  }
+
+  std::vector<roll_out_status> Written;
+  bool Down = false;
+  std::function<void()> AfterRead;
+};
+
+class roll_out_duty_test : public testing::Test {
+protected:
+  roll_out_duty_test() {
+    for (const auto &Id : Ids) {
+      Books.push_back(std::make_unique<roll_out_book>(Limits, Clock));
+      Books.back()->noteOrder(roll_out_order(
+          Service, V2, milliseconds(24000), log_offset(1)));
+      Duties.push_back(
+          std::make_unique<roll_out_duty>(Id, Clock, *Books.back(), Log));
+    }
+  }
+  /// The one that writes at once.
+  std::size_t holder() {
+    for (std::size_t I = 0; I < Ids.size(); ++I) {
+      if (!Duties[I]->run(Ids).empty())
+        return I;
+    }
+    return Ids.size();
+  }
+
+  manual_clock Clock;
+  roll_out_limits Limits{0.15, milliseconds(5000)};
+  service_id Service{"engines"};
+  version_id V2{"v2"};
+  memory_status_log Log;
+  std::vector<instance_id> Ids = {instance_id("a"), instance_id("b"),
+                                  instance_id("c")};
+  std::vector<std::unique_ptr<roll_out_book>> Books;
+  std::vector<std::unique_ptr<roll_out_duty>> Duties;
+};
+
+} // namespace
+
+TEST_F(roll_out_duty_test, newOrder_isWrittenOnceByOne) {
+  for (int Round = 0; Round < 10; ++Round) {
+    for (auto &Duty : Duties)
+      Duty->run(Ids);
+    Clock.advance(milliseconds(400));
+  }
+  ASSERT_EQ(1U, Log.Written.size());
+  EXPECT_EQ(roll_out_stage::Running, Log.Written[0].stage());
+}
+
+TEST_F(roll_out_duty_test, deadHolder_isReplacedByAnother) {
+  std::size_t Holder = holder();
+  ASSERT_LT(Holder, Ids.size());
+  for (auto &Book : Books) {
+    for (int I = 0; I < 10; ++I)
+      Book->noteAnswer(Service, V2, /*Good=*/false);
+  }
+  for (int Round = 0; Round < 20; ++Round) {
+    for (std::size_t I = 0; I < Duties.size(); ++I) {
+      if (I != Holder)
+        Duties[I]->run(Ids);
+    }
+    Clock.advance(milliseconds(400));
+  }
+  ASSERT_EQ(2U, Log.Written.size());
+  EXPECT_EQ(roll_out_stage::RolledBack, Log.Written[1].stage());
+}
+
+TEST_F(roll_out_duty_test, pausedBetweenReadAndAppend_writesNothing) {
+  std::size_t Holder = 0;
+  Log.AfterRead = [&] {
+    Log.AfterRead = nullptr;
+    Log.Written.emplace_back(Service, V2, roll_out_stage::RolledBack);
+  };
+  Holder = holder();
+  EXPECT_EQ(Ids.size(), Holder);
+  ASSERT_EQ(1U, Log.Written.size());
+  EXPECT_EQ(roll_out_stage::RolledBack, Log.Written[0].stage());
+}
+
+TEST_F(roll_out_duty_test, laterStageInTheLog_isTakenOver) {
+  Log.Written.emplace_back(Service, V2, roll_out_stage::RolledBack);
+  for (auto &Duty : Duties)
+    EXPECT_TRUE(Duty->run(Ids).empty());
+  Clock.advance(milliseconds(10000));
+  for (auto &Duty : Duties)
+    EXPECT_TRUE(Duty->run(Ids).empty());
+  for (auto &Book : Books)
+    EXPECT_FALSE(Book->usable(Service, V2));
+}
+
+TEST_F(roll_out_duty_test, logDown_isTriedAgain) {
+  Log.Down = true;
+  EXPECT_EQ(Ids.size(), holder());
+  Log.Down = false;
+  EXPECT_LT(holder(), Ids.size());
+}
--- /dev/null
+++ b/unittests/Relay/ForwardRelayTest.cpp
@@ -0,0 +1,294 @@
+#include "Support/ForwardFixture.h"
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+using namespace bluebellkeel;
+
+namespace {
+
+class forward_relay_test : public forward_fixture {};
+
+} // namespace
+
+TEST_F(forward_relay_test, wholeAnswer_isGivenUnchanged) {
+  auto Caller = run("/once/x");
+  EXPECT_EQ(200, Caller.Status);
+  EXPECT_EQ("whole", Caller.Body);
+  ASSERT_EQ(1U, Upstreams.Attempts.size());
+  EXPECT_EQ("mill", Upstreams.Attempts[0].account().text());
+}
+
+TEST_F(forward_relay_test, noConfiguration_isNotReadyNeverUnknown) {
+  Gate.Phase = serving_phase::Starting;
+  auto Caller = run("/nowhere/x");
+  EXPECT_EQ(503, Caller.Status);
+  EXPECT_GT(Caller.RetryAfter.count(), 0);
+}
+
+TEST_F(forward_relay_test, unknownRoute_isRefusedWithoutASending) {
+  EXPECT_EQ(404, run("/nowhere/x").Status);
+  EXPECT_TRUE(Upstreams.Attempts.empty());
+}
+
+TEST_F(forward_relay_test, unknownRoute_withStaleSettings_isNotCertain) {
+  Gate.Age = milliseconds(10000);
+  EXPECT_EQ(503, run("/nowhere/x").Status);
+}
+
+TEST_F(forward_relay_test, unknownKey_isRefused) {
+  auto Call = callOf("/once/x");
+  Call.Key = "other";
+  EXPECT_EQ(401, run(Call).Status);
+  EXPECT_TRUE(Upstreams.Attempts.empty());
+}
+
+TEST_F(forward_relay_test, atMostOnce_afterADoubt_isNotSentAgainNorCalledUnrun) {
+  for (auto Error :
+       {attempt_error::Truncated, attempt_error::FirstByteTimeout,
+        attempt_error::Malformed, attempt_error::Crossed,
+        attempt_error::Silent}) {
+    Upstreams.Attempts.clear();
+    script({failing(Error)});
+    auto Caller = run("/once/x");
+    EXPECT_EQ(502, Caller.Status);
+    EXPECT_EQ(0, Caller.RetryAfter.count());
+    EXPECT_EQ(1U, Upstreams.Attempts.size());
+  }
+}
+
+TEST_F(forward_relay_test, atMostOnce_notReached_goesToTheNext) {
+  script({failing(attempt_error::ConnectFailed)});
+  EXPECT_EQ(200, run("/once/x").Status);
+  ASSERT_EQ(2U, Upstreams.Attempts.size());
+  EXPECT_NE(Upstreams.Attempts[0].upstream().id(),
+            Upstreams.Attempts[1].upstream().id());
+}
+
+TEST_F(forward_relay_test, atMostOnce_turnedAwayEverywhere_isSaidToHaveNotRun) {
+  upstream_script Full;
+  Full.Status = 503;
+  Full.NotRun = true;
+  script({Full, Full, Full, Full});
+  auto Caller = run("/once/x");
+  EXPECT_EQ(503, Caller.Status);
+  EXPECT_GT(Caller.RetryAfter.count(), 0);
+}
+
+TEST_F(forward_relay_test, ownFailureOfTheUpstream_isPassedOn) {
+  upstream_script Failed;
+  Failed.Status = 500;
+  Failed.Pieces = {"sorry"};
+  script({Failed});
+  auto Caller = run("/once/x");
+  EXPECT_EQ(500, Caller.Status);
+  EXPECT_EQ("sorry", Caller.Body);
+}
+
+TEST_F(forward_relay_test, idempotent_afterAFailure_isSentToAnother) {
+  upstream_script Failed;
+  Failed.Status = 500;
+  script({Failed});
+  EXPECT_EQ(200, run("/again/x").Status);
+  EXPECT_EQ(2U, Upstreams.Attempts.size());
+}
+
+TEST_F(forward_relay_test, idempotent_failingTwice_staysWithinItsAttempts) {
+  upstream_script Failed;
+  Failed.Status = 500;
+  script({Failed, Failed, Failed});
+  EXPECT_EQ(500, run("/again/x").Status);
+  EXPECT_EQ(2U, Upstreams.Attempts.size());
+}
+
+TEST_F(forward_relay_test, truncatedAnswer_isReplacedByAWholeOne) {
+  upstream_script Broken;
+  Broken.Pieces = {"wh"};
+  Broken.ReadError = attempt_error::Truncated;
+  script({Broken});
+  auto Caller = run("/again/x");
+  EXPECT_EQ("whole", Caller.Body);
+}
+
+TEST_F(forward_relay_test, truncatedAnswer_ofAtMostOnce_neverLooksWhole) {
+  upstream_script Broken;
+  Broken.Pieces = {"wh"};
+  Broken.ReadError = attempt_error::Truncated;
+  script({Broken});
+  auto Caller = run("/once/x");
+  EXPECT_EQ(502, Caller.Status);
+  EXPECT_EQ("", Caller.Body);
+}
+
+TEST_F(forward_relay_test, successWithoutItsMark_isNotPassedOn) {
+  upstream_script Unmarked;
+  Unmarked.Vouched = false;
+  script({Unmarked});
+  EXPECT_EQ(502, run("/once/x").Status);
+}
+
+TEST_F(forward_relay_test, anotherUpstreamAtTheAddress_isNotAskedAgain) {
+  upstream_script Other;
+  Other.Status = 421;
+  Other.Elsewhere = true;
+  script({Other});
+  EXPECT_EQ(200, run("/once/x").Status);
+  EXPECT_EQ(2U, Upstreams.Attempts.size());
+  EXPECT_EQ(2U, Roster.serving(service_id("engines")).size());
+}
+
+TEST_F(forward_relay_test, leavingUpstreams_getNothing) {
+  for (const char *Id : {"u1", "u2", "u3"}) {
+    auto Fields = listingOf(Id);
+    Fields.Leaving = true;
+    Fields.Sequence = 2;
+    Roster.learn(upstream_listing(Fields));
+  }
+  EXPECT_EQ(503, run("/again/x").Status);
+  EXPECT_TRUE(Upstreams.Attempts.empty());
+}
+
+TEST_F(forward_relay_test, closedDataCentre_getsNothing) {
+  Centres.replace({data_centre_id("north")});
+  EXPECT_EQ(503, run("/again/x").Status);
+  EXPECT_TRUE(Upstreams.Attempts.empty());
+}
+
+TEST_F(forward_relay_test, keyRevokedBetweenTwoSendings_stopsTheSecond) {
+  upstream_script Failed;
+  Failed.Status = 500;
+  Failed.Before = [this] {
+    Tables.adopt(route_table(9, routes(), {}, {keyed_account(
+                                                  account_id("mill"), {"new"},
+                                                  std::nullopt)}));
+  };
+  script({Failed});
+  EXPECT_EQ(502, run("/again/x").Status);
+  EXPECT_EQ(1U, Upstreams.Attempts.size());
+}
+
+TEST_F(forward_relay_test, shorterTimeout_bindsARequestUnderWay) {
+  upstream_script Slow = failing(attempt_error::FirstByteTimeout);
+  Slow.Before = [this] {
+    auto Short = routeOf("/again/", route_kind::Idempotent, 2);
+    Short.Timeout = milliseconds(500);
+    configure(5, {forward_route(Short)});
+    Clock.advance(milliseconds(600));
+  };
+  script({Slow});
+  EXPECT_EQ(504, run("/again/x").Status);
+  EXPECT_EQ(1U, Upstreams.Attempts.size());
+}
+
+TEST_F(forward_relay_test, timeUpBeforeTheFirstSending_isSaidToHaveNotRun) {
+  auto Call = callOf("/once/x");
+  Call.Arrived = Clock.monotonicNow() - milliseconds(20000);
+  EXPECT_EQ(503, run(Call).Status);
+  EXPECT_TRUE(Upstreams.Attempts.empty());
+}
+
+TEST_F(forward_relay_test, timeLeft_isPassedOn) {
+  auto Call = callOf("/once/x");
+  Call.Deadline = milliseconds(900);
+  Clock.advance(milliseconds(300));
+  run(Call);
+  EXPECT_EQ(milliseconds(600), Upstreams.Attempts[0].timeLeft());
+}
+
+TEST_F(forward_relay_test, callerGone_startsNothingNew) {
+  recording_caller Caller;
+  upstream_script Failed;
+  Failed.Status = 500;
+  Failed.Before = [&] { Caller.Gone = true; };
+  script({Failed});
+  runFor(callOf("/again/x"), Caller);
+  EXPECT_EQ(1U, Upstreams.Attempts.size());
+}
+
+TEST_F(forward_relay_test, crashingRequest_isStoppedAfterThreeUpstreams) {
+  for (int Round = 0; Round < 3; ++Round) {
+    script({failing(attempt_error::Truncated),
+            failing(attempt_error::Truncated),
+            failing(attempt_error::Truncated)});
+    run("/stream/x");
+  }
+  EXPECT_EQ(3U, Upstreams.Attempts.size());
+  EXPECT_EQ(502, run("/stream/x").Status);
+  EXPECT_EQ(3U, Upstreams.Attempts.size());
+}
+
+TEST_F(forward_relay_test, repeatBudgetSpent_givesTheFinalAnswer) {
+  constexpr int Requests = 10;
+  constexpr double Ratio = 0.9;
+  while (Retries.spend(service_id("engines"), 1)) {
+  }
+  upstream_script Failed;
+  Failed.Status = 500;
+  int Unrepeated = 0;
+  for (int I = 0; I < Requests; ++I) {
+    script({Failed, Failed});
+    Unrepeated += run("/again/x").Status == 502 ? 1 : 0;
+  }
+  EXPECT_GT(Unrepeated, 0);
+  EXPECT_LE(Upstreams.Attempts.size(), Requests + Ratio * Requests);
+}
+
+TEST_F(forward_relay_test, draining_takesShortRequestsButNoStreams) {
+  Gate.Phase = serving_phase::Draining;
+  EXPECT_EQ(503, run("/stream/x").Status);
+  EXPECT_EQ(200, run("/once/x").Status);
+}
+
+TEST_F(forward_relay_test, versionUnderTrial_isUsedByItsSessionsOnly) {
+  auto Fields = listingOf("new");
+  Fields.Version = version_id("v2");
+  RollOuts.noteEstablished(service_id("engines"), version_id("v1"));
+  Roster.learn(upstream_listing(Fields));
+  int OnNew = 0;
+  for (int I = 0; I < 400; ++I)
+    run("/once/x");
+  for (const auto &Attempt : Upstreams.Attempts)
+    OnNew += Attempt.upstream().id() == upstream_id("new") ? 1 : 0;
+  EXPECT_EQ(0, OnNew);
+  RollOuts.noteOrder(roll_out_order(service_id("engines"), version_id("v2"),
+                                    milliseconds(20000), log_offset(1)));
+  Upstreams.Attempts.clear();
+  for (int I = 0; I < 400; ++I)
+    run("/once/x");
+  for (const auto &Attempt : Upstreams.Attempts)
+    OnNew += Attempt.upstream().id() == upstream_id("new") ? 1 : 0;
+  EXPECT_GT(OnNew, 0);
+  EXPECT_LT(OnNew, 60);
+}
+
+RC_GTEST_FIXTURE_PROP(forward_relay_test,
+                      atMostOnce_underAnyFaults_runsOnceAndTellsTheTruth, ()) {
+  // Each sending either surely did not run, or may have run.
+  auto Faults = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 7));
+  int MayHaveRun = 0;
+  for (int Fault : Faults) {
+    upstream_script Script;
+    if (Fault == 0)
+      Script.OpenError = attempt_error::ConnectFailed;
+    if (Fault == 1) {
+      Script.NotRun = true;
+      Script.Status = 503;
+    }
+    if (Fault == 2)
+      Script.OpenError = attempt_error::Truncated;
+    if (Fault == 3)
+      Script.ReadError = attempt_error::Truncated;
+    if (Fault == 4)
+      Script.Status = 500;
+    if (Fault == 5)
+      Script.Vouched = false;
+    if (Fault > 1)
+      Script.Before = [&] { ++MayHaveRun; };
+    Upstreams.Scripts.push_back(Script);
+  }
+  auto Caller = run("/once/x");
+  RC_ASSERT(MayHaveRun <= 1);
+  bool Promised = Caller.Status == 503 || Caller.Status == 429;
+  RC_ASSERT(!Promised || MayHaveRun == 0);
+  RC_ASSERT(Caller.Status != 200 || Caller.Body == "whole");
+  Upstreams.Scripts.clear();
+}
--- /dev/null
+++ b/unittests/Relay/ForwardStreamTest.cpp
@@ -0,0 +1,161 @@
+#include "Support/ForwardFixture.h"
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+using namespace bluebellkeel;
+
+namespace {
+
+class forward_stream_test : public forward_fixture {
+protected:
+  static upstream_script events(int First, int Last) {
+    upstream_script Script;
+    Script.Pieces.clear();
+    for (int Number = First; Number <= Last; ++Number)
+      Script.Pieces.push_back(event(Number));
+    return Script;
+  }
+  static upstream_script brokenAfter(int First, int Last) {
+    upstream_script Script = events(First, Last);
+    Script.Pieces.push_back("id: 99\nda");
+    Script.ReadError = attempt_error::Truncated;
+    return Script;
+  }
+  static upstream_script withConfidence(upstream_script Script,
+                                        double Confidence) {
+    Script.Confidence = Confidence;
+    return Script;
+  }
+  static std::string stream(int First, int Last) {
+    std::string Bytes;
+    for (int Number = First; Number <= Last; ++Number)
+      Bytes += event(Number);
+    return Bytes;
+  }
+};
+
+} // namespace
+
+TEST_F(forward_stream_test, wholeStream_isPassedOnInOrder) {
+  script({events(1, 5)});
+  auto Caller = run("/stream/x");
+  EXPECT_EQ(stream(1, 5), Caller.Body);
+  EXPECT_TRUE(Caller.Ended);
+}
+
+TEST_F(forward_stream_test, brokenStream_goesOnElsewhereWithoutGapOrRepeat) {
+  script({brokenAfter(1, 3), events(4, 6)});
+  auto Caller = run("/stream/x");
+  EXPECT_EQ(stream(1, 6), Caller.Body);
+  ASSERT_EQ(2U, Upstreams.Attempts.size());
+  EXPECT_EQ(3U, *Upstreams.Attempts[1].lastEvent());
+}
+
+TEST_F(forward_stream_test, resumedStream_thatRepeatsEvents_isPassedOnOnce) {
+  script({brokenAfter(1, 3), events(2, 6)});
+  EXPECT_EQ(stream(1, 6), run("/stream/x").Body);
+}
+
+TEST_F(forward_stream_test, resumedStream_withAGap_isNotPassedOn) {
+  script({brokenAfter(1, 3), events(5, 6), events(4, 6)});
+  EXPECT_EQ(stream(1, 6), run("/stream/x").Body);
+}
+
+TEST_F(forward_stream_test, streamThatMayNotBeResumed_isCut) {
+  script({brokenAfter(1, 3), events(4, 6)});
+  auto Caller = run("/fixed/x");
+  EXPECT_TRUE(Caller.Abandoned);
+  EXPECT_FALSE(Caller.Ended);
+  EXPECT_EQ(stream(1, 3), Caller.Body);
+  EXPECT_EQ(1U, Upstreams.Attempts.size());
+}
+
+TEST_F(forward_stream_test, streamBrokenBeforeItsFirstEvent_hasTheSecondsHead) {
+  upstream_script Broken;
+  Broken.Pieces = {};
+  Broken.ReadError = attempt_error::Truncated;
+  script({Broken, events(1, 2)});
+  EXPECT_EQ(stream(1, 2), run("/stream/x").Body);
+}
+
+TEST_F(forward_stream_test, attemptsUsedUp_neverLooksWhole) {
+  script({brokenAfter(1, 1), brokenAfter(2, 2), brokenAfter(3, 3)});
+  auto Caller = run("/stream/x");
+  EXPECT_TRUE(Caller.Abandoned);
+  EXPECT_EQ(3U, Upstreams.Attempts.size());
+}
+
+TEST_F(forward_stream_test, callersLastEvent_isPassedOn) {
+  auto Call = callOf("/stream/x");
+  Call.LastEvent = 4;
+  script({events(5, 6)});
+  EXPECT_EQ(stream(5, 6), run(Call).Body);
+  EXPECT_EQ(4U, *Upstreams.Attempts[0].lastEvent());
+}
+
+TEST_F(forward_stream_test, confidentSmallModel_isKept) {
+  script({withConfidence(events(1, 2), 90)});
+  EXPECT_EQ(stream(1, 2), run("/sized/x").Body);
+  ASSERT_EQ(1U, Upstreams.Attempts.size());
+  EXPECT_EQ("small", Upstreams.Attempts[0].model());
+}
+
+TEST_F(forward_stream_test, doubtfulSmallModel_isDroppedForTheLarge) {
+  script({withConfidence(events(1, 2), 5), withConfidence(events(1, 9), 5)});
+  EXPECT_EQ(stream(1, 9), run("/sized/x").Body);
+  ASSERT_EQ(2U, Upstreams.Attempts.size());
+  EXPECT_EQ("large", Upstreams.Attempts[1].model());
+}
+
+TEST_F(forward_stream_test, afterTheFirstEvent_theModelStays) {
+  script({withConfidence(brokenAfter(1, 2), 90),
+          withConfidence(events(3, 4), 5)});
+  EXPECT_EQ(stream(1, 4), run("/sized/x").Body);
+  ASSERT_EQ(2U, Upstreams.Attempts.size());
+  EXPECT_EQ("small", Upstreams.Attempts[1].model());
+}
+
+TEST_F(forward_stream_test, loadOfUpstreams_isZeroAgainAtTheEnd) {
+  script({brokenAfter(1, 3), events(4, 6)});
+  run("/stream/x");
+  EXPECT_TRUE(Loads.own().empty());
+}
+
+RC_GTEST_FIXTURE_PROP(forward_stream_test,
+                      anyBreaks_giveAPrefixInOrderAndNeverAFalseEnd, ()) {
+  constexpr int Length = 8;
+  int Next = 1;
+  std::vector<upstream_script> Scripts;
+  auto Breaks = *rc::gen::container<std::vector<int>>(3, rc::gen::inRange(0, 4));
+  for (int Break : Breaks) {
+    int Last = std::min(Length, Next + Break);
+    Scripts.push_back(Last == Length ? events(Next, Last)
+                                     : brokenAfter(Next, Last));
+    Next = Last + 1;
+    if (Last == Length)
+      break;
+  }
+  script(Scripts);
+  auto Caller = run("/stream/x");
+  RC_ASSERT(stream(1, Length).rfind(Caller.Body, 0) == 0);
+  RC_ASSERT(!Caller.Ended || Caller.Body == stream(1, Length));
+}
+
+RC_GTEST_PROP(event_splitter_test, bytesCutAnywhere_giveTheSameEvents, ()) {
+  std::string Bytes;
+  for (int Number = 1; Number < 6; ++Number)
+    Bytes += "id: " + std::to_string(Number) + "\ndata: a b\n\n";
+  event_splitter Whole;
+  auto Expected = Whole.feed(Bytes);
+  event_splitter Cut;
+  std::vector<stream_event> Events;
+  std::size_t At = 0;
+  while (At < Bytes.size()) {
+    auto Size = *rc::gen::inRange<std::size_t>(1, 9);
+    for (auto &Event : Cut.feed(std::string_view(Bytes).substr(At, Size)))
+      Events.push_back(Event);
+    At += Size;
+  }
+  RC_ASSERT(Events == Expected);
+  RC_ASSERT(Cut.rest().empty());
+}
--- /dev/null
+++ b/unittests/Startup/GatewaySettingsTest.cpp
@@ -0,0 +1,55 @@
+#include "bluebellkeel/Startup.h"
+#include <gtest/gtest.h>
+
+using namespace bluebellkeel;
+
+namespace {
+
+class gateway_settings_test : public testing::Test {
+protected:
+  static std::string with(const std::string &From, const std::string &To) {
+    std::string Text = Good;
+    Text.replace(Text.find(From), From.size(), To);
+    return Text;
+  }
+
+  static constexpr const char *Good = R"(// a comment
+{"instance": "edge-1", "data_centre": "north", "log": "10.0.0.1:1",
+ "listen": {"callers": "10.0.0.2:1", "ready": "10.0.0.2:2",
+   "directory": "10.0.0.2:3", "peers": "10.0.0.2:4", "metrics": "10.0.0.2:5"},
+ "peers": {"seeds": ["10.0.0.3:4"], "key": "sixteen characters"},
+ "rules": {"retry_ratio": 0.9, "retry_slack": 56, "retry_window_s": 10,
+   "trial_share": 0.15, "session_life_s": 6.5, "grace_s": 8,
+   "advice_life_s": 5}})";
+};
+
+} // namespace
+
+TEST_F(gateway_settings_test, goodFile_isRead) {
+  auto Settings = readGatewaySettings(Good);
+  ASSERT_TRUE(Settings.has_value());
+  EXPECT_EQ("edge-1", Settings->Instance.text());
+  EXPECT_EQ(milliseconds(6500), Settings->SessionLife);
+  EXPECT_EQ(1U, Settings->Seeds.size());
+  EXPECT_EQ("info", Settings->LogLevel);
+}
+
+TEST_F(gateway_settings_test, faults_areAllNamedWithTheirPaths) {
+  auto Settings = readGatewaySettings(
+      with("\"grace_s\": 8", "\"grace_s\": -1, \"extra\": 1"));
+  ASSERT_FALSE(Settings.has_value());
+  EXPECT_EQ(2U, Settings.error().size());
+  EXPECT_NE(std::string::npos,
+            Settings.error()[0].message().find("/rules/grace_s"));
+}
+
+TEST_F(gateway_settings_test, unreadableFile_isOneFault) {
+  auto Settings = readGatewaySettings("{");
+  ASSERT_FALSE(Settings.has_value());
+  EXPECT_EQ(1U, Settings.error().size());
+}
+
+TEST_F(gateway_settings_test, wrongSeed_isNamed) {
+  EXPECT_FALSE(readGatewaySettings(with("\"10.0.0.3:4\"", "\"here\"")));
+  EXPECT_FALSE(readGatewaySettings(with("[\"10.0.0.3:4\"]", "7")));
+}
--- /dev/null
+++ b/unittests/Support/ForwardFixture.h
@@ -0,0 +1,267 @@
+#ifndef UNITTESTS_SUPPORT_FORWARDFIXTURE_H
+#define UNITTESTS_SUPPORT_FORWARDFIXTURE_H
+
+#include "Support/ListingOf.h"
+#include "Support/ManualClock.h"
+#include "bluebellkeel/Policy.h"
+#include "bluebellkeel/Relay.h"
+#include <deque>
+#include <functional>
+#include <gtest/gtest.h>
+
+namespace bluebellkeel {
+
+/// What one fake upstream does with one sending.
+struct upstream_script {
+  /// Instead of a head.
+  std::optional<attempt_error> OpenError;
+  int Status = 200;
+  bool Vouched = true;
+  bool NotRun = false;
+  bool Elsewhere = false;
+  std::optional<double> Confidence;
+  std::vector<std::string> Pieces = {"whole"};
+  /// After the pieces, instead of a sound end.
+  std::optional<attempt_error> ReadError;
+  /// Runs before the answer begins.
+  std::function<void()> Before;
+};
+
+/// An answer that follows a script.
+class scripted_answer final : public upstream_answer {
+public:
+  scripted_answer(const upstream_script &Script, int &Open)
+      : Script(Script), Open(Open) {
+    answer_head::fields Fields;
+    Fields.Status = Script.Status;
+    Fields.Vouched = Script.Vouched;
+    Fields.NotRun = Script.NotRun;
+    Fields.Elsewhere = Script.Elsewhere;
+    Fields.Confidence = Script.Confidence;
+    Head = answer_head(Fields);
+    ++Open;
+  }
+  ~scripted_answer() override { --Open; }
+
+  const answer_head &head() const override { return Head; }
+  tl::expected<std::string, attempt_error> read() override {
+    if (Next < Script.Pieces.size())
+      return Script.Pieces[Next++];
+    if (Script.ReadError)
+      return tl::unexpected(*Script.ReadError);
+    return std::string();
+  }
+
+private:
+  upstream_script Script;
+  int &Open;
+  answer_head Head;
+  std::size_t Next = 0;
+};
+
+/// Upstreams that follow scripts, in the order of the sendings.
+class scripted_upstreams final : public forward_upstream {
+public:
+  tl::expected<std::unique_ptr<upstream_answer>, attempt_error>
+  open(const forward_attempt &Attempt, const time_limit & /*Limit*/) override {
+    // Only one run at a time: the one before must have been cancelled.
+    EXPECT_EQ(0, Open);
+    Attempts.push_back(Attempt);
+    upstream_script Script;
+    if (!Scripts.empty()) {
+      Script = Scripts.front();
+      Scripts.pop_front();
+    }
+    if (Script.Before)
+      Script.Before();
+    if (Script.OpenError)
+      return tl::unexpected(*Script.OpenError);
+    return std::make_unique<scripted_answer>(Script, Open);
+  }
+
+  std::deque<upstream_script> Scripts;
+  std::vector<forward_attempt> Attempts;
+  int Open = 0;
+};
+
+/// A caller that keeps what it gets.
+class recording_caller final : public forward_caller {
+public:
+  bool answer(const answer_head &Head, const std::string &Whole) override {
+    Status = Head.status();
+    Body = Whole;
+    Ended = true;
+    return !Gone;
+  }
+  bool begin(const answer_head &Head) override {
+    Status = Head.status();
+    return !Gone;
+  }
+  bool write(std::string_view Piece) override {
+    Body += std::string(Piece);
+    return !Gone;
+  }
+  bool end() override {
+    Ended = true;
+    return !Gone;
+  }
+  void abandon() override { Abandoned = true; }
+  bool refuse(refusal_reason Why, int Code, milliseconds Pause) override {
+    Reason = Why;
+    Status = Code;
+    RetryAfter = Pause;
+    Ended = true;
+    return !Gone;
+  }
+  bool gone() const override { return Gone; }
+
+  int Status = 0;
+  std::string Body;
+  std::optional<refusal_reason> Reason;
+  milliseconds RetryAfter{0};
+  bool Ended = false;
+  bool Abandoned = false;
+  bool Gone = false;
+};
+
+/// A gate that tests set.
+class settable_gate final : public front_gate {
+public:
+  serving_phase phase() const override { return Phase; }
+  milliseconds settingsAge() const override { return Age; }
+
+  serving_phase Phase = serving_phase::Serving;
+  milliseconds Age{0};
+};
+
+/// Drops what is logged and counted.
+class silent_log final : public event_log {
+public:
+  void write(const event_line &Line) override { Lines.push_back(Line.text()); }
+  std::vector<std::string> Lines;
+};
+
+class silent_monitor final : public relay_monitor {
+public:
+  void countRefusal(refusal_reason /*Reason*/) override {}
+  void countRetry(attempt_error /*Reason*/) override {}
+  void countAttemptError(attempt_error /*Error*/) override {}
+  void countAnswer(const version_id & /*Version*/, bool /*Met*/) override {}
+  void countServiceCall() override {}
+};
+
+/// All that a forward_relay works with, with three upstreams and a route of
+/// each kind.
+class forward_fixture : public testing::Test {
+protected:
+  forward_fixture() {
+    for (const char *Id : {"u1", "u2", "u3"})
+      Roster.learn(upstream_listing(listingOf(Id)));
+    configure(1);
+  }
+
+  static forward_route::fields routeOf(const std::string &Prefix,
+                                       route_kind Kind, unsigned Attempts) {
+    forward_route::fields Route;
+    Route.Name = Prefix;
+    Route.Host = "a.example";
+    Route.PathPrefix = Prefix;
+    Route.Kind = Kind;
+    Route.Services = {{service_id("engines"), 1}};
+    Route.Timeout = milliseconds(20000);
+    Route.Objective = milliseconds(1000);
+    Route.GapObjective = milliseconds(1000);
+    Route.Attempts = Attempts;
+    return Route;
+  }
+
+  std::vector<forward_route> routes() const {
+    auto Stream = routeOf("/stream/", route_kind::Stream, 3);
+    Stream.Resumable = true;
+    auto Sized = routeOf("/sized/", route_kind::Stream, 3);
+    Sized.Resumable = true;
+    Sized.Sizes = {"small", "large"};
+    return {forward_route(routeOf("/once/", route_kind::AtMostOnce, 1)),
+            forward_route(routeOf("/again/", route_kind::Idempotent, 2)),
+            forward_route(routeOf("/fixed/", route_kind::Stream, 3)),
+            forward_route(Stream), forward_route(Sized)};
+  }
+
+  void configure(std::uint64_t Version) { configure(Version, routes()); }
+  void configure(std::uint64_t Version, std::vector<forward_route> Routes) {
+    service_traits::fields Traits;
+    Traits.Service = service_id("engines");
+    Traits.ColdRate = 14;
+    Traits.Models = {{"small", 0.1}, {"large", 1.0}};
+    Tables.adopt(route_table(Version, std::move(Routes),
+                             {service_traits(Traits)},
+                             {keyed_account(account_id("mill"), {"key"},
+                                            std::nullopt)}));
+  }
+
+  forward_call::fields callOf(const std::string &Path) {
+    forward_call::fields Call;
+    Call.Id = request_id("r" + std::to_string(++LastId));
+    Call.Method = "POST";
+    Call.Target = Path;
+    Call.Host = "a.example";
+    Call.Path = Path;
+    Call.Key = "key";
+    Call.Deadline = milliseconds(20000);
+    Call.Body = "body";
+    Call.Arrived = Clock.monotonicNow();
+    return Call;
+  }
+
+  recording_caller run(const forward_call::fields &Call) {
+    recording_caller Caller;
+    runFor(Call, Caller);
+    return Caller;
+  }
+  recording_caller run(const std::string &Path) { return run(callOf(Path)); }
+  void runFor(const forward_call::fields &Call, recording_caller &Caller) {
+    forward_relay(Ports, Upstreams, Caller,
+                  std::make_shared<const forward_call>(Call))
+        .run();
+    EXPECT_TRUE(Caller.Ended || Caller.Abandoned || Caller.Gone);
+  }
+  void script(std::vector<upstream_script> Scripts) {
+    Upstreams.Scripts.assign(Scripts.begin(), Scripts.end());
+  }
+  static upstream_script failing(attempt_error Error) {
+    upstream_script Script;
+    Script.OpenError = Error;
+    return Script;
+  }
+  static std::string event(int Number) {
+    return "id: " + std::to_string(Number) + "\ndata: x\n\n";
+  }
+
+  manual_clock Clock;
+  settable_gate Gate;
+  route_table_holder Tables;
+  upstream_roster Roster{Clock};
+  load_book Loads{Clock};
+  cold_gate Cold{instance_id("self"), Clock};
+  closed_centres Centres{Clock};
+  live_instances Instances{Clock};
+  roll_out_book RollOuts{roll_out_limits(0.15, milliseconds(5000)), Clock};
+  prefix_book Prefixes{Clock};
+  crash_book Crashes{Clock};
+  retry_window Retries{retry_rules(0.9, 56, milliseconds(10000)), Clock};
+  cheapest_placement Placement;
+  confidence_size_policy Sizes;
+  silent_monitor Monitor;
+  silent_log Log;
+  forward_ports Ports{instance_id("self"), data_centre_id("north"),
+                      Clock,   Gate,     Tables,   Roster,  Loads,
+                      Cold,    Centres,  Instances, RollOuts, Prefixes,
+                      Crashes, Retries,  Placement, Sizes,    Monitor,
+                      Log};
+  scripted_upstreams Upstreams;
+  int LastId = 0;
+};
+
+} // namespace bluebellkeel
+
+#endif // UNITTESTS_SUPPORT_FORWARDFIXTURE_H
