--- a/include/bluebellkeel/Gateway/GatewayParts.h
+++ b/include/bluebellkeel/Gateway/GatewayParts.h
@@ -27,6 +27,7 @@
 
   const gateway_settings Settings;
   system_clock Clock;
+  system_random Random;
   event_writer Log;
   metrics Metrics;
   log_age SettingsAge{client_stream::SilenceLimit};
--- a/include/bluebellkeel/Journal/KeyedView.h
+++ b/include/bluebellkeel/Journal/KeyedView.h
@@ -28,8 +28,8 @@
   std::optional<keyed_record> find(const std::string &Key) const;
 
 private:
-  bool takeNewer(const keyed_record &Record) ABSL_EXCLUSIVE_LOCKS_REQUIRED(
-      Mutex);
+  bool takeNewer(const keyed_record &Record)
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex);
 
   keyed_listener &Listener;
   /// Held while listeners are told, so that they are told in order.
--- a/include/bluebellkeel/Journal/LogAge.h
+++ b/include/bluebellkeel/Journal/LogAge.h
@@ -49,8 +49,8 @@
   }
 
 private:
-  std::optional<monotonic_time>
-  atLeastProbed(std::optional<monotonic_time> At, monotonic_time Now) const
+  std::optional<monotonic_time> atLeastProbed(std::optional<monotonic_time> At,
+                                              monotonic_time Now) const
       ABSL_SHARED_LOCKS_REQUIRED(Mutex) {
     if (At && Waiting)
       return std::max(*At, Now - SilenceLimit);
--- /dev/null
+++ b/include/bluebellkeel/Membership/InstanceSighting.h
@@ -0,0 +1,31 @@
+#ifndef BLUEBELLKEEL_MEMBERSHIP_INSTANCESIGHTING_H
+#define BLUEBELLKEEL_MEMBERSHIP_INSTANCESIGHTING_H
+
+#include "bluebellkeel/Core/Comparable.h"
+#include "bluebellkeel/Core/InstanceId.h"
+#include "bluebellkeel/Core/Time.h"
+#include "bluebellkeel/Membership/InstanceState.h"
+#include <tuple>
+
+namespace bluebellkeel {
+
+/// How long ago an instance was heard, and what it said of itself.
+class instance_sighting : public comparable<instance_sighting> {
+public:
+  instance_sighting(instance_id Id, milliseconds Age, instance_state State)
+      : Id(std::move(Id)), Age(Age), State(State) {}
+
+  const instance_id &id() const { return Id; }
+  milliseconds age() const { return Age; }
+  instance_state state() const { return State; }
+  auto key() const { return std::tie(Id, Age, State); }
+
+private:
+  instance_id Id;
+  milliseconds Age;
+  instance_state State;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_MEMBERSHIP_INSTANCESIGHTING_H
--- a/include/bluebellkeel/Membership/LiveInstances.h
+++ b/include/bluebellkeel/Membership/LiveInstances.h
@@ -4,34 +4,46 @@
 #include "bluebellkeel/Core/Sharded.h"
 #include "bluebellkeel/Core/TimeSource.h"
 #include "bluebellkeel/Membership/InstanceRecord.h"
+#include "bluebellkeel/Membership/InstanceSighting.h"
 #include <map>
 #include <vector>
 
 namespace bluebellkeel {
 
-/// The other instances, and which of them have spoken lately. An instance that
-/// was only heard of counts as known, not as alive.
+/// The other instances, and which of them have spoken lately, to this one or
+/// to a peer that said so. An instance that was only heard of counts as known,
+/// not as alive.
 class live_instances {
 public:
-  /// Silence after which an instance counts as dead: two lost rounds and the
-  /// delay of the third.
-  static constexpr milliseconds SilenceLimit{2200};
-  /// Silence after which an instance is no longer asked.
+  /// Silence after which an instance counts as dead: three rounds of digests
+  /// and the delay of the fourth.
+  static constexpr milliseconds SilenceLimit{2400};
+  /// Silence after which an instance no longer counts among the senders.
+  static constexpr milliseconds SenderLimit{20000};
+  /// Silence after which an instance that is not registered is forgotten.
   static constexpr milliseconds ForgetAfter{60000};
 
   explicit live_instances(const time_source &Clock) : Clock(Clock) {}
 
+  /// The instance stands in the platform's log.
+  void registered(const instance_record &Record);
   /// Somebody else named this instance.
   void learn(const instance_record &Record);
   /// The instance itself spoke.
   void hear(const instance_record &Record);
-  /// The instance could not be asked.
+  /// A peer heard the instance so long ago.
+  void sighted(const instance_sighting &Sighting);
+  /// The instance no longer stands in the log.
   void drop(const instance_id &Id);
 
-  /// All that should be asked.
+  /// All that may be asked.
   std::vector<instance_record> known();
   /// Those that spoke lately, the ones that are leaving among them.
   std::vector<instance_record> alive();
+  /// Those that may still send to upstreams, whether or not they were heard.
+  std::vector<instance_id> senders();
+  /// When each live instance of \p Centre was last heard.
+  std::vector<instance_sighting> sightings(const data_centre_id &Centre);
 
 private:
   struct entry {
@@ -39,10 +51,16 @@
     monotonic_time LearntAt;
     monotonic_time HeardAt;
     bool Heard = false;
+    bool Registered = false;
   };
 
   using entry_map = std::map<instance_id, entry>;
 
+  static bool silentFor(const entry &Entry, monotonic_time Now,
+                        milliseconds Limit) {
+    return !Entry.Heard || Now - Entry.HeardAt > Limit;
+  }
+
   const time_source &Clock;
   sharded<entry_map> Entries;
 };
--- /dev/null
+++ b/include/bluebellkeel/Membership/ReaderElection.h
@@ -0,0 +1,23 @@
+#ifndef BLUEBELLKEEL_MEMBERSHIP_READERELECTION_H
+#define BLUEBELLKEEL_MEMBERSHIP_READERELECTION_H
+
+#include "bluebellkeel/Membership/InstanceRecord.h"
+#include <vector>
+
+namespace bluebellkeel {
+
+/// Which instances of a data centre read the log, by rendezvous hashing among
+/// those alive. Views may differ: then some more, or for a moment fewer, read.
+class reader_election {
+public:
+  /// Readers of each data centre; one more than can be lost at once unnoticed.
+  static constexpr std::size_t Readers = 3;
+
+  /// True when enough others of \p Home read for \p Self.
+  static bool isSpared(const instance_id &Self, const data_centre_id &Home,
+                       const std::vector<instance_record> &Alive);
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_MEMBERSHIP_READERELECTION_H
--- a/include/bluebellkeel/Peer/InstanceDigest.h
+++ b/include/bluebellkeel/Peer/InstanceDigest.h
@@ -3,6 +3,7 @@
 
 #include "bluebellkeel/Core/LogOffset.h"
 #include "bluebellkeel/Membership/InstanceRecord.h"
+#include "bluebellkeel/Membership/InstanceSighting.h"
 #include "bluebellkeel/Peer/CrashNotice.h"
 #include "bluebellkeel/Policy/RollOutEvidence.h"
 #include "bluebellkeel/Upstream/OwnLoad.h"
@@ -22,10 +23,13 @@
     log_offset UpstreamsEnd;
     /// How old the sender's knowledge of the settings is; empty for never.
     std::optional<milliseconds> SettingsAge;
+    /// The same for the upstreams.
+    std::optional<milliseconds> UpstreamsAge;
     std::vector<own_load> Loads;
     std::vector<roll_out_evidence> RollOuts;
     std::vector<crash_notice> Crashes;
     std::vector<instance_record> Known;
+    std::vector<instance_sighting> Sightings;
   };
 
   instance_digest() = default;
@@ -37,17 +41,24 @@
   const std::optional<milliseconds> &settingsAge() const {
     return Held.SettingsAge;
   }
+  const std::optional<milliseconds> &upstreamsAge() const {
+    return Held.UpstreamsAge;
+  }
   const std::vector<own_load> &loads() const { return Held.Loads; }
   const std::vector<roll_out_evidence> &rollOuts() const {
     return Held.RollOuts;
   }
   const std::vector<crash_notice> &crashes() const { return Held.Crashes; }
-  /// Other instances that the sender has heard lately.
+  /// Some of the instances that the sender has heard lately.
   const std::vector<instance_record> &known() const { return Held.Known; }
+  /// When the sender heard the instances of its data centre; for peers there.
+  const std::vector<instance_sighting> &sightings() const {
+    return Held.Sightings;
+  }
   auto key() const {
     return std::tie(Held.Sender, Held.SettingsEnd, Held.UpstreamsEnd,
-                    Held.SettingsAge, Held.Loads, Held.RollOuts, Held.Crashes,
-                    Held.Known);
+                    Held.SettingsAge, Held.UpstreamsAge, Held.Loads, Held.RollOuts, Held.Crashes,
+                    Held.Known, Held.Sightings);
   }
 
 private:
--- a/include/bluebellkeel/Peer/PeerBody.h
+++ b/include/bluebellkeel/Peer/PeerBody.h
@@ -19,10 +19,10 @@
 namespace bluebellkeel {
 
 /// What instances say to each other.
-using peer_body = std::variant<heartbeat_query, heartbeat_answer, grant_ask,
-                               grant_reply, bill_copy, bill_copy_ack,
-                               crash_notice, state_query, state_answer,
-                               instance_digest, view_query, view_answer>;
+using peer_body =
+    std::variant<heartbeat_query, heartbeat_answer, grant_ask, grant_reply,
+                 bill_copy, bill_copy_ack, crash_notice, state_query,
+                 state_answer, instance_digest, view_query, view_answer>;
 
 /// A short name of the kind of \p Body, also for counters.
 std::string_view kindOf(const peer_body &Body);
--- a/include/bluebellkeel/Policy/RollOutDuty.h
+++ b/include/bluebellkeel/Policy/RollOutDuty.h
@@ -17,8 +17,8 @@
   /// How much longer each further instance waits before it steps in.
   static constexpr milliseconds StepIn{1500};
 
-  roll_out_duty(instance_id Self, const time_source &Clock,
-                roll_out_book &Book, roll_out_status_log &Log)
+  roll_out_duty(instance_id Self, const time_source &Clock, roll_out_book &Book,
+                roll_out_status_log &Log)
       : Self(std::move(Self)), Clock(Clock), Book(Book), Log(Log) {}
 
   /// Does what is due; returns the statuses that were written.
--- a/include/bluebellkeel/Policy/VersionTally.h
+++ b/include/bluebellkeel/Policy/VersionTally.h
@@ -23,9 +23,9 @@
   /// Sum of the natural logarithms of those times in milliseconds.
   double logTimeSum() const { return LogTimeSum; }
   double badShare() const {
-    return total() == 0 ? 0
-                        : static_cast<double>(Bad) /
-                              static_cast<double>(total());
+    return total() == 0
+               ? 0
+               : static_cast<double>(Bad) / static_cast<double>(total());
   }
   /// Mean logarithm of the time to the first byte; 0 when none was taken.
   double meanLogTime() const {
@@ -33,8 +33,7 @@
   }
 
   version_tally withAnswer(bool IsGood) const {
-    return {Good + (IsGood ? 1 : 0), Bad + (IsGood ? 0 : 1), Timed,
-            LogTimeSum};
+    return {Good + (IsGood ? 1 : 0), Bad + (IsGood ? 0 : 1), Timed, LogTimeSum};
   }
   version_tally withTime(double LogTime) const {
     return {Good, Bad, Timed + 1, LogTimeSum + LogTime};
--- a/include/bluebellkeel/Relay/ForwardPorts.h
+++ b/include/bluebellkeel/Relay/ForwardPorts.h
@@ -43,9 +43,8 @@
 
   /// All instances that may send to upstreams, this one among them.
   std::vector<instance_id> senders() const {
-    std::vector<instance_id> Ids = {Self};
-    for (const auto &Peer : Instances.alive())
-      Ids.push_back(Peer.id());
+    std::vector<instance_id> Ids = Instances.senders();
+    Ids.push_back(Self);
     return Ids;
   }
 };
--- a/include/bluebellkeel/Relay/ForwardRelay.h
+++ b/include/bluebellkeel/Relay/ForwardRelay.h
@@ -40,8 +40,7 @@
                  upstream_answer &Answer);
   step afterError(const upstream_listing &Upstream, attempt_error Error);
   step forwardWhole(const upstream_listing &Upstream, upstream_answer &Answer);
-  step forwardStream(const upstream_listing &Upstream,
-                     upstream_answer &Answer);
+  step forwardStream(const upstream_listing &Upstream, upstream_answer &Answer);
   std::optional<step> passEvents(const upstream_listing &Upstream,
                                  const std::vector<stream_event> &Events);
   step endStream(const upstream_listing &Upstream);
--- a/include/bluebellkeel/Routing/KeyedAccount.h
+++ b/include/bluebellkeel/Routing/KeyedAccount.h
@@ -15,8 +15,8 @@
 public:
   keyed_account(account_id Account, std::vector<std::string> Keys,
                 std::optional<unsigned> Priority)
-      : Account(std::move(Account)), Keys(std::move(Keys)),
-        Priority(Priority) {}
+      : Account(std::move(Account)), Keys(std::move(Keys)), Priority(Priority) {
+  }
 
   const account_id &account() const { return Account; }
   const std::vector<std::string> &keys() const { return Keys; }
--- a/include/bluebellkeel/Upstream/ColdGate.h
+++ b/include/bluebellkeel/Upstream/ColdGate.h
@@ -11,8 +11,8 @@
 namespace bluebellkeel {
 
 /// Keeps the requests of all instances to a cold upstream within its rate,
-/// without asking anyone: by rendezvous hashing a few instances send to it, each
-/// its part of the rate.
+/// without asking anyone: by rendezvous hashing a few instances send to it,
+/// each its part of the rate.
 class cold_gate {
 public:
   cold_gate(instance_id Self, const time_source &Clock)
--- a/lib/Backend/EngineClient.cpp
+++ b/lib/Backend/EngineClient.cpp
@@ -1,7 +1,7 @@
 #include "bluebellkeel/Backend/EngineClient.h"
 #include "AnswerReader.h"
-#include "bluebellkeel/Backend/AttemptErrorOf.h"
 #include "EventReader.h"
+#include "bluebellkeel/Backend/AttemptErrorOf.h"
 #include "bluebellkeel/Codec/JsonText.h"
 #include "bluebellkeel/Http/ClientStream.h"
 #include <nlohmann/json.hpp>
--- a/lib/Gateway/GatewayParts.cpp
+++ b/lib/Gateway/GatewayParts.cpp
@@ -15,17 +15,30 @@
               Clock) {}
 
 forward_ports gateway_parts::ports() {
-  return forward_ports{
-      Settings.Instance, Settings.DataCentre, Clock,     State,     Tables,
-      Roster,            Loads,               Cold,      Centres,   Instances,
-      RollOuts,          Prefixes,            Crashes,   Retries,   Placement,
-      Sizes,             Metrics,             Log};
+  return forward_ports{Settings.Instance,
+                       Settings.DataCentre,
+                       Clock,
+                       State,
+                       Tables,
+                       Roster,
+                       Loads,
+                       Cold,
+                       Centres,
+                       Instances,
+                       RollOuts,
+                       Prefixes,
+                       Crashes,
+                       Retries,
+                       Placement,
+                       Sizes,
+                       Metrics,
+                       Log};
 }
 
 instance_record gateway_parts::self() const {
   bool Serving = State.phase() == serving_phase::Serving;
-  return instance_record(
-      Settings.Instance, Settings.DataCentre, Settings.CallerAddress,
-      Settings.PeerAddress,
-      Serving ? instance_state::Live : instance_state::Leaving);
+  return instance_record(Settings.Instance, Settings.DataCentre,
+                         Settings.CallerAddress, Settings.PeerAddress,
+                         Serving ? instance_state::Live
+                                 : instance_state::Leaving);
 }
--- a/lib/Gateway/GatewayRuntime.cpp
+++ b/lib/Gateway/GatewayRuntime.cpp
@@ -1,6 +1,6 @@
 #include "bluebellkeel/Gateway/GatewayRuntime.h"
-#include "DigestDesk.h"
 #include "ContactWatch.h"
+#include "DigestDesk.h"
 #include "PeerCounter.h"
 #include "bluebellkeel/Http/Await.h"
 #include "bluebellkeel/Journal/KeyedFollower.h"
@@ -24,6 +24,11 @@
 static constexpr milliseconds FailurePause{250};
 static constexpr milliseconds LongestFailurePause{1000};
 
+/// How old the knowledge of peers may be for an instance that does not read
+/// itself, and how often it looks.
+static constexpr milliseconds PeersPatience{2000};
+static constexpr milliseconds PeersCheck{400};
+
 static constexpr milliseconds DigestInterval{700};
 static constexpr milliseconds DutyInterval{400};
 
@@ -58,6 +63,7 @@
   void followInstances(asio::yield_context Yield);
   void exchangeDigests(asio::yield_context Yield);
   void doDuties(asio::yield_context Yield);
+  bool peersKeepUp(const log_age &Age);
   void serveOnceKnown();
   void removeMissing();
 
@@ -74,8 +80,7 @@
   digest_desk Desk;
 };
 
-template <typename round_t>
-void gateway_runtime::impl::spawn(round_t Round) {
+template <typename round_t> void gateway_runtime::impl::spawn(round_t Round) {
   asio::spawn(
       asio::make_strand(Pool.context()),
       [Self = shared_from_this(), Round](asio::yield_context Yield) {
@@ -108,6 +113,19 @@
   Parts.Log.write(Line);
 }
 
+/// Where a data centre has many instances, a few of them read the log and the
+/// others learn from their digests, as long as these are fresh.
+bool gateway_runtime::impl::peersKeepUp(const log_age &Age) {
+  monotonic_time Now = Parts.Clock.monotonicNow();
+  auto KnownAt = Age.knownAt(Now);
+  if (!KnownAt || Now - *KnownAt > PeersPatience ||
+      Parts.State.phase() == serving_phase::Starting)
+    return false;
+  return reader_election::isSpared(Parts.Settings.Instance,
+                                   Parts.Settings.DataCentre,
+                                   Parts.Instances.alive());
+}
+
 void gateway_runtime::impl::follow(keyed_topic Topic, keyed_view &View,
                                    log_age &Age, asio::yield_context Yield) {
   auto Log = Access.openLog(Yield);
@@ -115,6 +133,11 @@
   contact_watch Contact(Topic, Parts.Clock, Parts.Log);
   milliseconds Pause = FailurePause;
   while (true) {
+    if (peersKeepUp(Age)) {
+      awaitTime(Yield, PeersCheck);
+      continue;
+    }
+    log_offset Before = View.end();
     auto Read = Follower.poll(*Log, NewsWait);
     if (!Read) {
       Contact.failed(Read.error());
@@ -126,6 +149,8 @@
     if (Contact.succeeded())
       Parts.Keeper.logReturned();
     serveOnceKnown();
+    if (View.end() > Before)
+      Desk.spreadNews();
     awaitTime(Yield, NewsPause);
   }
 }
--- a/lib/Http/ClientStream.cpp
+++ b/lib/Http/ClientStream.cpp
@@ -1,9 +1,9 @@
 #include "bluebellkeel/Http/ClientStream.h"
 #include <array>
-#include <netinet/tcp.h>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <netinet/tcp.h>
 #include <optional>
 
 using namespace bluebellkeel;
--- a/lib/Membership/LiveInstances.cpp
+++ b/lib/Membership/LiveInstances.cpp
@@ -3,14 +3,19 @@
 
 using namespace bluebellkeel;
 
+void live_instances::registered(const instance_record &Record) {
+  learn(Record);
+  Entries.withShard(Record.id().text(), [&](entry_map &Shard) {
+    Shard[Record.id()].Registered = true;
+  });
+}
+
 void live_instances::learn(const instance_record &Record) {
   monotonic_time Now = Clock.monotonicNow();
   Entries.withShard(Record.id().text(), [&](entry_map &Shard) {
-    auto [Known, New] = Shard.emplace(Record.id(), entry());
-    entry &Entry = Known->second;
-    bool Alive = Entry.Heard && Now - Entry.HeardAt <= SilenceLimit;
+    entry &Entry = Shard[Record.id()];
     // What an instance says of itself goes before what others say.
-    if (!Alive)
+    if (silentFor(Entry, Now, SilenceLimit))
       Entry.Record = Record;
     Entry.LearntAt = Now;
   });
@@ -19,7 +24,29 @@
 void live_instances::hear(const instance_record &Record) {
   monotonic_time Now = Clock.monotonicNow();
   Entries.withShard(Record.id().text(), [&](entry_map &Shard) {
-    Shard[Record.id()] = {Record, Now, Now, true};
+    entry &Entry = Shard[Record.id()];
+    Entry.Record = Record;
+    Entry.LearntAt = Now;
+    Entry.HeardAt = Now;
+    Entry.Heard = true;
+  });
+}
+
+void live_instances::sighted(const instance_sighting &Sighting) {
+  monotonic_time At = Clock.monotonicNow() - Sighting.age();
+  Entries.withShard(Sighting.id().text(), [&](entry_map &Shard) {
+    auto Known = Shard.find(Sighting.id());
+    if (Known == Shard.end())
+      return;
+    entry &Entry = Known->second;
+    if (Entry.Heard && Entry.HeardAt >= At)
+      return;
+    const instance_record &Record = Entry.Record;
+    Entry.Record = instance_record(Record.id(), Record.dataCentre(),
+                                   Record.callerAddress(),
+                                   Record.peerAddress(), Sighting.state());
+    Entry.HeardAt = At;
+    Entry.Heard = true;
   });
 }
 
@@ -33,7 +60,8 @@
   Entries.forEachShard([&](entry_map &Shard) {
     for (auto It = Shard.begin(); It != Shard.end();) {
       const entry &Entry = It->second;
-      if (Now - std::max(Entry.HeardAt, Entry.LearntAt) > ForgetAfter) {
+      bool Old = Now - std::max(Entry.HeardAt, Entry.LearntAt) > ForgetAfter;
+      if (Old && !Entry.Registered) {
         It = Shard.erase(It);
         continue;
       }
@@ -49,10 +77,41 @@
   std::vector<instance_record> Alive;
   Entries.forEachShard([&](entry_map &Shard) {
     for (const auto &[Id, Entry] : Shard) {
-      if (Entry.Heard && Now - Entry.HeardAt <= SilenceLimit)
+      if (!silentFor(Entry, Now, SilenceLimit))
         Alive.push_back(Entry.Record);
     }
   });
   std::sort(Alive.begin(), Alive.end());
   return Alive;
 }
+
+std::vector<instance_id> live_instances::senders() {
+  monotonic_time Now = Clock.monotonicNow();
+  std::vector<instance_id> Senders;
+  Entries.forEachShard([&](entry_map &Shard) {
+    for (const auto &[Id, Entry] : Shard) {
+      bool Lately = Now - std::max(Entry.HeardAt, Entry.LearntAt) <= SenderLimit;
+      if (Lately || (Entry.Registered && !Entry.Heard))
+        Senders.push_back(Id);
+    }
+  });
+  return Senders;
+}
+
+std::vector<instance_sighting>
+live_instances::sightings(const data_centre_id &Centre) {
+  monotonic_time Now = Clock.monotonicNow();
+  std::vector<instance_sighting> Sightings;
+  Entries.forEachShard([&](entry_map &Shard) {
+    for (const auto &[Id, Entry] : Shard) {
+      if (silentFor(Entry, Now, SilenceLimit) ||
+          Entry.Record.dataCentre() != Centre)
+        continue;
+      Sightings.emplace_back(
+          Id,
+          std::chrono::duration_cast<milliseconds>(Now - Entry.HeardAt),
+          Entry.Record.state());
+    }
+  });
+  return Sightings;
+}
--- /dev/null
+++ b/lib/Membership/PeerSampler.cpp
@@ -0,0 +1,29 @@
+#include "bluebellkeel/Membership/PeerSampler.h"
+#include <algorithm>
+
+using namespace bluebellkeel;
+
+/// Moves \p Count of \p Records, drawn at random, to the end of \p Picked.
+static void draw(std::vector<instance_record> Records, std::size_t Count,
+                 random_source &Random, std::vector<instance_record> &Picked) {
+  for (; Count > 0 && !Records.empty(); --Count) {
+    std::swap(Records[Random.below(Records.size())], Records.back());
+    Picked.push_back(std::move(Records.back()));
+    Records.pop_back();
+  }
+}
+
+std::vector<instance_record>
+peer_sampler::sample(const std::vector<instance_record> &Known,
+                     const data_centre_id &Home, random_source &Random) {
+  if (Known.size() <= AllUpTo)
+    return Known;
+  std::vector<instance_record> Near;
+  std::vector<instance_record> Far;
+  for (const auto &Record : Known)
+    (Record.dataCentre() == Home ? Near : Far).push_back(Record);
+  std::vector<instance_record> Picked;
+  draw(std::move(Near), NearPerRound, Random, Picked);
+  draw(std::move(Far), FarPerRound, Random, Picked);
+  return Picked;
+}
--- a/lib/Peer/DigestForms.cpp
+++ b/lib/Peer/DigestForms.cpp
@@ -47,8 +47,8 @@
   service_id Service(Fields.text("s"));
   version_id Target(Fields.text("v"));
   milliseconds Duration(Fields.number("d"));
-  Evidence.Order = roll_out_order(Service, Target, Duration,
-                                  log_offset(Fields.number("o")));
+  Evidence.Order =
+      roll_out_order(Service, Target, Duration, log_offset(Fields.number("o")));
   Evidence.Elapsed = milliseconds(Fields.number("e"));
   std::uint64_t Stage = Fields.number("st");
   if (Stage > static_cast<std::uint64_t>(roll_out_stage::RolledBack))
@@ -83,15 +83,24 @@
   json Known = json::array();
   for (const auto &Record : Body.known())
     Known.push_back(toJson(Record));
+  json Sightings = json::array();
+  for (const auto &Sighting : Body.sightings())
+    Sightings.push_back(
+        {{"i", Sighting.id().text()},
+         {"a", static_cast<std::uint64_t>(Sighting.age().count())},
+         {"l", Sighting.state() == instance_state::Live}});
   json Form = {{"i", toJson(Body.sender())},
                {"so", Body.settingsEnd().value()},
                {"uo", Body.upstreamsEnd().value()},
                {"l", std::move(Loads)},
                {"r", std::move(RollOuts)},
                {"c", std::move(Crashes)},
-               {"k", std::move(Known)}};
+               {"k", std::move(Known)},
+               {"h", std::move(Sightings)}};
   if (Body.settingsAge())
     Form["a"] = static_cast<std::uint64_t>(Body.settingsAge()->count());
+  if (Body.upstreamsAge())
+    Form["b"] = static_cast<std::uint64_t>(Body.upstreamsAge()->count());
   return Form;
 }
 
@@ -122,6 +131,22 @@
   return Crashes;
 }
 
+static std::vector<instance_sighting> sightingsFrom(field_reader &Fields) {
+  std::vector<instance_sighting> Sightings;
+  for (const auto &Item : Fields.array("h")) {
+    field_reader Sighting(Item);
+    instance_id Id(Sighting.text("i"));
+    milliseconds Age(Sighting.number("a"));
+    bool Live = Sighting.flag("l");
+    if (Sighting.failed())
+      Fields.fail(Sighting.error().message());
+    Sightings.emplace_back(Id, Age,
+                           Live ? instance_state::Live
+                                : instance_state::Leaving);
+  }
+  return Sightings;
+}
+
 static instance_record recordFrom(const json &Form, field_reader &Fields) {
   auto Record = instanceRecordFrom(Form);
   if (!Record) {
@@ -139,12 +164,15 @@
   Digest.UpstreamsEnd = log_offset(Fields.number("uo"));
   if (!Fields.optional("a").is_null())
     Digest.SettingsAge = milliseconds(Fields.number("a"));
+  if (!Fields.optional("b").is_null())
+    Digest.UpstreamsAge = milliseconds(Fields.number("b"));
   Digest.Loads = loadsFrom(Fields);
   for (const auto &Item : Fields.array("r"))
     Digest.RollOuts.push_back(evidenceFrom(Item, Fields));
   Digest.Crashes = crashesFrom(Fields);
   for (const auto &Item : Fields.array("k"))
     Digest.Known.push_back(recordFrom(Item, Fields));
+  Digest.Sightings = sightingsFrom(Fields);
   if (Fields.failed())
     return tl::unexpected(Fields.error());
   return peer_body(instance_digest(std::move(Digest)));
--- a/lib/Peer/WebsocketPeerLink.cpp
+++ b/lib/Peer/WebsocketPeerLink.cpp
@@ -291,7 +291,8 @@
   for (auto It = Channels.begin(); It != Channels.end();) {
     peer_channel &Channel = It->second;
     sweepChannel(Channel, Now);
-    bool Unused = Channel.Questions.empty() && Now - Channel.UsedAt > UnusedLimit;
+    bool Unused =
+        Channel.Questions.empty() && Now - Channel.UsedAt > UnusedLimit;
     if (Unused)
       reset(Channel);
     It = Unused ? Channels.erase(It) : std::next(It);
--- a/lib/Policy/CheapestPlacement.cpp
+++ b/lib/Policy/CheapestPlacement.cpp
@@ -24,13 +24,12 @@
 /// it is not known who has read it.
 static constexpr double HomePreference = 0.5;
 
-static double costOf(const placement_candidate &Candidate,
-                     const prompt &Prompt, double Pace) {
+static double costOf(const placement_candidate &Candidate, const prompt &Prompt,
+                     double Pace) {
   const upstream_load &Load = Candidate.load();
-  std::uint64_t Cached =
-      std::min(Candidate.cachedTokens(), Prompt.tokensIn());
-  double Cost = Load.prefill() +
-                Pace * static_cast<double>(Prompt.tokensIn() - Cached);
+  std::uint64_t Cached = std::min(Candidate.cachedTokens(), Prompt.tokensIn());
+  double Cost =
+      Load.prefill() + Pace * static_cast<double>(Prompt.tokensIn() - Cached);
   double Slots = std::max<double>(1, Candidate.listing().slots());
   Cost += TokensPerRunning * Load.running();
   Cost += TokensPerWaiting *
@@ -57,9 +56,9 @@
   const prompt_part *Shared = sharedPart(Prompt);
   std::uint64_t HighestWeight = 0;
   auto WeightOf = [&](const placement_candidate &Candidate) {
-    return Shared ? rendezvousWeight(Shared->id(),
-                                     Candidate.listing().id().text())
-                  : 0;
+    return Shared
+               ? rendezvousWeight(Shared->id(), Candidate.listing().id().text())
+               : 0;
   };
   for (const auto &Candidate : Candidates)
     HighestWeight = std::max(HighestWeight, WeightOf(Candidate));
--- a/lib/Policy/ConfidenceSizePolicy.cpp
+++ b/lib/Policy/ConfidenceSizePolicy.cpp
@@ -21,8 +21,7 @@
   std::size_t Largest = Question.sizes().size() - 1;
   if (Held >= Largest)
     return Held;
-  double Threshold =
-      std::max(LowestThreshold,
-               IdleThreshold - ThresholdFall * Question.occupancy());
+  double Threshold = std::max(
+      LowestThreshold, IdleThreshold - ThresholdFall * Question.occupancy());
   return Confidence < Threshold ? Largest : Held;
 }
--- a/lib/Policy/RetryWindow.cpp
+++ b/lib/Policy/RetryWindow.cpp
@@ -28,9 +28,8 @@
     history &History = Shard[Service];
     dropOld(History.Requests, Now - Rules.window());
     dropOld(History.Repeats, Now - Rules.window());
-    double Share =
-        Rules.slack() /
-        static_cast<double>(std::max<std::size_t>(Instances, 1));
+    double Share = Rules.slack() /
+                   static_cast<double>(std::max<std::size_t>(Instances, 1));
     double Allowed =
         UsedPart *
         (Rules.ratio() * static_cast<double>(History.Requests.size()) + Share);
--- a/lib/Policy/RollOutBook.cpp
+++ b/lib/Policy/RollOutBook.cpp
@@ -13,8 +13,8 @@
 /// A place from 0 up to 1 that a session keeps for one roll-out.
 static double placeOf(const roll_out_order &Order, const std::string &Session) {
   constexpr std::uint64_t Steps = 10000;
-  std::string Key = Order.service().text() + "|" + Order.target().text() + "|" +
-                    Session;
+  std::string Key =
+      Order.service().text() + "|" + Order.target().text() + "|" + Session;
   return static_cast<double>(stableHash(Key) % Steps) /
          static_cast<double>(Steps);
 }
@@ -226,8 +226,7 @@
   const service_id &Service = Evidence.order().service();
   Shards.withShard(Service.text(), [&](state &Shard) {
     auto Known = Shard.Entries.find(Service);
-    if (Known == Shard.Entries.end() ||
-        Known->second.Order != Evidence.order())
+    if (Known == Shard.Entries.end() || Known->second.Order != Evidence.order())
       return;
     entry &Entry = Known->second;
     Entry.StartedAt = std::min(Entry.StartedAt, Now - Evidence.elapsed());
--- a/lib/Policy/RollOutDuty.cpp
+++ b/lib/Policy/RollOutDuty.cpp
@@ -26,13 +26,12 @@
 /// True when the log already tells this stage of the roll-out or a later one.
 static bool told(const roll_out_status_page &Page,
                  const roll_out_status &Status) {
-  return std::any_of(
-      Page.statuses().begin(), Page.statuses().end(),
-      [&](const roll_out_status &Known) {
-        return Known.service() == Status.service() &&
-               Known.target() == Status.target() &&
-               Known.stage() >= Status.stage();
-      });
+  return std::any_of(Page.statuses().begin(), Page.statuses().end(),
+                     [&](const roll_out_status &Known) {
+                       return Known.service() == Status.service() &&
+                              Known.target() == Status.target() &&
+                              Known.stage() >= Status.stage();
+                     });
 }
 
 std::vector<roll_out_status>
--- a/lib/Relay/AttemptError.cpp
+++ b/lib/Relay/AttemptError.cpp
@@ -34,12 +34,11 @@
 
 const std::vector<attempt_error> &bluebellkeel::allAttemptErrors() {
   static const std::vector<attempt_error> All = {
-      attempt_error::ConnectFailed,    attempt_error::TurnedAway,
-      attempt_error::WrongInstance,
-      attempt_error::FirstByteTimeout, attempt_error::Silent,
-      attempt_error::Truncated,        attempt_error::Crossed,
-      attempt_error::Malformed,        attempt_error::TooLarge,
-      attempt_error::Failed,           attempt_error::CallerGone,
-      attempt_error::TimeLimit};
+      attempt_error::ConnectFailed, attempt_error::TurnedAway,
+      attempt_error::WrongInstance, attempt_error::FirstByteTimeout,
+      attempt_error::Silent,        attempt_error::Truncated,
+      attempt_error::Crossed,       attempt_error::Malformed,
+      attempt_error::TooLarge,      attempt_error::Failed,
+      attempt_error::CallerGone,    attempt_error::TimeLimit};
   return All;
 }
--- a/lib/Relay/EventSplitter.cpp
+++ b/lib/Relay/EventSplitter.cpp
@@ -17,8 +17,7 @@
     while (!Line.empty() && Line.front() == ' ')
       Line.remove_prefix(1);
     std::uint64_t Number = 0;
-    auto Read =
-        std::from_chars(Line.data(), Line.data() + Line.size(), Number);
+    auto Read = std::from_chars(Line.data(), Line.data() + Line.size(), Number);
     if (Read.ec == std::errc())
       return Number;
   }
--- a/lib/Relay/ForwardCandidates.cpp
+++ b/lib/Relay/ForwardCandidates.cpp
@@ -35,8 +35,7 @@
 
 std::optional<placement_candidate>
 forward_candidates::choose(const query &Query) const {
-  auto Ordered =
-      Ports.Placement.order(gather(Query), Query.Prompt, Query.Pace);
+  auto Ordered = Ports.Placement.order(gather(Query), Query.Prompt, Query.Pace);
   for (const auto &Candidate : Ordered) {
     if (Candidate.cold() &&
         !Ports.Cold.admit(Candidate.listing().id(), Query.Traits.coldRate(),
--- a/lib/Relay/ForwardRelay.cpp
+++ b/lib/Relay/ForwardRelay.cpp
@@ -27,9 +27,9 @@
                              forward_upstream &Upstreams,
                              forward_caller &Caller,
                              std::shared_ptr<const forward_call> Call)
-    : Ports(Ports), Upstreams(Upstreams), Caller(Caller),
-      Call(std::move(Call)), Limit(*this->Call, Ports.Tables),
-      Candidates(Ports), LastEvent(this->Call->lastEvent()) {}
+    : Ports(Ports), Upstreams(Upstreams), Caller(Caller), Call(std::move(Call)),
+      Limit(*this->Call, Ports.Tables), Candidates(Ports),
+      LastEvent(this->Call->lastEvent()) {}
 
 void forward_relay::run() {
   if (auto Reason = admit()) {
@@ -51,8 +51,8 @@
     return Reason;
   if (Phase == serving_phase::Draining && Route->kind() == route_kind::Stream)
     return refusal_reason::Draining;
-  Print = fingerprint(std::to_string(stableHash(
-      Call->path() + "|" + Account.text() + "|" + Call->body())));
+  Print = fingerprint(std::to_string(
+      stableHash(Call->path() + "|" + Account.text() + "|" + Call->body())));
   if (Ports.Crashes.crashesOf(Print) >= CrashLimit)
     return refusal_reason::CrashingRequest;
   return checkTime();
@@ -128,8 +128,7 @@
 std::optional<placement_candidate> forward_relay::choose() {
   using kind = version_rule::kind;
   const std::string Model = modelName();
-  version_rule Rule =
-      Ports.RollOuts.ruleFor(Traits->service(), sessionName());
+  version_rule Rule = Ports.RollOuts.ruleFor(Traits->service(), sessionName());
   auto Find = [&](const version_rule &Asked) {
     return Candidates.choose(
         {*Traits, Asked, Tried, Call->text(), Model, pace()});
@@ -247,9 +246,8 @@
     }
     Body.clear();
   }
-  bool Reached =
-      Begun ? (Body.empty() || Caller.write(Body)) && Caller.end()
-            : Caller.answer(Answer.head(), Body);
+  bool Reached = Begun ? (Body.empty() || Caller.write(Body)) && Caller.end()
+                       : Caller.answer(Answer.head(), Body);
   if (Answer.head().succeeded())
     noteGood(Upstream);
   else
@@ -263,10 +261,9 @@
 forward_relay::forwardStream(const upstream_listing &Upstream,
                              upstream_answer &Answer) {
   if (Arrivals == 1)
-    Ports.RollOuts.noteFirstByte(
-        Traits->service(), Upstream.version(),
-        std::chrono::duration_cast<milliseconds>(Ports.Clock.monotonicNow() -
-                                                 SentAt));
+    Ports.RollOuts.noteFirstByte(Traits->service(), Upstream.version(),
+                                 std::chrono::duration_cast<milliseconds>(
+                                     Ports.Clock.monotonicNow() - SentAt));
   Ports.Prefixes.noteRead(modelName(), Call->text(), Upstream.id());
   if (asksLargerModel(Answer)) {
     noteGood(Upstream);
@@ -324,8 +321,7 @@
   return std::nullopt;
 }
 
-forward_relay::step
-forward_relay::endStream(const upstream_listing &Upstream) {
+forward_relay::step forward_relay::endStream(const upstream_listing &Upstream) {
   constexpr int Success = 200;
   bool Reached = (Splitter.rest().empty() || Caller.write(Splitter.rest())) &&
                  Caller.end();
@@ -505,10 +501,9 @@
   Line.add("id", Call->id().text())
       .add("upstream", Upstream.id().text())
       .add("error", toString(Error))
-      .add("after_ms",
-           std::chrono::duration_cast<milliseconds>(
-               Ports.Clock.monotonicNow() - SentAt)
-               .count());
+      .add("after_ms", std::chrono::duration_cast<milliseconds>(
+                           Ports.Clock.monotonicNow() - SentAt)
+                           .count());
   Ports.Log.write(Line);
 }
 
--- a/lib/Startup/ObjectReader.cpp
+++ b/lib/Startup/ObjectReader.cpp
@@ -85,8 +85,7 @@
   return Low;
 }
 
-std::vector<network_address>
-object_reader::addresses(const std::string &Name) {
+std::vector<network_address> object_reader::addresses(const std::string &Name) {
   std::vector<network_address> Addresses;
   const json *Found = find(Name);
   if (!Found || !Found->is_array()) {
--- a/lib/Telemetry/EventWriter.cpp
+++ b/lib/Telemetry/EventWriter.cpp
@@ -4,8 +4,7 @@
 using namespace bluebellkeel;
 
 event_writer::event_writer(std::string Instance, const time_source &Clock)
-    : Instance(std::move(Instance)), Clock(Clock),
-      Thread([this] { run(); }) {}
+    : Instance(std::move(Instance)), Clock(Clock), Thread([this] { run(); }) {}
 
 event_writer::~event_writer() {
   {
--- a/lib/Telemetry/LogSetup.cpp
+++ b/lib/Telemetry/LogSetup.cpp
@@ -27,8 +27,7 @@
 }
 
 void bluebellkeel::setUpEventLog() {
-  auto Layout =
-      std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("%m%n"));
+  auto Layout = std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("%m%n"));
   auto Appender = std::make_shared<log4cxx::ConsoleAppender>(
       Layout, log4cxx::ConsoleAppender::getSystemOut());
   auto Logger = log4cxx::Logger::getLogger("bluebellkeel.events");
--- a/lib/Upstream/LoadBook.cpp
+++ b/lib/Upstream/LoadBook.cpp
@@ -96,8 +96,7 @@
       Running = std::max(Running, double(Entry.ReportedRunning));
       Waiting = Entry.ReportedWaiting;
     }
-    return upstream_load(Running, Prefill, Waiting,
-                         fadedSuspicion(Entry, Now));
+    return upstream_load(Running, Prefill, Waiting, fadedSuspicion(Entry, Now));
   });
 }
 
--- a/lib/Upstream/UpstreamRoster.cpp
+++ b/lib/Upstream/UpstreamRoster.cpp
@@ -22,8 +22,8 @@
         return false;
       Shard.Entries.erase(Known);
     }
-    Shard.Entries.emplace(
-        Listing.id(), roster_entry(Listing, Now, Now + Listing.coldLeft()));
+    Shard.Entries.emplace(Listing.id(),
+                          roster_entry(Listing, Now, Now + Listing.coldLeft()));
     return true;
   });
 }
@@ -83,8 +83,7 @@
                           });
 }
 
-std::vector<roster_entry>
-upstream_roster::serving(const service_id &Service) {
+std::vector<roster_entry> upstream_roster::serving(const service_id &Service) {
   std::vector<roster_entry> Serving;
   for (auto &Entry : all()) {
     if (Entry.listing().service() == Service && !Entry.listing().leaving())
--- a/test/Processes/Deployment.cpp
+++ b/test/Processes/Deployment.cpp
@@ -5,6 +5,7 @@
 #include <fstream>
 #include <set>
 #include <thread>
+#include <unistd.h>
 
 using namespace bluebellkeel;
 
@@ -13,8 +14,19 @@
 static constexpr milliseconds StartPatience{20000};
 static constexpr milliseconds WaitStep{20};
 
+/// An address of the loopback range for this process alone, so that tests in
+/// several processes do not share ports.
+static std::string ownHost() {
+  constexpr int FirstNet = 1;
+  constexpr int Byte = 256;
+  int Id = getpid();
+  return "127." + std::to_string(FirstNet + Id / Byte / Byte % (Byte - 2)) +
+         "." + std::to_string(Id / Byte % Byte) + "." +
+         std::to_string(1 + Id % (Byte - 2));
+}
+
 network_address deployment::address(int Offset) {
-  return network_address("127.0.0.1",
+  return network_address(ownHost(),
                          static_cast<std::uint16_t>(FirstPort + Offset));
 }
 
--- a/unittests/Adapter/RequestReaderTest.cpp
+++ b/unittests/Adapter/RequestReaderTest.cpp
@@ -1,6 +1,6 @@
+#include "RequestReader.h"
 #include "AttemptWriter.h"
 #include "HeadReader.h"
-#include "RequestReader.h"
 #include "Support/ListingOf.h"
 #include "WireNames.h"
 #include <gtest/gtest.h>
@@ -112,13 +112,13 @@
 }
 
 TEST_F(request_reader_test, head_ofAGoodAnswer_isVouched) {
-  answer_head Head = readHead(http_response(
-      200,
-      http_headers({{"Bluebellkeel-Server-Stamp", "s"},
-                    {"Bluebellkeel-Confidence", "42"},
-                    {"Bluebellkeel-Runner-Load", "3,1,8"},
-                    {"Connection", "close"}}),
-      ""));
+  answer_head Head = readHead(
+      http_response(200,
+                    http_headers({{"Bluebellkeel-Server-Stamp", "s"},
+                                  {"Bluebellkeel-Confidence", "42"},
+                                  {"Bluebellkeel-Runner-Load", "3,1,8"},
+                                  {"Connection", "close"}}),
+                    ""));
   EXPECT_TRUE(Head.vouched());
   EXPECT_EQ(42, *Head.confidence());
   EXPECT_EQ(queue_report(3, 1), *Head.queue());
@@ -126,21 +126,21 @@
 }
 
 TEST_F(request_reader_test, head_ofAnEncodedBody_isNotVouched) {
-  answer_head Head = readHead(
-      http_response(200,
-                    http_headers()
-                        .with("Bluebellkeel-Server-Stamp", "s")
-                        .with("Content-Encoding", "gzip"),
-                    ""));
+  answer_head Head =
+      readHead(http_response(200,
+                             http_headers()
+                                 .with("Bluebellkeel-Server-Stamp", "s")
+                                 .with("Content-Encoding", "gzip"),
+                             ""));
   EXPECT_FALSE(Head.vouched());
 }
 
 TEST_F(request_reader_test, head_ofARefusal_saysThatNothingRan) {
-  EXPECT_TRUE(readHead(http_response(
-                           503,
-                           http_headers().with("Bluebellkeel-Not-Executed", "1"),
-                           ""))
-                  .notRun());
+  EXPECT_TRUE(
+      readHead(
+          http_response(
+              503, http_headers().with("Bluebellkeel-Not-Executed", "1"), ""))
+          .notRun());
   EXPECT_TRUE(readHead(http_response(421, http_headers(), "")).elsewhere());
   EXPECT_FALSE(readHead(http_response(503, http_headers(), "")).notRun());
 }
--- a/unittests/Adapter/StoreRecordsTest.cpp
+++ b/unittests/Adapter/StoreRecordsTest.cpp
@@ -74,7 +74,8 @@
 TEST_F(store_records_test, configuration_withFaults_isRefusedWhole) {
   EXPECT_FALSE(readConfiguration("no json"));
   EXPECT_FALSE(readConfiguration("[]"));
-  EXPECT_FALSE(readConfiguration(R"({"version":"x","routes":[],"services":[]})"));
+  EXPECT_FALSE(
+      readConfiguration(R"({"version":"x","routes":[],"services":[]})"));
   EXPECT_FALSE(readConfiguration(
       R"({"version":1,"routes":[{"name":"r"}],"services":[]})"));
   EXPECT_FALSE(readConfiguration(
@@ -95,8 +96,7 @@
   EXPECT_FALSE(readRegistration("i", "\xff\xfe"));
   EXPECT_FALSE(readRegistration("i", "{}"));
   EXPECT_FALSE(readRegistration("i", "7"));
-  for (auto [From, To] :
-       std::vector<std::pair<std::string, std::string>>{
+  for (auto [From, To] : std::vector<std::pair<std::string, std::string>>{
            {"\"ready\"", "\"asleep\""},
            {"\"10.0.0.9:8080\"", "\"here\""},
            {"\"seq\":4", "\"seq\":\"4\""},
--- a/unittests/Journal/KeyedViewTest.cpp
+++ b/unittests/Journal/KeyedViewTest.cpp
@@ -51,8 +51,7 @@
                              std::uint64_t Offset) {
     return keyed_record(Key, Value, log_offset(Offset));
   }
-  static keyed_page page(std::vector<keyed_record> Records,
-                         std::uint64_t End) {
+  static keyed_page page(std::vector<keyed_record> Records, std::uint64_t End) {
     return keyed_page(std::move(Records), log_offset(End));
   }
 
--- a/unittests/Membership/LiveInstancesTest.cpp
+++ b/unittests/Membership/LiveInstancesTest.cpp
@@ -51,17 +51,17 @@
 }
 
 TEST_F(live_instances_test, advice_withEnoughNear_namesOnlyThese) {
-  auto Addresses = front_advisor::advise(
-      {record("a", "north", 1), record("b", "north", 2),
-       record("c", "south", 3)},
-      data_centre_id("north"));
+  auto Addresses =
+      front_advisor::advise({record("a", "north", 1), record("b", "north", 2),
+                             record("c", "south", 3)},
+                            data_centre_id("north"));
   EXPECT_EQ(2U, Addresses.size());
 }
 
 TEST_F(live_instances_test, advice_withFewNear_namesOthersToo) {
-  auto Addresses = front_advisor::advise(
-      {record("a", "north", 1), record("c", "south", 3)},
-      data_centre_id("north"));
+  auto Addresses =
+      front_advisor::advise({record("a", "north", 1), record("c", "south", 3)},
+                            data_centre_id("north"));
   ASSERT_EQ(2U, Addresses.size());
   EXPECT_EQ(1, Addresses[0].port());
 }
@@ -78,3 +78,34 @@
   Clock.advance(closed_centres::UnsureAfterReturn);
   EXPECT_FALSE(Centres.reopenedLately(North));
 }
+
+TEST_F(live_instances_test, heardByAPeer_isAliveAndItsStateIsTaken) {
+  Instances.registered(record("a"));
+  Instances.sighted(instance_sighting(instance_id("a"), milliseconds(300),
+                                      instance_state::Leaving));
+  ASSERT_EQ(1U, Instances.alive().size());
+  EXPECT_EQ(instance_state::Leaving, Instances.alive()[0].state());
+  Clock.advance(live_instances::SilenceLimit - milliseconds(200));
+  EXPECT_TRUE(Instances.alive().empty());
+}
+
+TEST_F(live_instances_test, olderSighting_changesNothing) {
+  Instances.hear(record("a"));
+  Instances.sighted(instance_sighting(instance_id("a"), milliseconds(300),
+                                      instance_state::Leaving));
+  EXPECT_EQ(instance_state::Live, Instances.alive()[0].state());
+}
+
+TEST_F(live_instances_test, registeredAndNeverHeard_countsAsASender) {
+  Instances.registered(record("a"));
+  Clock.advance(live_instances::ForgetAfter * 2);
+  EXPECT_EQ(1U, Instances.senders().size());
+  EXPECT_EQ(1U, Instances.known().size());
+}
+
+TEST_F(live_instances_test, heardOnceAndSilent_isNoSender) {
+  Instances.registered(record("a"));
+  Instances.hear(record("a"));
+  Clock.advance(live_instances::SenderLimit + milliseconds(1));
+  EXPECT_TRUE(Instances.senders().empty());
+}
--- a/unittests/Peer/DigestTest.cpp
+++ b/unittests/Peer/DigestTest.cpp
@@ -20,10 +20,9 @@
   manual_clock Clock;
   hmac_signer Signer{"a key for the tests"};
   peer_codec Codec{Signer};
-  instance_record Record{instance_id("a"), data_centre_id("north"),
-                         network_address("10.0.0.1", 1),
-                         network_address("10.0.0.1", 2),
-                         instance_state::Leaving};
+  instance_record Record{
+      instance_id("a"), data_centre_id("north"), network_address("10.0.0.1", 1),
+      network_address("10.0.0.1", 2), instance_state::Leaving};
 };
 
 } // namespace
@@ -60,17 +59,16 @@
 TEST_F(digest_test, viewMessages_encodedAndDecoded_areTheSame) {
   peer_body Query = view_query(keyed_topic::Upstreams, log_offset(4));
   EXPECT_EQ(Query, travel(Query, instance_id("b")));
-  peer_body Answer = view_answer(
-      keyed_topic::Settings,
-      keyed_page({keyed_record("k", "{\"v\":1}", log_offset(5)),
-                  keyed_record("gone", "", log_offset(6))},
-                 log_offset(6)));
+  peer_body Answer =
+      view_answer(keyed_topic::Settings,
+                  keyed_page({keyed_record("k", "{\"v\":1}", log_offset(5)),
+                              keyed_record("gone", "", log_offset(6))},
+                             log_offset(6)));
   EXPECT_EQ(Answer, travel(Answer, instance_id("b")));
 }
 
 TEST_F(digest_test, messageToAnother_isRefused) {
-  std::string Bytes =
-      Codec.encode(peer_envelope(instance_id("a"), instance_id("c"), 1,
-                                 Clock.wallNow(), view_query()));
+  std::string Bytes = Codec.encode(peer_envelope(
+      instance_id("a"), instance_id("c"), 1, Clock.wallNow(), view_query()));
   EXPECT_FALSE(Codec.decode(Bytes, instance_id("b"), Clock.wallNow()));
 }
--- a/unittests/Policy/PlacementTest.cpp
+++ b/unittests/Policy/PlacementTest.cpp
@@ -41,8 +41,8 @@
 }
 
 TEST_F(placement_test, unknownParts_meetAtOneUpstreamOnEveryInstance) {
-  auto First = best({candidate("a", {}), candidate("b", {}),
-                     candidate("c", {}), candidate("d", {})});
+  auto First = best({candidate("a", {}), candidate("b", {}), candidate("c", {}),
+                     candidate("d", {})});
   auto Second = best({candidate("d", {}), candidate("c", {}),
                       candidate("b", {}), candidate("a", {})});
   EXPECT_EQ(First, Second);
@@ -65,9 +65,8 @@
 
 TEST_F(placement_test, baseline_takesTheFewestRunning) {
   least_loaded_placement Baseline;
-  auto Ordered = Baseline.order({candidate("a", {3, 0, 0, 0}),
-                                 candidate("b", {1, 0, 0, 0})},
-                                Prompt, 1);
+  auto Ordered = Baseline.order(
+      {candidate("a", {3, 0, 0, 0}), candidate("b", {1, 0, 0, 0})}, Prompt, 1);
   EXPECT_EQ("b", Ordered.front().listing().id().text());
 }
 
@@ -76,8 +75,8 @@
   prefix_book Book(Clock);
   upstream_id U("u");
   Book.noteRead("m", prompt(0, 0, 0, {{"x", 10}, {"y", 20}}), U);
-  EXPECT_EQ(30U, Book.cachedTokens("m", prompt(0, 0, 0, {{"x", 10}, {"y", 20}}),
-                                   U));
+  EXPECT_EQ(30U,
+            Book.cachedTokens("m", prompt(0, 0, 0, {{"x", 10}, {"y", 20}}), U));
   EXPECT_EQ(0U,
             Book.cachedTokens("m", prompt(0, 0, 0, {{"z", 5}, {"y", 20}}), U));
   EXPECT_EQ(0U, Book.cachedTokens("n", prompt(0, 0, 0, {{"x", 10}}), U));
--- a/unittests/Policy/RetryWindowTest.cpp
+++ b/unittests/Policy/RetryWindowTest.cpp
@@ -67,8 +67,7 @@
     double Requests = 0;
     double Repeats = 0;
     for (const auto &Event : Events) {
-      if (Event.At > Last.At ||
-          Last.At - Event.At > milliseconds(10 * Second))
+      if (Event.At > Last.At || Last.At - Event.At > milliseconds(10 * Second))
         continue;
       (Event.Repeat ? Repeats : Requests) += 1;
     }
--- a/unittests/Policy/RollOutBookTest.cpp
+++ b/unittests/Policy/RollOutBookTest.cpp
@@ -16,8 +16,7 @@
   roll_out_book_test() { order(1); }
 
   void order(std::uint64_t Offset) {
-    Book.noteOrder(
-        roll_out_order(Service, V2, Duration, log_offset(Offset)));
+    Book.noteOrder(roll_out_order(Service, V2, Duration, log_offset(Offset)));
   }
   bool onNew(const std::string &Session) {
     return Book.ruleFor(Service, Session).admits(V2);
--- a/unittests/Policy/RollOutDutyTest.cpp
+++ b/unittests/Policy/RollOutDutyTest.cpp
@@ -36,8 +36,8 @@
   roll_out_duty_test() {
     for (const auto &Id : Ids) {
       Books.push_back(std::make_unique<roll_out_book>(Limits, Clock));
-      Books.back()->noteOrder(roll_out_order(
-          Service, V2, milliseconds(24000), log_offset(1)));
+      Books.back()->noteOrder(
+          roll_out_order(Service, V2, milliseconds(24000), log_offset(1)));
       Duties.push_back(
           std::make_unique<roll_out_duty>(Id, Clock, *Books.back(), Log));
     }
--- a/unittests/Relay/ForwardRelayTest.cpp
+++ b/unittests/Relay/ForwardRelayTest.cpp
@@ -42,11 +42,11 @@
   EXPECT_TRUE(Upstreams.Attempts.empty());
 }
 
-TEST_F(forward_relay_test, atMostOnce_afterADoubt_isNotSentAgainNorCalledUnrun) {
-  for (auto Error :
-       {attempt_error::Truncated, attempt_error::FirstByteTimeout,
-        attempt_error::Malformed, attempt_error::Crossed,
-        attempt_error::Silent}) {
+TEST_F(forward_relay_test,
+       atMostOnce_afterADoubt_isNotSentAgainNorCalledUnrun) {
+  for (auto Error : {attempt_error::Truncated, attempt_error::FirstByteTimeout,
+                     attempt_error::Malformed, attempt_error::Crossed,
+                     attempt_error::Silent}) {
     Upstreams.Attempts.clear();
     script({failing(Error)});
     auto Caller = run("/once/x");
@@ -157,9 +157,9 @@
   upstream_script Failed;
   Failed.Status = 500;
   Failed.Before = [this] {
-    Tables.adopt(route_table(9, routes(), {}, {keyed_account(
-                                                  account_id("mill"), {"new"},
-                                                  std::nullopt)}));
+    Tables.adopt(route_table(
+        9, routes(), {},
+        {keyed_account(account_id("mill"), {"new"}, std::nullopt)}));
   };
   script({Failed});
   EXPECT_EQ(502, run("/again/x").Status);
--- a/unittests/Relay/ForwardStreamTest.cpp
+++ b/unittests/Relay/ForwardStreamTest.cpp
@@ -108,8 +108,8 @@
 }
 
 TEST_F(forward_stream_test, afterTheFirstEvent_theModelStays) {
-  script({withConfidence(brokenAfter(1, 2), 90),
-          withConfidence(events(3, 4), 5)});
+  script(
+      {withConfidence(brokenAfter(1, 2), 90), withConfidence(events(3, 4), 5)});
   EXPECT_EQ(stream(1, 4), run("/sized/x").Body);
   ASSERT_EQ(2U, Upstreams.Attempts.size());
   EXPECT_EQ("small", Upstreams.Attempts[1].model());
@@ -126,7 +126,8 @@
   constexpr int Length = 8;
   int Next = 1;
   std::vector<upstream_script> Scripts;
-  auto Breaks = *rc::gen::container<std::vector<int>>(3, rc::gen::inRange(0, 4));
+  auto Breaks =
+      *rc::gen::container<std::vector<int>>(3, rc::gen::inRange(0, 4));
   for (int Break : Breaks) {
     int Last = std::min(Length, Next + Break);
     Scripts.push_back(Last == Length ? events(Next, Last)
--- a/unittests/Routing/RouteTableTest.cpp
+++ b/unittests/Routing/RouteTableTest.cpp
@@ -16,8 +16,8 @@
     return forward_route(std::move(Fields));
   }
   static route_table table(std::uint64_t Version) {
-    return route_table(Version,
-                       {route("short", "/x/"), route("long", "/x/y/")}, {},
+    return route_table(Version, {route("short", "/x/"), route("long", "/x/y/")},
+                       {},
                        {keyed_account(account_id("mill"), {"k1", "k2"}, 2)});
   }
 };
--- a/unittests/Support/ForwardFixture.h
+++ b/unittests/Support/ForwardFixture.h
@@ -193,10 +193,9 @@
     Traits.Service = service_id("engines");
     Traits.ColdRate = 14;
     Traits.Models = {{"small", 0.1}, {"large", 1.0}};
-    Tables.adopt(route_table(Version, std::move(Routes),
-                             {service_traits(Traits)},
-                             {keyed_account(account_id("mill"), {"key"},
-                                            std::nullopt)}));
+    Tables.adopt(route_table(
+        Version, std::move(Routes), {service_traits(Traits)},
+        {keyed_account(account_id("mill"), {"key"}, std::nullopt)}));
   }
 
   forward_call::fields callOf(const std::string &Path) {
@@ -253,10 +252,23 @@
   confidence_size_policy Sizes;
   silent_monitor Monitor;
   silent_log Log;
-  forward_ports Ports{instance_id("self"), data_centre_id("north"),
-                      Clock,   Gate,     Tables,   Roster,  Loads,
-                      Cold,    Centres,  Instances, RollOuts, Prefixes,
-                      Crashes, Retries,  Placement, Sizes,    Monitor,
+  forward_ports Ports{instance_id("self"),
+                      data_centre_id("north"),
+                      Clock,
+                      Gate,
+                      Tables,
+                      Roster,
+                      Loads,
+                      Cold,
+                      Centres,
+                      Instances,
+                      RollOuts,
+                      Prefixes,
+                      Crashes,
+                      Retries,
+                      Placement,
+                      Sizes,
+                      Monitor,
                       Log};
   scripted_upstreams Upstreams;
   int LastId = 0;
--- a/unittests/Upstream/UpstreamRosterTest.cpp
+++ b/unittests/Upstream/UpstreamRosterTest.cpp
@@ -19,9 +19,7 @@
     Fields.Leaving = Leaving;
     return Roster.learn(upstream_listing(Fields));
   }
-  std::size_t serving() {
-    return Roster.serving(service_id("engines")).size();
-  }
+  std::size_t serving() { return Roster.serving(service_id("engines")).size(); }
 
   manual_clock Clock;
   upstream_roster Roster{Clock};
@@ -82,7 +80,8 @@
   EXPECT_EQ(0U, serving());
 }
 
-TEST_F(upstream_roster_test, unlisted_afterTheLogsReturn_goesOnlyIfItStaysAway) {
+TEST_F(upstream_roster_test,
+       unlisted_afterTheLogsReturn_goesOnlyIfItStaysAway) {
   Keeper.listed(upstream_listing(listingOf("u")));
   Keeper.listed(upstream_listing(listingOf("w")));
   Keeper.logReturned();
