--- a/include/bluebellkeel/Gateway/GatewayParts.h
+++ b/include/bluebellkeel/Gateway/GatewayParts.h
@@ -3,6 +3,7 @@
 
 #include "bluebellkeel/Core.h"
 #include "bluebellkeel/Gateway/GatewayState.h"
+#include "bluebellkeel/Gateway/HeavyLoadSignal.h"
 #include "bluebellkeel/Http/ClientStream.h"
 #include "bluebellkeel/Membership.h"
 #include "bluebellkeel/Policy.h"
@@ -46,6 +47,7 @@
   retry_window Retries;
   cheapest_placement Placement;
   confidence_size_policy Sizes;
+  heavy_load_signal HeavyLoad;
 };
 
 } // namespace bluebellkeel
--- a/include/bluebellkeel/Relay.h
+++ b/include/bluebellkeel/Relay.h
@@ -25,6 +25,7 @@
 #include "bluebellkeel/Relay/FrontGate.h"
 #include "bluebellkeel/Relay/HeaderList.h"
 #include "bluebellkeel/Relay/HoldbackSink.h"
+#include "bluebellkeel/Relay/LoadListener.h"
 #include "bluebellkeel/Relay/LoadTicket.h"
 #include "bluebellkeel/Relay/Refusal.h"
 #include "bluebellkeel/Relay/RefusalReason.h"
--- a/include/bluebellkeel/Relay/ForwardPorts.h
+++ b/include/bluebellkeel/Relay/ForwardPorts.h
@@ -12,6 +12,7 @@
 #include "bluebellkeel/Policy/RollOutBook.h"
 #include "bluebellkeel/Policy/SizePolicy.h"
 #include "bluebellkeel/Relay/FrontGate.h"
+#include "bluebellkeel/Relay/LoadListener.h"
 #include "bluebellkeel/Relay/RelayMonitor.h"
 #include "bluebellkeel/Routing/RouteTableHolder.h"
 #include "bluebellkeel/Upstream/ColdGate.h"
@@ -40,6 +41,7 @@
   const size_policy &Sizes;
   relay_monitor &Monitor;
   event_log &Log;
+  load_listener &HeavyLoad;
 
   /// All instances that may send to upstreams, this one among them.
   std::vector<instance_id> senders() const {
--- a/include/bluebellkeel/Relay/ForwardRelay.h
+++ b/include/bluebellkeel/Relay/ForwardRelay.h
@@ -89,6 +89,8 @@
   std::optional<std::uint64_t> LastEvent;
   event_splitter Splitter;
   monotonic_time SentAt;
+  /// Time from the arrival to the head of the answer that counts.
+  std::optional<milliseconds> FirstByte;
 };
 
 } // namespace bluebellkeel
--- /dev/null
+++ b/include/bluebellkeel/Relay/LoadListener.h
@@ -0,0 +1,18 @@
+#ifndef BLUEBELLKEEL_RELAY_LOADLISTENER_H
+#define BLUEBELLKEEL_RELAY_LOADLISTENER_H
+
+namespace bluebellkeel {
+
+/// Is told when this instance sends so much work to an upstream that its peers
+/// should know before their next regular exchange.
+class load_listener {
+public:
+  virtual ~load_listener() = default;
+
+  /// Must not block.
+  virtual void heavySent() = 0;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_RELAY_LOADLISTENER_H
--- a/lib/Gateway/GatewayParts.cpp
+++ b/lib/Gateway/GatewayParts.cpp
@@ -12,7 +12,8 @@
       Prefixes(Clock), Crashes(Clock),
       Retries(retry_rules(Settings.RetryRatio, Settings.RetrySlack,
                           Settings.RetryWindow),
-              Clock) {}
+              Clock),
+      HeavyLoad(Clock) {}
 
 forward_ports gateway_parts::ports() {
   return forward_ports{Settings.Instance,
@@ -32,7 +33,8 @@
                        Placement,
                        Sizes,
                        Metrics,
-                       Log};
+                       Log,
+                       HeavyLoad};
 }
 
 instance_record gateway_parts::self() const {
--- a/lib/Gateway/GatewayRuntime.cpp
+++ b/lib/Gateway/GatewayRuntime.cpp
@@ -51,7 +51,10 @@
 
   tl::expected<void, std::string> start();
   void announceLeaving() { Desk.round(); }
-  void stop() { Link.stop(); }
+  void stop() {
+    Parts.HeavyLoad.connect(nullptr);
+    Link.stop();
+  }
 
 private:
   template <typename round_t> void spawn(round_t Round);
@@ -93,6 +96,7 @@
   auto Linked = Link.start(Parts.Settings.PeerAddress, Desk);
   if (!Linked)
     return Linked;
+  Parts.HeavyLoad.connect([this] { Desk.round(); });
   spawn(&impl::followSettings);
   spawn(&impl::followUpstreams);
   spawn(&impl::followInstances);
--- a/lib/Policy/RollOutBook.cpp
+++ b/lib/Policy/RollOutBook.cpp
@@ -178,7 +178,7 @@
 void roll_out_book::noteFirstByte(const service_id &Service,
                                   const version_id &Version,
                                   milliseconds Time) {
-  double LogTime = std::log(std::max<double>(1, Time.count()));
+  double LogTime = std::log(std::max(1.0, static_cast<double>(Time.count())));
   Shards.withShard(Service.text(), [&](state &Shard) {
     auto Known = Shard.Entries.find(Service);
     if (Known == Shard.Entries.end())
--- a/lib/Relay/ForwardRelay.cpp
+++ b/lib/Relay/ForwardRelay.cpp
@@ -13,6 +13,10 @@
 /// sent again.
 static constexpr std::size_t CrashLimit = 3;
 
+/// Weighted prompt tokens that occupy an upstream for so long that other
+/// instances should not send theirs there: a tenth of a second and more.
+static constexpr std::uint64_t HeavyPrefill = 20000;
+
 /// Age of the configuration from which on a missing route or key is not taken
 /// for certain: longer than it takes to notice that the log is silent.
 static constexpr milliseconds StaleSettings{3500};
@@ -157,6 +161,8 @@
   auto Prefill = static_cast<std::uint64_t>(
       pace() * static_cast<double>(Call->text().tokensIn() - Cached));
   load_ticket Ticket(Ports.Loads, Upstream.id(), Prefill);
+  if (Prefill >= HeavyPrefill)
+    Ports.HeavyLoad.heavySent();
   Ports.RollOuts.noteSession(Traits->service(), sessionName(),
                              Upstream.version());
   SentAt = Ports.Clock.monotonicNow();
@@ -190,6 +196,7 @@
     return afterError(Upstream, attempt_error::TurnedAway);
   ++Runs;
   Ticket.begun();
+  FirstByte = elapsed();
   if (Head.status() >= FirstServerError && repeatable() && runsLeft())
     return afterError(Upstream, attempt_error::Failed);
   if (Head.succeeded() && !Head.vouched())
@@ -480,7 +487,7 @@
       .add("upstream", Upstream.id().text())
       .add("version", Upstream.version().text())
       .add("model", modelName())
-      .add("sending", static_cast<std::int64_t>(Arrivals + Unreached + 1))
+      .add("sending", static_cast<std::int64_t>(Arrivals) + Unreached + 1)
       .add("running", static_cast<std::int64_t>(Target.load().running()))
       .add("prefill", static_cast<std::int64_t>(Target.load().prefill()))
       .add("cached", static_cast<std::int64_t>(Target.cachedTokens()))
@@ -517,6 +524,8 @@
       .add("model", Route ? modelName() : "")
       .add("account", Account.text())
       .add("took_ms", elapsed().count());
+  if (FirstByte)
+    Line.add("first_byte_ms", FirstByte->count());
   if (LastEvent)
     Line.add("last_event", static_cast<std::int64_t>(*LastEvent));
   Ports.Log.write(Line);
--- a/tools/bluebellkeelctl/Main.cpp
+++ b/tools/bluebellkeelctl/Main.cpp
@@ -1,6 +1,7 @@
 #include "AdminClient.h"
 #include "Output.h"
 #include "SettingsCommands.h"
+#include "StoryCommand.h"
 #include "absl/flags/flag.h"
 #include "absl/flags/parse.h"
 #include "absl/flags/usage.h"
@@ -23,7 +24,8 @@
     "  versions roll-in VERSION | activate VERSION | hold VERSION |\n"
     "           withdraw VERSION\n"
     "  data-centre out NAME | in NAME\n"
-    "  explain ACCOUNT [MODEL]\n";
+    "  explain ACCOUNT [MODEL]\n"
+    "bluebellkeelctl story REQUEST-ID LOG-FILE...\n";
 
 using word_list = std::vector<std::string>;
 
@@ -122,6 +124,10 @@
   word_list Words(Arguments.begin() + 1, Arguments.end());
   std::string Form = absl::GetFlag(FLAGS_output);
   output Output(Form == "json");
+  constexpr std::size_t StoryWords = 3;
+  if (Words.size() >= StoryWords && Words[0] == "story")
+    return story_command(Output).run(Words[1],
+                                     word_list(Words.begin() + 2, Words.end()));
   auto Instances = instancesFromFlag();
   if (Words.empty() || Instances.empty() || (Form != "json" && Form != "human"))
     return badUsage(Output);
--- /dev/null
+++ b/tools/bluebellkeelctl/StoryCommand.cpp
@@ -0,0 +1,105 @@
+#include "StoryCommand.h"
+#include "ExitCode.h"
+#include "bluebellkeel/Codec/JsonText.h"
+#include <algorithm>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <set>
+
+using namespace bluebellkeel;
+
+using nlohmann::json;
+
+/// The object in a line; collectors may have put something before it.
+static std::optional<json> objectIn(const std::string &Line) {
+  auto Start = Line.find('{');
+  if (Start == std::string::npos)
+    return std::nullopt;
+  auto Parsed = parseJson(std::string_view(Line).substr(Start));
+  if (!Parsed || !Parsed->is_object())
+    return std::nullopt;
+  return *Parsed;
+}
+
+static std::string textOf(const json &Line, const char *Name) {
+  auto Found = Line.find(Name);
+  return Found != Line.end() && Found->is_string() ? Found->get<std::string>()
+                                                   : std::string();
+}
+
+static std::int64_t timeOf(const json &Line) {
+  auto Found = Line.find("unix_ms");
+  return Found != Line.end() && Found->is_number_integer()
+             ? Found->get<std::int64_t>()
+             : 0;
+}
+
+/// False when a file cannot be read; its name is told.
+static bool readLines(const std::vector<std::string> &Files,
+                      const output &Output, std::vector<json> &Lines) {
+  for (const auto &Name : Files) {
+    std::ifstream File(Name);
+    if (!File) {
+      Output.fail(Name + ": cannot be read");
+      return false;
+    }
+    std::string Line;
+    while (std::getline(File, Line)) {
+      if (auto Object = objectIn(Line))
+        Lines.push_back(std::move(*Object));
+    }
+  }
+  std::stable_sort(
+      Lines.begin(), Lines.end(),
+      [](const json &L, const json &R) { return timeOf(L) < timeOf(R); });
+  return true;
+}
+
+static std::string sentenceOf(const json &Line, std::int64_t Start) {
+  static const std::set<std::string> Shown = {"part", "event", "unix_ms",
+                                              "instance", "id"};
+  std::string Sentence = std::to_string(timeOf(Line) - Start) + " ms  " +
+                         textOf(Line, "instance") + "  " +
+                         textOf(Line, "part") + "/" + textOf(Line, "event");
+  for (const auto &[Name, Value] : Line.items()) {
+    if (Shown.count(Name) == 0)
+      Sentence += "  " + Name + "=" +
+                  (Value.is_string() ? Value.get<std::string>() : Value.dump());
+  }
+  return Sentence;
+}
+
+int story_command::run(const std::string &RequestId,
+                       const std::vector<std::string> &Files) const {
+  std::vector<json> Lines;
+  if (!readLines(Files, Output, Lines))
+    return static_cast<int>(exit_code::BadUsage);
+  std::set<std::string> Upstreams;
+  std::set<std::string> Instances;
+  std::optional<std::int64_t> First;
+  std::int64_t Last = 0;
+  for (const auto &Line : Lines) {
+    if (textOf(Line, "id") != RequestId)
+      continue;
+    First = First.value_or(timeOf(Line));
+    Last = timeOf(Line);
+    Upstreams.insert(textOf(Line, "upstream"));
+    Instances.insert(textOf(Line, "instance"));
+  }
+  if (!First) {
+    Output.fail("no line names the request " + RequestId);
+    return static_cast<int>(exit_code::Refused);
+  }
+  for (const auto &Line : Lines) {
+    bool Own = textOf(Line, "id") == RequestId;
+    bool Near = timeOf(Line) >= *First - LeadMs && timeOf(Line) <= Last;
+    bool Belief = Near && Line.find("id") == Line.end() &&
+                  Instances.count(textOf(Line, "instance")) > 0 &&
+                  (Line.find("upstream") == Line.end() ||
+                   Upstreams.count(textOf(Line, "upstream")) > 0);
+    if (Own || Belief)
+      Output.say(sentenceOf(Line, *First));
+  }
+  return static_cast<int>(exit_code::Success);
+}
--- /dev/null
+++ b/unittests/Adapter/GatewayProcessTest.cpp
@@ -0,0 +1,404 @@
+#include "GatewayProcess.h"
+#include "StoreStandin.h"
+#include "bluebellkeel/Http.h"
+#include "bluebellkeel/Http/Await.h"
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+#include <unistd.h>
+
+using namespace bluebellkeel;
+
+using nlohmann::json;
+
+namespace {
+
+/// A whole gateway on loopback between a store and two upstreams that the
+/// tests steer, with callers over HTTP.
+class gateway_process_test : public testing::Test {
+protected:
+  static constexpr std::uint16_t FirstPort = 23300;
+  static constexpr milliseconds Patience{5000};
+
+  gateway_process_test() {
+    listen(StoreServer, 0);
+    listen(FirstServer, 1);
+    listen(SecondServer, 2);
+    putConfiguration(2, 10000, {"key"});
+    Store.put("keyed.servers", "u1", registration(1, "ready", 1));
+    Store.put("keyed.servers", "u2", registration(2, "ready", 1));
+    Gateway = std::make_unique<gateway_process>(settings());
+    auto Started = Gateway->start();
+    EXPECT_TRUE(Started.has_value()) << (Started ? "" : Started.error());
+    EXPECT_TRUE(waitFor([this] { return readyStatus() == 200; }));
+  }
+
+  ~gateway_process_test() override {
+    Gateway.reset();
+    Pool.stop();
+  }
+
+  void listen(http_server &Server, int Offset) {
+    auto Listening = Server.listen(address(Offset));
+    ASSERT_TRUE(Listening.has_value()) << Listening.error();
+  }
+
+  /// Each process of tests has a loopback address of its own.
+  static network_address address(int Offset) {
+    int Id = getpid();
+    return network_address("127.200." + std::to_string(Id / 254 % 254) + "." +
+                               std::to_string(1 + Id % 254),
+                           static_cast<std::uint16_t>(FirstPort + Offset));
+  }
+
+  static gateway_settings settings() {
+    gateway_settings Settings;
+    Settings.Instance = instance_id("edge-1");
+    Settings.DataCentre = data_centre_id("north");
+    Settings.LogAddress = address(0);
+    Settings.CallerAddress = address(3);
+    Settings.ReadyAddress = address(4);
+    Settings.DirectoryAddress = address(5);
+    Settings.PeerAddress = address(6);
+    Settings.MetricsAddress = address(7);
+    Settings.PeerKey = "a key for the tests";
+    Settings.RetryRatio = 0.9;
+    Settings.RetrySlack = 56;
+    Settings.RetryWindow = milliseconds(10000);
+    Settings.TrialShare = 0.15;
+    Settings.SessionLife = milliseconds(5000);
+    Settings.Grace = milliseconds(1200);
+    Settings.AdviceLife = milliseconds(5000);
+    return Settings;
+  }
+
+  static std::string registration(int Upstream, const std::string &State,
+                                  int Sequence) {
+    return json({{"service", "desk"},
+                 {"address", address(Upstream).text()},
+                 {"zone", "north"},
+                 {"version", "v1"},
+                 {"slots", 6},
+                 {"state", State},
+                 {"cold_left_ms", 0},
+                 {"seq", Sequence},
+                 {"born", 1785798316334}})
+        .dump();
+  }
+
+  void putConfiguration(int Version, int TimeoutMs,
+                        const std::vector<std::string> &Keys) {
+    auto Route = [&](const char *Kind, int Attempts) {
+      return json({{"name", Kind},
+                   {"host", "a.example"},
+                   {"path_prefix", std::string("/") + Kind + "/"},
+                   {"kind", Kind},
+                   {"timeout_ms", TimeoutMs},
+                   {"slo_ms", 200},
+                   {"gap_slo_ms", 1000},
+                   {"attempts", Attempts},
+                   {"resumable", true},
+                   {"service", "desk"}});
+    };
+    json Table = {{"version", Version},
+                  {"routes",
+                   {Route("idempotent", 2), Route("non_idempotent", 1),
+                    Route("streaming", 3)}},
+                  {"services", {{{"name", "desk"}}}},
+                  {"tenants", {{{"name", "mill"}, {"api_keys", Keys}}}}};
+    Store.put("keyed.op", "config", Table.dump());
+  }
+
+  static bool waitFor(const std::function<bool()> &Condition) {
+    auto End = std::chrono::steady_clock::now() + Patience;
+    absl::Notification Never;
+    while (!Condition()) {
+      if (std::chrono::steady_clock::now() >= End)
+        return false;
+      Never.WaitForNotificationWithTimeout(absl::Milliseconds(10));
+    }
+    return true;
+  }
+
+  int readyStatus() {
+    auto Response =
+        Client.send(address(4), http_request("GET", "/bluebellkeel/readyz",
+                                             http_headers(), ""));
+    return Response ? Response->status() : 0;
+  }
+
+  static http_request request(const std::string &Kind,
+                              const std::string &Key = "key") {
+    return http_request("POST", "/" + Kind + "/x",
+                        http_headers({{"Host", "a.example"},
+                                      {"Bluebellkeel-Request-Id", "r1"},
+                                      {"Bluebellkeel-Deadline-Ms", "4000"},
+                                      {"Api-Key", Key},
+                                      {"Bluebellkeel-Tenant", "forged"}}),
+                        "body");
+  }
+  /// The whole answer of the gateway; empty when it is not whole.
+  std::optional<http_response> call(const std::string &Kind,
+                                    const std::string &Key = "key") {
+    auto Response = Client.send(address(3), request(Kind, Key));
+    if (!Response)
+      return std::nullopt;
+    return *Response;
+  }
+
+  /// What both upstreams do; the number is the count of requests so far.
+  using action = std::function<void(int, const http_request &, http_responder &,
+                                    boost::asio::yield_context)>;
+
+  void upstreamsDo(action NewAction) {
+    absl::MutexLock Lock(&Mutex);
+    Action = std::move(NewAction);
+  }
+  void onUpstream(const http_request &Request, http_responder &Responder,
+                  boost::asio::yield_context Yield) {
+    action Now;
+    int Number = 0;
+    {
+      absl::MutexLock Lock(&Mutex);
+      Now = Action;
+      Number = ++Requests;
+      LastTenant = Request.headers().get("Bluebellkeel-Tenant");
+    }
+    if (Now)
+      Now(Number, Request, Responder, Yield);
+    else
+      Responder.send(good("fine"));
+  }
+  int requests() {
+    absl::MutexLock Lock(&Mutex);
+    return Requests;
+  }
+  std::string lastTenant() {
+    absl::MutexLock Lock(&Mutex);
+    return LastTenant;
+  }
+  static http_response good(const std::string &Body) {
+    return http_response(200,
+                         http_headers({{"Bluebellkeel-Request-Id", "r1"},
+                                       {"Bluebellkeel-Server-Stamp", "s"}}),
+                         Body);
+  }
+
+  thread_pool Pool{2};
+  store_standin Store;
+  standin_handler StoreHandler{
+      [this](const auto &Request, auto &Responder, auto Yield) {
+        Store.handle(Request, Responder, Yield);
+      }};
+  standin_handler UpstreamHandler{
+      [this](const auto &Request, auto &Responder, auto Yield) {
+        onUpstream(Request, Responder, Yield);
+      }};
+  http_limits Limits{100, 1024UL * 1024, milliseconds(2000)};
+  http_server StoreServer{Pool, StoreHandler, Limits};
+  http_server FirstServer{Pool, UpstreamHandler, Limits};
+  http_server SecondServer{Pool, UpstreamHandler, Limits};
+  http_client Client{http_timeouts(milliseconds(1000), milliseconds(6000),
+                                   milliseconds(6000))};
+  absl::Mutex Mutex;
+  action Action ABSL_GUARDED_BY(Mutex);
+  int Requests ABSL_GUARDED_BY(Mutex) = 0;
+  std::string LastTenant ABSL_GUARDED_BY(Mutex);
+  std::unique_ptr<gateway_process> Gateway;
+};
+
+} // namespace
+
+TEST_F(gateway_process_test, goodRequest_isForwardedForItsAccount) {
+  auto Response = call("non_idempotent");
+  ASSERT_TRUE(Response.has_value());
+  EXPECT_EQ(200, Response->status());
+  EXPECT_EQ("fine", Response->body());
+  EXPECT_EQ("s", Response->headers().get("Bluebellkeel-Server-Stamp"));
+  EXPECT_EQ("mill", lastTenant());
+}
+
+TEST_F(gateway_process_test, directory_namesThisInstance) {
+  auto Response = Client.send(
+      address(5), http_request("GET",
+                               "/bluebellkeel/resolve?name=a.example&region="
+                               "r&zone=north",
+                               http_headers(), ""));
+  ASSERT_TRUE(Response.has_value());
+  json Answer = json::parse(Response->body());
+  EXPECT_EQ(address(3).text(), Answer["addresses"][0].get<std::string>());
+  EXPECT_GT(Answer["ttl_s"].get<int>(), 0);
+}
+
+TEST_F(gateway_process_test, metrics_areServed) {
+  call("idempotent");
+  auto Response = Client.send(
+      address(7), http_request("GET", "/metrics", http_headers(), ""));
+  ASSERT_TRUE(Response.has_value());
+  EXPECT_NE(std::string::npos,
+            Response->body().find("bluebellkeel_refusals_total"));
+}
+
+TEST_F(gateway_process_test, newConfiguration_isInForceWithinItsBound) {
+  putConfiguration(3, 10000, {"other"});
+  auto Start = std::chrono::steady_clock::now();
+  EXPECT_TRUE(waitFor([this] { return call("idempotent")->status() == 401; }));
+  EXPECT_LT(std::chrono::steady_clock::now() - Start, milliseconds(2000));
+  EXPECT_EQ(200, call("idempotent", "other")->status());
+}
+
+TEST_F(gateway_process_test, historyDropped_doesNotLoseAChange) {
+  Store.breakWith(store_standin::fault::Busy);
+  putConfiguration(3, 10000, {"other"});
+  Store.compact("keyed.op");
+  Store.breakWith(store_standin::fault::None);
+  EXPECT_TRUE(
+      waitFor([this] { return call("idempotent", "other")->status() == 200; }));
+}
+
+TEST_F(gateway_process_test, storeDown_servesOnWithWhatIsKnown) {
+  Store.breakWith(store_standin::fault::Busy);
+  EXPECT_EQ(200, call("idempotent")->status());
+  EXPECT_EQ(200, readyStatus());
+}
+
+TEST_F(gateway_process_test, leavingUpstream_getsNothingWithinItsBound) {
+  Store.put("keyed.servers", "u1", registration(1, "draining", 2));
+  Store.put("keyed.servers", "u2", registration(2, "draining", 2));
+  EXPECT_TRUE(waitFor([this] { return call("idempotent")->status() == 503; }));
+  int Before = requests();
+  call("idempotent");
+  EXPECT_EQ(Before, requests());
+}
+
+TEST_F(gateway_process_test, rollOut_isToldToTheOperators) {
+  Store.put("keyed.op", "rollout/desk",
+            R"({"service":"desk","target":"v2","duration_s":1})");
+  EXPECT_TRUE(waitFor([this] {
+    return Store.newest("keyed.status", "rollout/desk").find("complete") !=
+           std::string::npos;
+  }));
+}
+
+TEST_F(gateway_process_test, statusWhoseAnswerIsLost_isNotToldTwice) {
+  Store.breakWith(store_standin::fault::AnswersLost);
+  Store.put("keyed.op", "rollout/desk",
+            R"({"service":"desk","target":"v2","duration_s":600})");
+  EXPECT_TRUE(waitFor([this] {
+    return !Store.newest("keyed.status", "rollout/desk").empty();
+  }));
+  Store.breakWith(store_standin::fault::None);
+  absl::Notification Never;
+  Never.WaitForNotificationWithTimeout(absl::Seconds(1));
+  int Before = Store.calls();
+  Never.WaitForNotificationWithTimeout(absl::Seconds(1));
+  // Once the log tells it, the duty rests.
+  EXPECT_LE(Store.calls() - Before, 2);
+}
+
+TEST_F(gateway_process_test, brokenStream_goesOnAtTheOther) {
+  upstreamsDo([](int Number, const http_request &Request,
+                 http_responder &Responder, boost::asio::yield_context) {
+    auto Headers = http_headers()
+                       .with("Bluebellkeel-Request-Id", "r1")
+                       .with("Bluebellkeel-Server-Stamp", "s");
+    Responder.begin(200, Headers);
+    if (Number == 1) {
+      Responder.write("id: 1\ndata: a\n\nid: 2\nda");
+      Responder.abandon();
+      return;
+    }
+    EXPECT_EQ("1", Request.headers().get("Last-Event-Id"));
+    Responder.write("id: 2\ndata: b\n\n");
+    Responder.end();
+  });
+  auto Response = call("streaming");
+  ASSERT_TRUE(Response.has_value());
+  EXPECT_EQ("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", Response->body());
+}
+
+TEST_F(gateway_process_test, foreignAnswerFirst_isPassedOver) {
+  // One upstream sends an answer to nobody before the one that was asked for.
+  upstreamsDo([](int, const http_request &, http_responder &Responder,
+                 boost::asio::yield_context) {
+    Responder.send(
+        http_response(200,
+                      http_headers({{"Bluebellkeel-Request-Id", "other"},
+                                    {"Bluebellkeel-Server-Stamp", "x"},
+                                    {"Connection", "keep-alive"}}),
+                      "not yours"));
+    Responder.send(good("yours"));
+  });
+  auto Response = call("non_idempotent");
+  ASSERT_TRUE(Response.has_value());
+  EXPECT_EQ("yours", Response->body());
+}
+
+TEST_F(gateway_process_test, brokenAnswerOfAnOrder_isInDoubtAndRunsOnce) {
+  upstreamsDo([](int, const http_request &, http_responder &Responder,
+                 boost::asio::yield_context) { Responder.abandon(); });
+  auto Response = call("non_idempotent");
+  ASSERT_TRUE(Response.has_value());
+  EXPECT_EQ(502, Response->status());
+  EXPECT_EQ(1, requests());
+}
+
+TEST_F(gateway_process_test, fullUpstreams_areSaidToHaveNotRunIt) {
+  upstreamsDo([](int, const http_request &, http_responder &Responder,
+                 boost::asio::yield_context) {
+    Responder.send(http_response(
+        503, http_headers().with("Bluebellkeel-Not-Executed", "1"), ""));
+  });
+  auto Response = call("non_idempotent");
+  ASSERT_TRUE(Response.has_value());
+  EXPECT_EQ(503, Response->status());
+  EXPECT_NE("", Response->headers().get("Retry-After"));
+}
+
+TEST_F(gateway_process_test, routesTimeout_endsARequestThatHangs) {
+  putConfiguration(3, 400, {"key"});
+  upstreamsDo([](int, const http_request &, http_responder &Responder,
+                 boost::asio::yield_context Yield) {
+    awaitTime(Yield, milliseconds(3000));
+    Responder.abandon();
+  });
+  EXPECT_TRUE(waitFor([this] {
+    auto Start = std::chrono::steady_clock::now();
+    auto Response = call("non_idempotent");
+    return Response && Response->status() == 504 &&
+           std::chrono::steady_clock::now() - Start < milliseconds(900);
+  }));
+}
+
+TEST_F(gateway_process_test, callerThatLeaves_endsTheWorkAtTheUpstream) {
+  absl::Notification Left;
+  upstreamsDo([&Left](int, const http_request &, http_responder &Responder,
+                      boost::asio::yield_context Yield) {
+    Responder.watch([&Left] {
+      if (!Left.HasBeenNotified())
+        Left.Notify();
+    });
+    awaitTime(Yield, milliseconds(2000));
+    Responder.abandon();
+  });
+  http_client Impatient(
+      http_timeouts(milliseconds(1000), milliseconds(200), milliseconds(200)));
+  EXPECT_FALSE(Impatient.send(address(3), request("idempotent")).has_value());
+  EXPECT_TRUE(Left.WaitForNotificationWithTimeout(absl::Milliseconds(500)));
+}
+
+TEST_F(gateway_process_test, shutDown_finishesWhatWasTakenAndTurnsAway) {
+  upstreamsDo([](int, const http_request &, http_responder &Responder,
+                 boost::asio::yield_context Yield) {
+    awaitTime(Yield, milliseconds(400));
+    Responder.send(good("late"));
+  });
+  std::optional<http_response> Response;
+  std::thread Caller([&] { Response = call("non_idempotent"); });
+  EXPECT_TRUE(waitFor([this] { return requests() == 1; }));
+  std::thread Stopper([this] { Gateway->shutDown(); });
+  EXPECT_TRUE(waitFor([this] { return readyStatus() == 503; }));
+  Caller.join();
+  ASSERT_TRUE(Response.has_value());
+  EXPECT_EQ("late", Response->body());
+  Stopper.join();
+}
--- /dev/null
+++ b/unittests/Adapter/StandinHandler.h
@@ -0,0 +1,28 @@
+#ifndef UNITTESTS_ADAPTER_STANDINHANDLER_H
+#define UNITTESTS_ADAPTER_STANDINHANDLER_H
+
+#include "bluebellkeel/Http/HttpHandler.h"
+#include <functional>
+
+namespace bluebellkeel {
+
+/// A server of the platform whose answers a test gives.
+class standin_handler final : public http_handler {
+public:
+  using action = std::function<void(const http_request &, http_responder &,
+                                    boost::asio::yield_context)>;
+
+  explicit standin_handler(action Action) : Action(std::move(Action)) {}
+
+  void handle(const http_request &Request, http_responder &Responder,
+              boost::asio::yield_context Yield) override {
+    Action(Request, Responder, Yield);
+  }
+
+private:
+  action Action;
+};
+
+} // namespace bluebellkeel
+
+#endif // UNITTESTS_ADAPTER_STANDINHANDLER_H
--- /dev/null
+++ b/unittests/Adapter/StoreStandin.cpp
@@ -0,0 +1,157 @@
+#include "StoreStandin.h"
+#include "RecordFrames.h"
+#include "absl/strings/escaping.h"
+#include "bluebellkeel/Http/Await.h"
+#include <nlohmann/json.hpp>
+
+using namespace bluebellkeel;
+
+static constexpr milliseconds Step{5};
+static constexpr milliseconds SilentFor{5000};
+
+void store_standin::put(const std::string &Topic, const std::string &Key,
+                        const std::string &Value) {
+  absl::MutexLock Lock(&Mutex);
+  Topics[Topic].Records.emplace_back(Key, Value);
+}
+
+void store_standin::compact(const std::string &Topic) {
+  absl::MutexLock Lock(&Mutex);
+  Topics[Topic].First = Topics[Topic].Records.size();
+}
+
+void store_standin::breakWith(fault NewFault) {
+  absl::MutexLock Lock(&Mutex);
+  Fault = NewFault;
+}
+
+std::string store_standin::newest(const std::string &Topic,
+                                  const std::string &Key) const {
+  absl::MutexLock Lock(&Mutex);
+  auto Found = Topics.find(Topic);
+  std::string Value;
+  if (Found == Topics.end())
+    return Value;
+  for (const auto &Record : Found->second.Records) {
+    if (Record.first == Key)
+      Value = Record.second;
+  }
+  return Value;
+}
+
+int store_standin::calls() const {
+  absl::MutexLock Lock(&Mutex);
+  return Calls;
+}
+
+void store_standin::handle(const http_request &Request,
+                           http_responder &Responder,
+                           boost::asio::yield_context Yield) {
+  fault Now = fault::None;
+  {
+    absl::MutexLock Lock(&Mutex);
+    ++Calls;
+    Now = Fault;
+  }
+  if (Now == fault::Busy) {
+    Responder.send(http_response(503, http_headers(), ""));
+    return;
+  }
+  if (Now == fault::Silent) {
+    awaitTime(Yield, SilentFor);
+    Responder.abandon();
+    return;
+  }
+  if (Request.path() == "/bluebellkeel/log-append")
+    append(Request, Responder);
+  else if (Request.path() == "/bluebellkeel/log-read")
+    read(Request, Responder, Yield);
+  else
+    listNewest(Request, Responder);
+}
+
+void store_standin::append(const http_request &Request,
+                           http_responder &Responder) {
+  std::string Body(16, '\0');
+  auto Page = readRecordFrames(Body + Request.body(), log_offset());
+  std::size_t Offset = 0;
+  bool Lost = false;
+  {
+    absl::MutexLock Lock(&Mutex);
+    topic &Topic = Topics[Request.query("topic")];
+    Offset = Topic.Records.size();
+    std::string At = Request.query("at");
+    if (!At.empty() && At != std::to_string(Offset)) {
+      Responder.send(http_response(412, http_headers(), "{}"));
+      return;
+    }
+    for (const auto &Record : Page->records())
+      Topic.Records.emplace_back(Record.name(), Record.value());
+    Lost = Fault == fault::AnswersLost;
+  }
+  if (Lost) {
+    Responder.abandon();
+    return;
+  }
+  nlohmann::json Answer = {{"offset", Offset}, {"end", Offset + 1}};
+  Responder.send(http_response(200, http_headers(), Answer.dump()));
+}
+
+std::string store_standin::recordsFrom(const std::string &Topic,
+                                       std::size_t From) const {
+  absl::MutexLock Lock(&Mutex);
+  auto Found = Topics.find(Topic);
+  std::string Body(16, '\0');
+  if (Found == Topics.end() || From >= Found->second.Records.size())
+    return "";
+  for (std::size_t I = From; I < Found->second.Records.size(); ++I)
+    Body += writeRecordFrame(Found->second.Records[I].first,
+                             Found->second.Records[I].second);
+  return Body;
+}
+
+void store_standin::read(const http_request &Request, http_responder &Responder,
+                         boost::asio::yield_context Yield) {
+  std::string Topic = Request.query("topic");
+  std::size_t From = std::stoul(Request.query("from"));
+  {
+    absl::MutexLock Lock(&Mutex);
+    if (From < Topics[Topic].First) {
+      Responder.send(http_response(410, http_headers(), "{\"first\":0}"));
+      return;
+    }
+  }
+  std::string Wait = Request.query("wait_timeout_ms");
+  milliseconds Left(Wait.empty() ? 0 : std::stol(Wait));
+  std::string Body = recordsFrom(Topic, From);
+  for (; Body.empty() && Left.count() > 0; Left -= Step) {
+    awaitTime(Yield, Step);
+    Body = recordsFrom(Topic, From);
+  }
+  Responder.send(http_response(200, http_headers(),
+                               Body.empty() ? std::string(16, '\0') : Body));
+}
+
+void store_standin::listNewest(const http_request &Request,
+                               http_responder &Responder) {
+  nlohmann::json Items = nlohmann::json::array();
+  std::size_t End = 0;
+  {
+    absl::MutexLock Lock(&Mutex);
+    const topic &Topic = Topics[Request.query("topic")];
+    End = Topic.Records.size();
+    std::map<std::string, std::size_t> Latest;
+    for (std::size_t I = 0; I < End; ++I)
+      Latest[Topic.Records[I].first] = I;
+    for (const auto &[Key, Offset] : Latest) {
+      const std::string &Value = Topic.Records[Offset].second;
+      if (!Value.empty())
+        Items.push_back({{"key", Key},
+                         {"value", absl::Base64Escape(Value)},
+                         {"offset", Offset}});
+    }
+  }
+  nlohmann::json Answer = {
+      {"items", std::move(Items)}, {"has_more", false}, {"end", End}};
+  Responder.send(http_response(200, http_headers(), Answer.dump()));
+}
--- a/unittests/Support/ForwardFixture.h
+++ b/unittests/Support/ForwardFixture.h
@@ -141,6 +141,12 @@
   std::vector<std::string> Lines;
 };
 
+class counting_listener final : public load_listener {
+public:
+  void heavySent() override { ++Count; }
+  int Count = 0;
+};
+
 class silent_monitor final : public relay_monitor {
 public:
   void countRefusal(refusal_reason /*Reason*/) override {}
@@ -252,6 +258,7 @@
   confidence_size_policy Sizes;
   silent_monitor Monitor;
   silent_log Log;
+  counting_listener HeavyLoad;
   forward_ports Ports{instance_id("self"),
                       data_centre_id("north"),
                       Clock,
@@ -269,7 +276,8 @@
                       Placement,
                       Sizes,
                       Monitor,
-                      Log};
+                      Log,
+                      HeavyLoad};
   scripted_upstreams Upstreams;
   int LastId = 0;
 };
