--- a/lib/Membership/ReaderElection.cpp
+++ b/lib/Membership/ReaderElection.cpp
@@ -7,7 +7,7 @@
 bool reader_election::isSpared(const instance_id &Self,
                                const data_centre_id &Home,
                                const std::vector<instance_record> &Alive) {
-  constexpr std::string_view Duty = "log-reader";
+  constexpr std::string_view Duty = "reads-the-log";
   std::uint64_t Own = rendezvousWeight(Duty, Self.text());
   auto Before = std::count_if(
       Alive.begin(), Alive.end(), [&](const instance_record &Other) {
--- a/lib/Relay/ForwardRelay.cpp
+++ b/lib/Relay/ForwardRelay.cpp
@@ -487,6 +487,9 @@
       .add("upstream", Upstream.id().text())
       .add("version", Upstream.version().text())
       .add("model", modelName())
+      .add("time_left_ms", std::chrono::duration_cast<milliseconds>(
+                               Limit.at() - Ports.Clock.monotonicNow())
+                               .count())
       .add("sending", static_cast<std::int64_t>(Arrivals) + Unreached + 1)
       .add("running", static_cast<std::int64_t>(Target.load().running()))
       .add("prefill", static_cast<std::int64_t>(Target.load().prefill()))
