--- a/include/bluebellkeel/Journal/BatchQueue.h
+++ b/include/bluebellkeel/Journal/BatchQueue.h
@@ -45,6 +45,12 @@
     return Batch;
   }
 
+  /// Waits for \p Time, or until the queue is closed.
+  void rest(absl::Duration Time) const {
+    absl::MutexLock Lock(&Mutex);
+    Mutex.AwaitWithTimeout(absl::Condition(&Closed), Time);
+  }
+
   /// Refuses further items and wakes who waits.
   void close() {
     absl::MutexLock Lock(&Mutex);
--- a/include/bluebellkeel/Policy/RollOutBook.h
+++ b/include/bluebellkeel/Policy/RollOutBook.h
@@ -62,6 +62,10 @@
     version_tally Others;
     std::map<instance_id, std::pair<version_tally, version_tally>> Peers;
     std::map<std::string, monotonic_time> Elsewhere;
+
+    version_tally &tallyOf(const version_id &Version) {
+      return Version == Order.target() ? Target : Others;
+    }
   };
 
   struct state {
--- a/include/bluebellkeel/Startup.h
+++ b/include/bluebellkeel/Startup.h
@@ -4,6 +4,7 @@
 #include "bluebellkeel/Startup/GatewaySettings.h"
 #include "bluebellkeel/Startup/GatewaySettingsReader.h"
 #include "bluebellkeel/Startup/PlatformAddresses.h"
+#include "bluebellkeel/Startup/SettingsFile.h"
 #include "bluebellkeel/Startup/StartupLimits.h"
 #include "bluebellkeel/Startup/StartupReader.h"
 #include "bluebellkeel/Startup/StartupSettings.h"
--- a/include/bluebellkeel/Telemetry.h
+++ b/include/bluebellkeel/Telemetry.h
@@ -5,5 +5,6 @@
 #include "bluebellkeel/Telemetry/LogPart.h"
 #include "bluebellkeel/Telemetry/LogSetup.h"
 #include "bluebellkeel/Telemetry/Metrics.h"
+#include "bluebellkeel/Telemetry/PeerCounter.h"
 
 #endif // BLUEBELLKEEL_TELEMETRY_H
--- a/lib/Gateway/PeerCounter.h
+++ b/include/bluebellkeel/Telemetry/PeerCounter.h
@@ -1,5 +1,5 @@
-#ifndef BLUEBELLKEEL_LIB_GATEWAY_PEERCOUNTER_H
-#define BLUEBELLKEEL_LIB_GATEWAY_PEERCOUNTER_H
+#ifndef BLUEBELLKEEL_TELEMETRY_PEERCOUNTER_H
+#define BLUEBELLKEEL_TELEMETRY_PEERCOUNTER_H
 
 #include "bluebellkeel/Peer/PeerMonitor.h"
 #include "bluebellkeel/Telemetry/Metrics.h"
@@ -7,9 +7,10 @@
 namespace bluebellkeel {
 
 /// Gives the counters of peer messages to the metrics.
-class peer_counter final : public peer_monitor {
+class peer_counter : public peer_monitor {
 public:
   explicit peer_counter(metrics &Metrics) : Metrics(Metrics) {}
+  ~peer_counter() override = default;
 
   void countPeerMessage(const std::string &Kind, bool Sent,
                         std::size_t Bytes) override {
@@ -19,10 +20,10 @@
     Metrics.countPeerFault(std::string(toString(Error)));
   }
 
-private:
+protected:
   metrics &Metrics;
 };
 
 } // namespace bluebellkeel
 
-#endif // BLUEBELLKEEL_LIB_GATEWAY_PEERCOUNTER_H
+#endif // BLUEBELLKEEL_TELEMETRY_PEERCOUNTER_H
--- a/lib/Gateway/GatewayRuntime.cpp
+++ b/lib/Gateway/GatewayRuntime.cpp
@@ -1,10 +1,10 @@
 #include "bluebellkeel/Gateway/GatewayRuntime.h"
 #include "ContactWatch.h"
 #include "DigestDesk.h"
-#include "PeerCounter.h"
 #include "bluebellkeel/Http/Await.h"
 #include "bluebellkeel/Journal/KeyedFollower.h"
 #include "bluebellkeel/Peer/WebsocketPeerLink.h"
+#include "bluebellkeel/Telemetry/PeerCounter.h"
 #include <boost/asio/detached.hpp>
 #include <boost/asio/strand.hpp>
 
--- a/lib/Journal/BillLedger.cpp
+++ b/lib/Journal/BillLedger.cpp
@@ -1,7 +1,6 @@
 #include "bluebellkeel/Journal/BillLedger.h"
 #include <algorithm>
 #include <iterator>
-#include <thread>
 
 using namespace bluebellkeel;
 
@@ -104,7 +103,7 @@
   while (!Queue.closed() || (held() > 0 && !LogFailed)) {
     auto Rest = Pacer.waitAt(Clock.monotonicNow());
     if (Rest.count() > 0 && !LogFailed)
-      std::this_thread::sleep_for(Rest);
+      Queue.rest(absl::FromChrono(Rest));
     commitOnce(LogFailed ? FailurePause : milliseconds(seconds(1)));
   }
 }
--- a/lib/Journal/ClaimCoordinator.cpp
+++ b/lib/Journal/ClaimCoordinator.cpp
@@ -1,7 +1,6 @@
 #include "bluebellkeel/Journal/ClaimCoordinator.h"
 #include "bluebellkeel/Journal/ClaimLedger.h"
 #include <algorithm>
-#include <thread>
 
 using namespace bluebellkeel;
 
@@ -61,7 +60,7 @@
   while (!Queue.closed()) {
     auto Rest = Pacer.waitAt(Clock.monotonicNow());
     if (Rest.count() > 0)
-      std::this_thread::sleep_for(Rest);
+      Queue.rest(absl::FromChrono(Rest));
     commitOnce(seconds(1));
   }
   commitOnce(milliseconds(0));
--- a/lib/Policy/CheapestPlacement.cpp
+++ b/lib/Policy/CheapestPlacement.cpp
@@ -54,7 +54,7 @@
 /// A large model's prompt holds up the tokens of all requests beside it, so a
 /// part of the upstreams is left to the small models as long as the others have
 /// room; docs/MEASURES.md has the runs.
-static constexpr double LightPart = 0.34;
+static constexpr double LightPart = 0.25;
 /// With fewer upstreams there is nothing to divide.
 static constexpr std::size_t FewestForLanes = 4;
 /// Models that take this many times the smallest one's time count as large.
--- a/lib/Policy/ConfidenceSizePolicy.cpp
+++ b/lib/Policy/ConfidenceSizePolicy.cpp
@@ -7,7 +7,7 @@
 /// idle, and how much that falls as its slots fill; docs/MEASURES.md has the
 /// runs.
 static constexpr double IdleThreshold = 45;
-static constexpr double ThresholdFall = 60;
+static constexpr double ThresholdFall = 100;
 static constexpr double LowestThreshold = 20;
 
 std::size_t
--- a/lib/Policy/RollOutBook.cpp
+++ b/lib/Policy/RollOutBook.cpp
@@ -168,9 +168,7 @@
     auto Known = Shard.Entries.find(Service);
     if (Known == Shard.Entries.end())
       return;
-    entry &Entry = Known->second;
-    version_tally &Tally =
-        Version == Entry.Order.target() ? Entry.Target : Entry.Others;
+    version_tally &Tally = Known->second.tallyOf(Version);
     Tally = Tally.withAnswer(Good);
   });
 }
@@ -183,9 +181,7 @@
     auto Known = Shard.Entries.find(Service);
     if (Known == Shard.Entries.end())
       return;
-    entry &Entry = Known->second;
-    version_tally &Tally =
-        Version == Entry.Order.target() ? Entry.Target : Entry.Others;
+    version_tally &Tally = Known->second.tallyOf(Version);
     Tally = Tally.withTime(LogTime);
   });
 }
--- a/tools/bluebellkeeld/Main.cpp
+++ b/tools/bluebellkeeld/Main.cpp
@@ -6,9 +6,7 @@
 #include "bluebellkeel/Telemetry.h"
 #include <atomic>
 #include <csignal>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 #include <thread>
 
 ABSL_FLAG(std::string, settings, "", "settings file, JSON with comments");
@@ -28,19 +26,8 @@
 };
 
 static std::optional<startup_settings> readFile(const std::string &Path) {
-  std::ifstream File(Path);
-  if (!File) {
-    std::cerr << Path << ": cannot be read\n";
-    return std::nullopt;
-  }
-  std::stringstream Text;
-  Text << File.rdbuf();
-  auto Settings = readStartupSettings(Text.str());
-  if (Settings)
-    return *Settings;
-  for (const auto &Error : Settings.error())
-    std::cerr << Path << ": " << Error.message() << "\n";
-  return std::nullopt;
+  return readSettingsFile<startup_settings>(Path, readStartupSettings,
+                                            std::cerr);
 }
 
 static void blockSignals(sigset_t &Signals) {
