--- a/lib/Relay/ForwardRelay.cpp
+++ b/lib/Relay/ForwardRelay.cpp
@@ -196,7 +196,8 @@
     return afterError(Upstream, attempt_error::TurnedAway);
   ++Runs;
   Ticket.begun();
-  FirstByte = elapsed();
+  if (!Begun)
+    FirstByte = elapsed();
   if (Head.status() >= FirstServerError && repeatable() && runsLeft())
     return afterError(Upstream, attempt_error::Failed);
   if (Head.succeeded() && !Head.vouched())
--- a/unittests/Adapter/GatewayProcessTest.cpp
+++ b/unittests/Adapter/GatewayProcessTest.cpp
@@ -1,4 +1,5 @@
 #include "GatewayProcess.h"
+#include "StandinHandler.h"
 #include "StoreStandin.h"
 #include "bluebellkeel/Http.h"
 #include "bluebellkeel/Http/Await.h"
@@ -185,16 +186,12 @@
 
   thread_pool Pool{2};
   store_standin Store;
-  standin_handler StoreHandler{
-      [this](const auto &Request, auto &Responder, auto Yield) {
-        Store.handle(Request, Responder, Yield);
-      }};
   standin_handler UpstreamHandler{
       [this](const auto &Request, auto &Responder, auto Yield) {
         onUpstream(Request, Responder, Yield);
       }};
   http_limits Limits{100, 1024UL * 1024, milliseconds(2000)};
-  http_server StoreServer{Pool, StoreHandler, Limits};
+  http_server StoreServer{Pool, Store, Limits};
   http_server FirstServer{Pool, UpstreamHandler, Limits};
   http_server SecondServer{Pool, UpstreamHandler, Limits};
   http_client Client{http_timeouts(milliseconds(1000), milliseconds(6000),
--- a/unittests/Adapter/StoreStandin.cpp
+++ b/utils/Platform/StoreStandin.cpp
@@ -62,7 +62,13 @@
     Responder.abandon();
     return;
   }
-  if (Request.path() == "/bluebellkeel/log-append")
+  if (Request.path() == "/put") {
+    put(Request.query("topic"), Request.query("key"), Request.body());
+    Responder.send(http_response(200, http_headers(), ""));
+  } else if (Request.path() == "/newest-value") {
+    std::string Value = newest(Request.query("topic"), Request.query("key"));
+    Responder.send(http_response(200, http_headers(), Value));
+  } else if (Request.path() == "/bluebellkeel/log-append")
     append(Request, Responder);
   else if (Request.path() == "/bluebellkeel/log-read")
     read(Request, Responder, Yield);
--- a/unittests/Adapter/StoreStandin.h
+++ b/utils/Platform/StoreStandin.h
@@ -1,9 +1,9 @@
-#ifndef UNITTESTS_ADAPTER_STORESTANDIN_H
-#define UNITTESTS_ADAPTER_STORESTANDIN_H
+#ifndef UTILS_PLATFORM_STORESTANDIN_H
+#define UTILS_PLATFORM_STORESTANDIN_H
 
-#include "StandinHandler.h"
 #include "absl/base/thread_annotations.h"
 #include "absl/synchronization/mutex.h"
+#include "bluebellkeel/Http/HttpHandler.h"
 #include <map>
 #include <string>
 #include <vector>
@@ -12,7 +12,7 @@
 
 /// The platform's store in memory: keyed topics with appends, reads that wait
 /// and the newest of each key, and its faults.
-class store_standin {
+class store_standin final : public http_handler {
 public:
   /// What is wrong with the store.
   enum class fault { None, Busy, Silent, AnswersLost };
@@ -27,7 +27,7 @@
   int calls() const;
 
   void handle(const http_request &Request, http_responder &Responder,
-              boost::asio::yield_context Yield);
+              boost::asio::yield_context Yield) override;
 
 private:
   struct topic {
@@ -50,4 +50,4 @@
 
 } // namespace bluebellkeel
 
-#endif // UNITTESTS_ADAPTER_STORESTANDIN_H
+#endif // UTILS_PLATFORM_STORESTANDIN_H
