--- a/include/bluebellkeel/Membership/ServingPhase.h
+++ b/include/bluebellkeel/Membership/ServingPhase.h
@@ -12,6 +12,7 @@
   LeadingAway,
   /// Only short requests are taken.
   Draining,
+  /// Nothing is taken any more; the process ends.
   Ended,
 };
 
--- a/include/bluebellkeel/Telemetry/EventWriter.h
+++ b/include/bluebellkeel/Telemetry/EventWriter.h
@@ -24,11 +24,16 @@
   ~event_writer() override;
 
   void write(const event_line &Line) override;
+  /// Waits until all lines are written, at most \p Limit.
+  void flush(milliseconds Limit) const;
   /// Lines that were left out so far.
   std::uint64_t leftOut() const;
 
 private:
   void run();
+  bool isIdle() const ABSL_SHARED_LOCKS_REQUIRED(Mutex) {
+    return Waiting.empty() && !Writing;
+  }
   bool hasWork() const ABSL_SHARED_LOCKS_REQUIRED(Mutex) {
     return !Waiting.empty() || Stopped;
   }
@@ -38,6 +43,8 @@
   mutable absl::Mutex Mutex;
   std::vector<std::string> Waiting ABSL_GUARDED_BY(Mutex);
   std::uint64_t LeftOut ABSL_GUARDED_BY(Mutex) = 0;
+  /// True while lines that were taken from the queue are being written.
+  bool Writing ABSL_GUARDED_BY(Mutex) = false;
   bool Stopped ABSL_GUARDED_BY(Mutex) = false;
   std::thread Thread;
 };
--- a/include/bluebellkeel/Upstream/RosterKeeper.h
+++ b/include/bluebellkeel/Upstream/RosterKeeper.h
@@ -4,7 +4,9 @@
 #include "absl/base/thread_annotations.h"
 #include "absl/synchronization/mutex.h"
 #include "bluebellkeel/Upstream/UpstreamRoster.h"
-#include <map>
+#include <optional>
+#include <set>
+#include <vector>
 
 namespace bluebellkeel {
 
@@ -21,8 +23,13 @@
 
   bool listed(const upstream_listing &Listing);
   void unlisted(const upstream_id &Id);
-  /// The log answers again after it did not.
-  void logReturned();
+  /// The log is asked again after it did not answer; if it does, what it says
+  /// is missing may still come back.
+  void logReturning();
+  /// It did answer.
+  void logReturned() { logReturning(); }
+  /// It did not; what was missing in the meantime is gone.
+  void logAway();
   /// Takes away what is still missing; returns it.
   std::vector<upstream_id> sweep();
 
@@ -31,7 +38,7 @@
   const time_source &Clock;
   absl::Mutex Mutex;
   std::optional<monotonic_time> ReturnedAt ABSL_GUARDED_BY(Mutex);
-  std::map<upstream_id, monotonic_time> Missing ABSL_GUARDED_BY(Mutex);
+  std::set<upstream_id> Missing ABSL_GUARDED_BY(Mutex);
 };
 
 } // namespace bluebellkeel
--- a/lib/Gateway/ContactWatch.h
+++ b/lib/Gateway/ContactWatch.h
@@ -19,6 +19,7 @@
   /// True when the log had been lost before.
   bool succeeded();
   void failed(journal_error Error);
+  bool lost() const { return LostAt.has_value(); }
 
 private:
   keyed_topic Topic;
--- a/lib/Gateway/DigestDesk.cpp
+++ b/lib/Gateway/DigestDesk.cpp
@@ -114,11 +114,13 @@
 }
 
 void digest_desk::ask(const instance_record &Peer) {
-  Link.ask(Peer, digestFor(Peer.dataCentre()), [this](const std::optional<peer_body> &Body) {
-    const auto *Digest = Body ? std::get_if<instance_digest>(&*Body) : nullptr;
-    if (Digest)
-      absorb(*Digest);
-  });
+  Link.ask(Peer, digestFor(Peer.dataCentre()),
+           [this](const std::optional<peer_body> &Body) {
+             const auto *Digest =
+                 Body ? std::get_if<instance_digest>(&*Body) : nullptr;
+             if (Digest)
+               absorb(*Digest);
+           });
 }
 
 void digest_desk::spreadNews() {
@@ -135,9 +137,8 @@
 }
 
 void digest_desk::round() {
-  for (const auto &Peer :
-       peer_sampler::sample(Parts.Instances.known(), Parts.Settings.DataCentre,
-                            Parts.Random))
+  for (const auto &Peer : peer_sampler::sample(
+           Parts.Instances.known(), Parts.Settings.DataCentre, Parts.Random))
     ask(Peer);
   if (!Parts.Instances.alive().empty())
     return;
--- a/lib/Gateway/GatewayRuntime.cpp
+++ b/lib/Gateway/GatewayRuntime.cpp
@@ -142,15 +142,21 @@
       continue;
     }
     log_offset Before = View.end();
-    auto Read = Follower.poll(*Log, NewsWait);
+    bool WasLost = Contact.lost();
+    if (WasLost && Topic == keyed_topic::Upstreams)
+      Parts.Keeper.logReturning();
+    // After a loss the first answer must not wait for news.
+    auto Read = Follower.poll(*Log, WasLost ? milliseconds(0) : NewsWait);
     if (!Read) {
+      if (WasLost && Topic == keyed_topic::Upstreams)
+        Parts.Keeper.logAway();
       Contact.failed(Read.error());
       awaitTime(Yield, Pause);
       Pause = std::min(2 * Pause, LongestFailurePause);
       continue;
     }
     Pause = FailurePause;
-    if (Contact.succeeded())
+    if (Contact.succeeded() && Topic == keyed_topic::Upstreams)
       Parts.Keeper.logReturned();
     serveOnceKnown();
     if (View.end() > Before)
--- a/lib/Relay/ForwardRelay.cpp
+++ b/lib/Relay/ForwardRelay.cpp
@@ -51,6 +51,8 @@
   Table = Ports.Tables.current();
   if (Phase == serving_phase::Starting || !Table)
     return refusal_reason::NotReady;
+  if (Phase == serving_phase::Ended)
+    return refusal_reason::Draining;
   if (auto Reason = checkRoute(*Table))
     return Reason;
   if (Phase == serving_phase::Draining && Route->kind() == route_kind::Stream)
@@ -88,9 +90,16 @@
 }
 
 std::optional<refusal_reason> forward_relay::checkTime() const {
-  if (Ports.Clock.monotonicNow() < Limit.at())
+  /// Part of the objective that must be left for a sending to have a chance.
+  constexpr int LeastPart = 10;
+  auto Left = Limit.at() - Ports.Clock.monotonicNow();
+  if (Runs > 0)
+    return Left.count() > 0
+               ? std::nullopt
+               : std::optional<refusal_reason>(refusal_reason::TimeLimit);
+  if (Left.count() > 0 && Left >= Route->objective() / LeastPart)
     return std::nullopt;
-  return Runs > 0 ? refusal_reason::TimeLimit : refusal_reason::TimeLimitUnsent;
+  return refusal_reason::TimeLimitUnsent;
 }
 
 /// Before each sending the newest configuration decides again.
--- a/lib/Telemetry/EventWriter.cpp
+++ b/lib/Telemetry/EventWriter.cpp
@@ -1,4 +1,5 @@
 #include "bluebellkeel/Telemetry/EventWriter.h"
+#include "absl/time/time.h"
 #include <log4cxx/logger.h>
 
 using namespace bluebellkeel;
@@ -27,6 +28,12 @@
   Waiting.push_back(Stamped.text());
 }
 
+void event_writer::flush(milliseconds Limit) const {
+  absl::MutexLock Lock(&Mutex);
+  Mutex.AwaitWithTimeout(absl::Condition(this, &event_writer::isIdle),
+                         absl::FromChrono(Limit));
+}
+
 std::uint64_t event_writer::leftOut() const {
   absl::MutexLock Lock(&Mutex);
   return LeftOut;
@@ -40,10 +47,12 @@
     std::uint64_t Missing = 0;
     {
       absl::MutexLock Lock(&Mutex);
+      Writing = false;
       Mutex.Await(absl::Condition(this, &event_writer::hasWork));
       if (Waiting.empty())
         return;
       Lines.swap(Waiting);
+      Writing = true;
       Missing = LeftOut;
     }
     if (Missing > Told) {
--- a/lib/Upstream/RosterKeeper.cpp
+++ b/lib/Upstream/RosterKeeper.cpp
@@ -15,33 +15,33 @@
   {
     absl::MutexLock Lock(&Mutex);
     if (ReturnedAt && Now - *ReturnedAt < ReturnGrace) {
-      Missing.emplace(Id, *ReturnedAt + ReturnGrace);
+      Missing.insert(Id);
       return;
     }
   }
   Roster.remove(Id);
 }
 
-void roster_keeper::logReturned() {
+void roster_keeper::logReturning() {
   absl::MutexLock Lock(&Mutex);
   ReturnedAt = Clock.monotonicNow();
 }
 
+void roster_keeper::logAway() {
+  absl::MutexLock Lock(&Mutex);
+  ReturnedAt.reset();
+}
+
 std::vector<upstream_id> roster_keeper::sweep() {
   monotonic_time Now = Clock.monotonicNow();
-  std::vector<upstream_id> Gone;
+  std::set<upstream_id> Gone;
   {
     absl::MutexLock Lock(&Mutex);
-    for (auto It = Missing.begin(); It != Missing.end();) {
-      if (Now < It->second) {
-        ++It;
-        continue;
-      }
-      Gone.push_back(It->first);
-      It = Missing.erase(It);
-    }
+    if (ReturnedAt && Now - *ReturnedAt < ReturnGrace)
+      return {};
+    Gone.swap(Missing);
   }
   for (const auto &Id : Gone)
     Roster.remove(Id);
-  return Gone;
+  return std::vector<upstream_id>(Gone.begin(), Gone.end());
 }
--- a/unittests/Relay/ForwardRelayTest.cpp
+++ b/unittests/Relay/ForwardRelayTest.cpp
@@ -186,6 +186,13 @@
   EXPECT_TRUE(Upstreams.Attempts.empty());
 }
 
+TEST_F(forward_relay_test, tooLittleTimeLeft_isNotSpentOnASending) {
+  auto Call = callOf("/once/x");
+  Call.Deadline = milliseconds(99);
+  EXPECT_EQ(503, run(Call).Status);
+  EXPECT_TRUE(Upstreams.Attempts.empty());
+}
+
 TEST_F(forward_relay_test, timeLeft_isPassedOn) {
   auto Call = callOf("/once/x");
   Call.Deadline = milliseconds(900);
@@ -238,6 +245,12 @@
   EXPECT_EQ(200, run("/once/x").Status);
 }
 
+TEST_F(forward_relay_test, ended_takesNothing) {
+  Gate.Phase = serving_phase::Ended;
+  EXPECT_EQ(503, run("/once/x").Status);
+  EXPECT_TRUE(Upstreams.Attempts.empty());
+}
+
 TEST_F(forward_relay_test, versionUnderTrial_isUsedByItsSessionsOnly) {
   auto Fields = listingOf("new");
   Fields.Version = version_id("v2");
--- a/unittests/Upstream/UpstreamRosterTest.cpp
+++ b/unittests/Upstream/UpstreamRosterTest.cpp
@@ -96,6 +96,27 @@
   EXPECT_EQ(1U, serving());
 }
 
+TEST_F(upstream_roster_test, unlisted_byTheFirstAnswerAfterALoss_isWaitedFor) {
+  Keeper.listed(upstream_listing(listingOf("u")));
+  Keeper.logReturning();
+  Keeper.unlisted(upstream_id("u"));
+  Keeper.logReturned();
+  EXPECT_TRUE(Keeper.sweep().empty());
+  EXPECT_EQ(1U, serving());
+  Clock.advance(roster_keeper::ReturnGrace);
+  EXPECT_EQ(1U, Keeper.sweep().size());
+  EXPECT_EQ(0U, serving());
+}
+
+TEST_F(upstream_roster_test, unlisted_byAPeerWhileTheLogStaysAway_goes) {
+  Keeper.listed(upstream_listing(listingOf("u")));
+  Keeper.logReturning();
+  Keeper.unlisted(upstream_id("u"));
+  Keeper.logAway();
+  EXPECT_EQ(1U, Keeper.sweep().size());
+  EXPECT_EQ(0U, serving());
+}
+
 RC_GTEST_FIXTURE_PROP(upstream_roster_test, listings_inAnyOrder_leaveTheNewest,
                       ()) {
   using listing = std::pair<std::uint8_t, std::uint8_t>;
