--- a/include/bluebellkeel/Peer/InstanceDigest.h
+++ b/include/bluebellkeel/Peer/InstanceDigest.h
@@ -57,8 +57,8 @@
   }
   auto key() const {
     return std::tie(Held.Sender, Held.SettingsEnd, Held.UpstreamsEnd,
-                    Held.SettingsAge, Held.UpstreamsAge, Held.Loads, Held.RollOuts, Held.Crashes,
-                    Held.Known, Held.Sightings);
+                    Held.SettingsAge, Held.UpstreamsAge, Held.Loads,
+                    Held.RollOuts, Held.Crashes, Held.Known, Held.Sightings);
   }
 
 private:
--- a/lib/Gateway/DigestDesk.cpp
+++ b/lib/Gateway/DigestDesk.cpp
@@ -123,8 +123,18 @@
            });
 }
 
+bool digest_desk::amongFew() const {
+  return Parts.Instances.known().size() <= peer_sampler::AllUpTo;
+}
+
+void digest_desk::tellLoad() {
+  // Among many, a round reaches too few to be worth its processor time.
+  if (amongFew())
+    round();
+}
+
 void digest_desk::spreadNews() {
-  if (Parts.Instances.known().size() <= peer_sampler::AllUpTo)
+  if (amongFew())
     return;
   monotonic_time Now = Parts.Clock.monotonicNow();
   {
--- a/lib/Gateway/DigestDesk.h
+++ b/lib/Gateway/DigestDesk.h
@@ -25,8 +25,11 @@
   /// The log or a peer brought something new. Among many instances few read
   /// the log, so the news goes on at once.
   void spreadNews();
+  /// This instance has sent heavy work that its peers should know of.
+  void tellLoad();
 
 private:
+  bool amongFew() const;
   std::optional<milliseconds> ageOf(const log_age &Age) const;
   /// What an instance in \p Centre is told.
   instance_digest digestFor(const data_centre_id &Centre);
--- a/lib/Gateway/GatewayRuntime.cpp
+++ b/lib/Gateway/GatewayRuntime.cpp
@@ -96,7 +96,7 @@
   auto Linked = Link.start(Parts.Settings.PeerAddress, Desk);
   if (!Linked)
     return Linked;
-  Parts.HeavyLoad.connect([this] { Desk.round(); });
+  Parts.HeavyLoad.connect([this] { Desk.tellLoad(); });
   spawn(&impl::followSettings);
   spawn(&impl::followUpstreams);
   spawn(&impl::followInstances);
--- a/lib/Membership/LiveInstances.cpp
+++ b/lib/Membership/LiveInstances.cpp
@@ -43,8 +43,8 @@
       return;
     const instance_record &Record = Entry.Record;
     Entry.Record = instance_record(Record.id(), Record.dataCentre(),
-                                   Record.callerAddress(),
-                                   Record.peerAddress(), Sighting.state());
+                                   Record.callerAddress(), Record.peerAddress(),
+                                   Sighting.state());
     Entry.HeardAt = At;
     Entry.Heard = true;
   });
@@ -90,7 +90,8 @@
   std::vector<instance_id> Senders;
   Entries.forEachShard([&](entry_map &Shard) {
     for (const auto &[Id, Entry] : Shard) {
-      bool Lately = Now - std::max(Entry.HeardAt, Entry.LearntAt) <= SenderLimit;
+      bool Lately =
+          Now - std::max(Entry.HeardAt, Entry.LearntAt) <= SenderLimit;
       if (Lately || (Entry.Registered && !Entry.Heard))
         Senders.push_back(Id);
     }
@@ -108,8 +109,7 @@
           Entry.Record.dataCentre() != Centre)
         continue;
       Sightings.emplace_back(
-          Id,
-          std::chrono::duration_cast<milliseconds>(Now - Entry.HeardAt),
+          Id, std::chrono::duration_cast<milliseconds>(Now - Entry.HeardAt),
           Entry.Record.state());
     }
   });
--- a/lib/Peer/DigestForms.cpp
+++ b/lib/Peer/DigestForms.cpp
@@ -140,9 +140,8 @@
     bool Live = Sighting.flag("l");
     if (Sighting.failed())
       Fields.fail(Sighting.error().message());
-    Sightings.emplace_back(Id, Age,
-                           Live ? instance_state::Live
-                                : instance_state::Leaving);
+    Sightings.emplace_back(
+        Id, Age, Live ? instance_state::Live : instance_state::Leaving);
   }
   return Sightings;
 }
--- a/lib/Policy/CheapestPlacement.cpp
+++ b/lib/Policy/CheapestPlacement.cpp
@@ -1,6 +1,7 @@
 #include "bluebellkeel/Policy/CheapestPlacement.h"
 #include "bluebellkeel/Core/StableHash.h"
 #include <algorithm>
+#include <cmath>
 #include <set>
 
 using namespace bluebellkeel;
@@ -67,12 +68,13 @@
 static std::set<upstream_id>
 lightLane(const std::vector<placement_candidate> &Candidates) {
   std::vector<std::pair<std::uint64_t, upstream_id>> Ranked;
+  Ranked.reserve(Candidates.size());
   for (const auto &Candidate : Candidates)
     Ranked.emplace_back(stableHash(Candidate.listing().id().text()),
                         Candidate.listing().id());
   std::sort(Ranked.begin(), Ranked.end());
   auto Count = static_cast<std::size_t>(
-      LightPart * static_cast<double>(Ranked.size()) + 0.5);
+      std::lround(LightPart * static_cast<double>(Ranked.size())));
   std::set<upstream_id> Lane;
   for (std::size_t I = 0; I < Count; ++I)
     Lane.insert(Ranked[I].second);
@@ -133,6 +135,7 @@
       Shared ? homeOf(Candidates, *Shared) : nullptr;
   lanes Lanes(Candidates, Prompt);
   std::vector<std::pair<double, const placement_candidate *>> Priced;
+  Priced.reserve(Candidates.size());
   for (const auto &Candidate : Candidates) {
     double Cost =
         costOf(Candidate, Prompt, Pace) + Lanes.costOf(Candidate, Pace);
--- a/unittests/Membership/PeerSamplerTest.cpp
+++ b/unittests/Membership/PeerSamplerTest.cpp
@@ -33,8 +33,7 @@
 TEST_F(peer_sampler_test, manyPeers_costEachRoundTheSame) {
   auto Few = peer_sampler::sample(many(80), North, Random);
   auto Many = peer_sampler::sample(many(300), North, Random);
-  EXPECT_EQ(peer_sampler::NearPerRound + peer_sampler::FarPerRound,
-            Few.size());
+  EXPECT_EQ(peer_sampler::NearPerRound + peer_sampler::FarPerRound, Few.size());
   EXPECT_EQ(Few.size(), Many.size());
   EXPECT_EQ(Many.size(),
             std::set<instance_record>(Many.begin(), Many.end()).size());
@@ -58,10 +57,10 @@
       if (Other.id() != Instance.id())
         Others.push_back(Other);
     }
-    Readers += reader_election::isSpared(Instance.id(), Instance.dataCentre(),
-                                         Others)
-                   ? 0
-                   : 1;
+    Readers +=
+        reader_election::isSpared(Instance.id(), Instance.dataCentre(), Others)
+            ? 0
+            : 1;
   }
   EXPECT_EQ(2 * reader_election::Readers, static_cast<std::size_t>(Readers));
 }
