--- a/unittests/Membership/PeerSamplerTest.cpp
+++ b/unittests/Membership/PeerSamplerTest.cpp
@@ -11,6 +11,7 @@
 protected:
   static std::vector<instance_record> many(int Count) {
     std::vector<instance_record> Records;
+    Records.reserve(static_cast<std::size_t>(Count));
     for (int I = 0; I < Count; ++I)
       Records.emplace_back(instance_id("edge-" + std::to_string(I)),
                            data_centre_id(I % 4 == 0 ? "north" : "south"),
