Never let another answer pass for the rest of a begun one

Ruled out: the splitting of events. A begun stream now goes on only with a success; a long plain answer that breaks off after its first part is cut and not begun again. A resumed stream stays on the version that began it.

--- a/include/bluebellkeel/Relay/ForwardRelay.h
+++ b/include/bluebellkeel/Relay/ForwardRelay.h
@@ -86,6 +86,8 @@
   bool RepeatPaid = false;
   std::size_t Size = 0;
   bool Begun = false;
+  /// The version whose events the caller has.
+  std::optional<version_id> BegunVersion;
   std::optional<std::uint64_t> LastEvent;
   event_splitter Splitter;
   monotonic_time SentAt;
--- a/lib/Relay/ForwardRelay.cpp
+++ b/lib/Relay/ForwardRelay.cpp
@@ -141,7 +141,9 @@
 std::optional<placement_candidate> forward_relay::choose() {
   using kind = version_rule::kind;
   const std::string Model = modelName();
-  version_rule Rule = Ports.RollOuts.ruleFor(Traits->service(), sessionName());
+  version_rule Rule =
+      BegunVersion ? version_rule(kind::Only, *BegunVersion)
+                   : Ports.RollOuts.ruleFor(Traits->service(), sessionName());
   auto Find = [&](const version_rule &Asked) {
     return Candidates.choose(
         {*Traits, Asked, Tried, Call->text(), Model, pace()});
@@ -207,7 +209,10 @@
   Ticket.begun();
   if (!Begun)
     FirstByte = elapsed();
-  if (Head.status() >= FirstServerError && repeatable() && runsLeft())
+  // A stream that has begun can only go on as what it was.
+  bool Unusable = Begun && !Head.succeeded();
+  if (Unusable ||
+      (Head.status() >= FirstServerError && repeatable() && runsLeft()))
     return afterError(Upstream, attempt_error::Failed);
   if (Head.succeeded() && !Head.vouched())
     return afterError(Upstream, attempt_error::Malformed);
@@ -232,6 +237,9 @@
   bool Again = surelyNotRun(Error)
                    ? Arrivals < MaxArrivals && Unreached < MaxUnreached
                    : repeatable() && runsLeft();
+  // Only a stream can go on where it broke off.
+  if (Begun && Route->kind() != route_kind::Stream)
+    Again = false;
   if (!Again) {
     refuse(surelyNotRun(Error) ? refusal_reason::NoCapacity
                                : refusal_reason::UpstreamFailed);
@@ -296,6 +304,8 @@
     auto Events = Splitter.feed(*Piece);
     if (Events.empty())
       continue;
+    if (!BegunVersion)
+      BegunVersion = Upstream.version();
     if (!beginAnswer(Answer.head())) {
       logEnd("caller_gone", 0);
       return step::Done;
--- a/unittests/Relay/ForwardRelayTest.cpp
+++ b/unittests/Relay/ForwardRelayTest.cpp
@@ -109,6 +109,17 @@
   EXPECT_EQ("whole", Caller.Body);
 }
 
+TEST_F(forward_relay_test, longAnswer_thatBreaksOff_isCutAndNotBegunAgain) {
+  upstream_script Broken;
+  Broken.Pieces = {std::string(300UL * 1024, 'x')};
+  Broken.ReadError = attempt_error::Truncated;
+  script({Broken});
+  auto Caller = run("/again/x");
+  EXPECT_TRUE(Caller.Abandoned);
+  EXPECT_FALSE(Caller.Ended);
+  EXPECT_EQ(1U, Upstreams.Attempts.size());
+}
+
 TEST_F(forward_relay_test, truncatedAnswer_ofAtMostOnce_neverLooksWhole) {
   upstream_script Broken;
   Broken.Pieces = {"wh"};
--- a/unittests/Relay/ForwardStreamTest.cpp
+++ b/unittests/Relay/ForwardStreamTest.cpp
@@ -85,6 +85,31 @@
   EXPECT_EQ(3U, Upstreams.Attempts.size());
 }
 
+TEST_F(forward_stream_test, failuresAfterTheFirstEvents_neverLookLikeTheRest) {
+  upstream_script Failed;
+  Failed.Status = 500;
+  Failed.Pieces = {"sorry"};
+  script({brokenAfter(1, 2), Failed, Failed});
+  auto Caller = run("/stream/x");
+  EXPECT_EQ(stream(1, 2), Caller.Body);
+  EXPECT_TRUE(Caller.Abandoned);
+  EXPECT_FALSE(Caller.Ended);
+}
+
+TEST_F(forward_stream_test, resumedStream_staysOnItsVersion) {
+  auto Fields = listingOf("new");
+  Fields.Version = version_id("v2");
+  Roster.learn(upstream_listing(Fields));
+  Loads.noteFailure(upstream_id("u2"), 50);
+  Loads.noteFailure(upstream_id("u3"), 50);
+  Loads.noteFailure(upstream_id("new"), 10);
+  script({brokenAfter(1, 2), events(3, 4)});
+  EXPECT_EQ(stream(1, 4), run("/stream/x").Body);
+  ASSERT_EQ(2U, Upstreams.Attempts.size());
+  EXPECT_EQ("u1", Upstreams.Attempts[0].upstream().id().text());
+  EXPECT_EQ("v1", Upstreams.Attempts[1].upstream().version().text());
+}
+
 TEST_F(forward_stream_test, callersLastEvent_isPassedOn) {
   auto Call = callOf("/stream/x");
   Call.LastEvent = 4;
@@ -127,8 +152,14 @@
   int Next = 1;
   std::vector<upstream_script> Scripts;
   auto Breaks =
-      *rc::gen::container<std::vector<int>>(3, rc::gen::inRange(0, 4));
+      *rc::gen::container<std::vector<int>>(3, rc::gen::inRange(0, 5));
   for (int Break : Breaks) {
+    if (Break == 4) {
+      upstream_script Failed;
+      Failed.Status = 500;
+      Scripts.push_back(Failed);
+      continue;
+    }
     int Last = std::min(Length, Next + Break);
     Scripts.push_back(Last == Length ? events(Next, Last)
                                      : brokenAfter(Next, Last));
@@ -138,6 +169,9 @@
   }
   script(Scripts);
   auto Caller = run("/stream/x");
+  // An upstream's own failure may be the answer while nothing was passed on.
+  if (Caller.Status == 500)
+    return;
   RC_ASSERT(stream(1, Length).rfind(Caller.Body, 0) == 0);
   RC_ASSERT(!Caller.Ended || Caller.Body == stream(1, Length));
 }
