Blame no request for an upstream that restarts after another's crash

An innocent request met two engines that other requests had just crashed; each closes new connections while it restarts, and crash_book took these for two crashes of the innocent request. A second fault in the same book: a crash that a peer told again got a new time, so two instances told it to each other for as long as they ran.

Ruled out: the stand-in's count of crashes (it stayed at three), a repeat that goes to the same engine (Tried holds it).

Change: a request that was sent after an upstream's crash, within the time of a restart, is not blamed; one that ran beside the culprit still is. A crash that is told again keeps its time.

--- a/include/bluebellkeel/Policy/CrashBook.h
+++ b/include/bluebellkeel/Policy/CrashBook.h
@@ -13,20 +13,29 @@
 
 /// Which requests were running when upstreams crashed. A request that was
 /// there at several crashes is refused for a while; one that then succeeds is
-/// cleared, so a bystander is not blamed.
+/// cleared, so a bystander is not blamed. Neither is one that was sent after
+/// the crash and found the upstream restarting.
 class crash_book {
 public:
   /// Crashes of different upstreams after which a request is refused.
   static constexpr std::size_t CrashLimit = 2;
   /// How long a request stays blocked or suspected.
   static constexpr seconds Memory{600};
+  /// How long after a crash broken connections come from the restart; process
+  /// managers restart within about this time.
+  static constexpr seconds RestartTime{5};
   /// Most requests that are remembered in one shard.
   static constexpr std::size_t MaxEntries = 1024;
 
   explicit crash_book(const time_source &Clock) : Clock(Clock) {}
 
-  /// \p Request was running when \p Upstream crashed; also for what peers say.
-  void noteCrash(const fingerprint &Request, const upstream_id &Upstream);
+  /// \p Upstream broke off \p Request, which was sent at \p Sent. True when
+  /// that is a new crash of this request, which peers should hear of.
+  bool noteCrash(const fingerprint &Request, const upstream_id &Upstream,
+                 monotonic_time Sent);
+  /// A peer saw \p Request running when \p Upstream crashed; may be told more
+  /// than once.
+  void notePeerCrash(const fingerprint &Request, const upstream_id &Upstream);
   void noteSuccess(const fingerprint &Request);
   bool blocked(const fingerprint &Request);
   /// True after a first crash; such a request runs beside as few others as
@@ -44,11 +53,19 @@
   };
 
   using entry_map = std::map<fingerprint, entry>;
+  /// When each upstream crashed last.
+  using crash_times = std::map<upstream_id, monotonic_time>;
 
   static void dropOld(entry_map &Shard, monotonic_time Now);
+  bool restartingAt(const upstream_id &Upstream, monotonic_time Sent);
+  void noteTime(const upstream_id &Upstream, monotonic_time Now);
+  /// False if it was known already.
+  bool blame(const fingerprint &Request, const upstream_id &Upstream,
+             monotonic_time Now);
 
   const time_source &Clock;
   sharded<entry_map> Entries;
+  sharded<crash_times> Times;
 };
 
 } // namespace bluebellkeel
--- a/include/bluebellkeel/Relay/ChatRelay.h
+++ b/include/bluebellkeel/Relay/ChatRelay.h
@@ -57,6 +57,8 @@
   relay_ports &Ports;
   unsigned Attempts = 0;
   std::set<upstream_id> Tried;
+  /// When the latest attempt began.
+  monotonic_time SentAt;
 };
 
 } // namespace bluebellkeel
--- a/include/bluebellkeel/Relay/RelayPorts.h
+++ b/include/bluebellkeel/Relay/RelayPorts.h
@@ -2,6 +2,7 @@
 #define BLUEBELLKEEL_RELAY_RELAYPORTS_H
 
 #include "bluebellkeel/Core/RandomSource.h"
+#include "bluebellkeel/Core/TimeSource.h"
 #include "bluebellkeel/Journal/BillGateway.h"
 #include "bluebellkeel/Journal/ClaimGateway.h"
 #include "bluebellkeel/Journal/TicketOffice.h"
@@ -23,6 +24,7 @@
 /// What a relay works with. The gateways and upstreams may make their caller
 /// wait; the rest answers at once.
 struct relay_ports {
+  const time_source &Clock;
   const settings_store &Settings;
   const serving_gate &Gate;
   version_planner &Planner;
--- a/lib/Gateway/DigestDesk.cpp
+++ b/lib/Gateway/DigestDesk.cpp
@@ -60,7 +60,7 @@
   Parts.Loads.notePeer(Peer, Digest.loads());
   Parts.RollOuts.absorb(Peer, Digest.rollOuts());
   for (const auto &Crash : Digest.crashes())
-    Parts.Crashes.noteCrash(Crash.request(), Crash.upstream());
+    Parts.Crashes.notePeerCrash(Crash.request(), Crash.upstream());
   monotonic_time Now = Parts.Clock.monotonicNow();
   if (Digest.settingsAge() && Digest.settingsEnd() <= Settings.end())
     Parts.SettingsAge.notePeer(Now - *Digest.settingsAge());
--- a/lib/Policy/CrashBook.cpp
+++ b/lib/Policy/CrashBook.cpp
@@ -1,5 +1,6 @@
 #include "bluebellkeel/Policy/CrashBook.h"
 #include <algorithm>
+#include <iterator>
 
 using namespace bluebellkeel;
 
@@ -19,18 +20,53 @@
   Shard.erase(Oldest);
 }
 
-void crash_book::noteCrash(const fingerprint &Request,
-                           const upstream_id &Upstream) {
-  monotonic_time Now = Clock.monotonicNow();
-  Entries.withShard(Request.text(), [&](entry_map &Shard) {
+bool crash_book::restartingAt(const upstream_id &Upstream,
+                              monotonic_time Sent) {
+  return Times.withShard(Upstream.text(), [&](crash_times &Shard) {
+    auto Found = Shard.find(Upstream);
+    return Found != Shard.end() && Found->second < Sent &&
+           Sent - Found->second < RestartTime;
+  });
+}
+
+void crash_book::noteTime(const upstream_id &Upstream, monotonic_time Now) {
+  Times.withShard(Upstream.text(), [&](crash_times &Shard) {
+    for (auto It = Shard.begin(); It != Shard.end();)
+      It = Now - It->second > RestartTime ? Shard.erase(It) : std::next(It);
+    Shard[Upstream] = Now;
+  });
+}
+
+bool crash_book::blame(const fingerprint &Request, const upstream_id &Upstream,
+                       monotonic_time Now) {
+  return Entries.withShard(Request.text(), [&](entry_map &Shard) {
     if (Shard.count(Request) == 0)
       dropOld(Shard, Now);
     entry &Entry = Shard[Request];
-    Entry.Crashed.insert(Upstream);
+    if (!Entry.Crashed.insert(Upstream).second)
+      return false;
     Entry.Latest = Now;
+    return true;
   });
 }
 
+bool crash_book::noteCrash(const fingerprint &Request,
+                           const upstream_id &Upstream, monotonic_time Sent) {
+  if (restartingAt(Upstream, Sent))
+    return false;
+  monotonic_time Now = Clock.monotonicNow();
+  noteTime(Upstream, Now);
+  return blame(Request, Upstream, Now);
+}
+
+void crash_book::notePeerCrash(const fingerprint &Request,
+                               const upstream_id &Upstream) {
+  monotonic_time Now = Clock.monotonicNow();
+  // A crash that is told again is not a new one.
+  if (blame(Request, Upstream, Now))
+    noteTime(Upstream, Now);
+}
+
 void crash_book::noteSuccess(const fingerprint &Request) {
   Entries.withShard(Request.text(),
                     [&](entry_map &Shard) { Shard.erase(Request); });
--- a/lib/Relay/ChatRelay.cpp
+++ b/lib/Relay/ChatRelay.cpp
@@ -144,6 +144,7 @@
       Ports.Candidates.dispatchable(Upstream, *Ports.Settings.routing());
   if (!Record)
     return tl::unexpected(attempt_error::ConnectFailed);
+  SentAt = Ports.Clock.monotonicNow();
   chat_attempt Attempt(Ports.Random.token(), Request, Step.version(), *Record);
   return Ports.Engines.run(Attempt, Sink);
 }
@@ -162,8 +163,8 @@
   Ports.Health.noteFailure(Upstream);
   if (Result.error() != attempt_error::Truncated)
     return;
-  Ports.Crashes.noteCrash(Request.content(), Upstream);
-  Ports.CrashReports.reportCrash(Request.content(), Upstream);
+  if (Ports.Crashes.noteCrash(Request.content(), Upstream, SentAt))
+    Ports.CrashReports.reportCrash(Request.content(), Upstream);
 }
 
 std::optional<refusal> chat_relay::settle(const chat_request &Request,
--- a/lib/Relay/ForwardRelay.cpp
+++ b/lib/Relay/ForwardRelay.cpp
@@ -456,7 +456,7 @@
     Ports.RollOuts.noteAnswer(Traits->service(), Upstream.version(),
                               /*Good=*/false);
   if (Error == attempt_error::Truncated)
-    Ports.Crashes.noteCrash(Print, Upstream.id());
+    Ports.Crashes.noteCrash(Print, Upstream.id(), SentAt);
 }
 
 /// When a caller that was refused may come back with hope.
--- a/lib/Runtime/PeerDesk.cpp
+++ b/lib/Runtime/PeerDesk.cpp
@@ -34,6 +34,6 @@
   if (std::holds_alternative<state_query>(Body))
     return state_answer(*Settings.state());
   if (const auto *Notice = std::get_if<crash_notice>(&Body))
-    Crashes.noteCrash(Notice->request(), Notice->upstream());
+    Crashes.notePeerCrash(Notice->request(), Notice->upstream());
   return std::nullopt;
 }
--- a/unittests/Support/RelayFixture.h
+++ b/unittests/Support/RelayFixture.h
@@ -265,9 +265,9 @@
   fake_claims Claims;
   fake_engines Engines;
   fake_services Services;
-  relay_ports Ports{Settings,     Gate,   Planner, Chooser, Candidates, Crashes,
-                    CrashReports, Health, Retries, Tickets, Random,     Monitor,
-                    Slots,        Bills,  Claims,  Engines, Services};
+  relay_ports Ports{Clock,   Settings,     Gate,   Planner, Chooser, Candidates,
+                    Crashes, CrashReports, Health, Retries, Tickets, Random,
+                    Monitor, Slots,        Bills,  Claims,  Engines, Services};
 
 private:
   static std::string teamOf(const std::string &Path) {
