Split the forwarding relay into admission, sequence, patience and log

Admission by the newest configuration, the order of a stream's events, the patience with a silent upstream and the log lines are types of their own now; the relay keeps the choice of model and upstream, the repeats and what the caller is told. Nothing else changes.

--- /dev/null
+++ b/include/bluebellkeel/Relay/EventPassage.h
@@ -0,0 +1,28 @@
+#ifndef BLUEBELLKEEL_RELAY_EVENTPASSAGE_H
+#define BLUEBELLKEEL_RELAY_EVENTPASSAGE_H
+
+#include "bluebellkeel/Core/Comparable.h"
+#include <string>
+#include <tuple>
+
+namespace bluebellkeel {
+
+/// What of some events goes to the caller.
+class event_passage : public comparable<event_passage> {
+public:
+  event_passage(std::string Bytes, bool Gap)
+      : Bytes(std::move(Bytes)), Gap(Gap) {}
+
+  const std::string &bytes() const { return Bytes; }
+  /// True when the event after these bytes is missing.
+  bool gap() const { return Gap; }
+  auto key() const { return std::tie(Bytes, Gap); }
+
+private:
+  std::string Bytes;
+  bool Gap;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_RELAY_EVENTPASSAGE_H
--- a/include/bluebellkeel/Relay/RefusalReason.h
+++ b/include/bluebellkeel/Relay/RefusalReason.h
@@ -1,6 +1,7 @@
 #ifndef BLUEBELLKEEL_RELAY_REFUSALREASON_H
 #define BLUEBELLKEEL_RELAY_REFUSALREASON_H
 
+#include "bluebellkeel/Core/Time.h"
 #include <string_view>
 #include <vector>
 
@@ -55,6 +56,9 @@
 /// The HTTP status that goes with \p Reason.
 int httpStatus(refusal_reason Reason);
 
+/// When a caller that was refused for \p Reason may come back with hope.
+milliseconds retryAfter(refusal_reason Reason);
+
 } // namespace bluebellkeel
 
 #endif // BLUEBELLKEEL_RELAY_REFUSALREASON_H
--- /dev/null
+++ b/lib/Relay/ForwardAdmission.cpp
@@ -0,0 +1,82 @@
+#include "bluebellkeel/Relay/ForwardAdmission.h"
+#include "bluebellkeel/Core/StableHash.h"
+
+using namespace bluebellkeel;
+
+/// A request that was running at so many crashes of different upstreams is not
+/// sent again.
+static constexpr std::size_t CrashLimit = 3;
+
+/// Age of the configuration from which on a missing route or key is not taken
+/// for certain: longer than it takes to notice that the log is silent.
+static constexpr milliseconds StaleSettings{3500};
+
+std::optional<refusal_reason> forward_admission::admit() {
+  serving_phase Phase = Ports.Gate.phase();
+  Table = Ports.Tables.current();
+  if (Phase == serving_phase::Starting || !Table)
+    return refusal_reason::NotReady;
+  if (Phase == serving_phase::Ended)
+    return refusal_reason::Draining;
+  if (auto Reason = checkRoute())
+    return Reason;
+  if (Phase == serving_phase::Draining && Route->kind() == route_kind::Stream)
+    return refusal_reason::Draining;
+  Print = fingerprint(std::to_string(
+      stableHash(Call.path() + "|" + Account.text() + "|" + Call.body())));
+  if (Ports.Crashes.crashesOf(Print) >= CrashLimit)
+    return refusal_reason::CrashingRequest;
+  return checkTime(0);
+}
+
+std::optional<refusal_reason> forward_admission::readmit(unsigned Runs) {
+  auto Newest = Ports.Tables.current();
+  if (Newest != Table) {
+    Table = Newest;
+    if (auto Reason = checkRoute())
+      return Reason;
+  }
+  return checkTime(Runs);
+}
+
+/// Finds the route, the account and the service in the table.
+std::optional<refusal_reason> forward_admission::checkRoute() {
+  bool Stale = Ports.Gate.settingsAge() > StaleSettings;
+  Route = Table->match(Call.host(), Call.path());
+  if (!Route)
+    return Stale ? refusal_reason::SettingsStale : refusal_reason::UnknownRoute;
+  Priority = Route->priority();
+  if (Table->asksForKeys() && !Route->isPublic()) {
+    const keyed_account *Holder = Table->accountOf(Call.accountKey());
+    if (!Holder)
+      return Stale ? refusal_reason::SettingsStale
+                   : refusal_reason::Unauthenticated;
+    Account = Holder->account();
+    if (Holder->priority())
+      Priority = Holder->priority();
+  }
+  constexpr std::uint64_t Steps = 100000;
+  double Place = static_cast<double>(stableHash(sessionName()) % Steps) /
+                 static_cast<double>(Steps);
+  Traits = Table->traitsOf(Route->serviceAt(Place));
+  return Traits ? std::nullopt
+                : std::optional<refusal_reason>(refusal_reason::NoUpstream);
+}
+
+std::optional<refusal_reason>
+forward_admission::checkTime(unsigned Runs) const {
+  /// Part of the objective that must be left for a sending to have a chance.
+  constexpr int LeastPart = 10;
+  auto Left = Limit.at() - Ports.Clock.monotonicNow();
+  if (Runs > 0)
+    return Left.count() > 0
+               ? std::nullopt
+               : std::optional<refusal_reason>(refusal_reason::TimeLimit);
+  if (Left.count() > 0 && Left >= Route->objective() / LeastPart)
+    return std::nullopt;
+  return refusal_reason::TimeLimitUnsent;
+}
+
+std::string forward_admission::sessionName() const {
+  return Call.session().empty() ? Call.id().text() : Call.session();
+}
--- /dev/null
+++ b/lib/Relay/ForwardLog.cpp
@@ -0,0 +1,71 @@
+#include "bluebellkeel/Relay/ForwardLog.h"
+
+using namespace bluebellkeel;
+
+milliseconds forward_log::since(monotonic_time Time) const {
+  return std::chrono::duration_cast<milliseconds>(Ports.Clock.monotonicNow() -
+                                                  Time);
+}
+
+void forward_log::dispatch(const placement_candidate &Target,
+                           const std::string &Model,
+                           milliseconds TimeLeft) const {
+  const upstream_listing &Upstream = Target.listing();
+  event_line Line("relay", "dispatch");
+  Line.add("id", Call.id().text())
+      .add("route", Admission.route().name())
+      .add("upstream", Upstream.id().text())
+      .add("version", Upstream.version().text())
+      .add("model", Model)
+      .add("time_left_ms", TimeLeft.count())
+      .add("sending", static_cast<std::int64_t>(Progress.Arrivals) +
+                          Progress.Unreached + 1)
+      .add("running", static_cast<std::int64_t>(Target.load().running()))
+      .add("prefill", static_cast<std::int64_t>(Target.load().prefill()))
+      .add("cached", static_cast<std::int64_t>(Target.cachedTokens()))
+      .add("cold", Target.cold())
+      .add("settings", static_cast<std::int64_t>(Admission.settingsVersion()))
+      .add("settings_age_ms", Ports.Gate.settingsAge().count());
+  if (auto Entry = Ports.Roster.find(Upstream.id()))
+    Line.add("listing_age_ms", since(Entry->learntAt()).count());
+  Ports.Log.write(Line);
+}
+
+void forward_log::attemptFailed(const upstream_id &Upstream,
+                                attempt_error Error) const {
+  event_line Line("relay", "attempt_failed");
+  Line.add("id", Call.id().text())
+      .add("upstream", Upstream.text())
+      .add("error", toString(Error))
+      .add("after_ms", since(Progress.SentAt).count());
+  Ports.Log.write(Line);
+}
+
+void forward_log::largerModel(const std::string &From, const std::string &To,
+                              double Confidence) const {
+  event_line Line("relay", "larger_model");
+  Line.add("id", Call.id().text())
+      .add("from", From)
+      .add("to", To)
+      .add("confidence", static_cast<std::int64_t>(Confidence));
+  Ports.Log.write(Line);
+}
+
+void forward_log::finished(std::string_view Outcome, int Status,
+                           const std::string &Model,
+                           std::optional<std::uint64_t> LastEvent) const {
+  event_line Line("relay", "finished");
+  Line.add("id", Call.id().text())
+      .add("outcome", Outcome)
+      .add("status", static_cast<std::int64_t>(Status))
+      .add("arrivals", static_cast<std::int64_t>(Progress.Arrivals))
+      .add("runs", static_cast<std::int64_t>(Progress.Runs))
+      .add("model", Model)
+      .add("account", Admission.account().text())
+      .add("took_ms", since(Call.arrived()).count());
+  if (Progress.FirstByte)
+    Line.add("first_byte_ms", Progress.FirstByte->count());
+  if (LastEvent)
+    Line.add("last_event", static_cast<std::int64_t>(*LastEvent));
+  Ports.Log.write(Line);
+}
--- a/lib/Relay/ForwardRelay.cpp
+++ b/lib/Relay/ForwardRelay.cpp
@@ -1,5 +1,5 @@
 #include "bluebellkeel/Relay/ForwardRelay.h"
-#include "bluebellkeel/Core/StableHash.h"
+#include "bluebellkeel/Relay/AnswerPatience.h"
 #include <algorithm>
 
 using namespace bluebellkeel;
@@ -9,18 +9,10 @@
 static constexpr unsigned MaxArrivals = 4;
 static constexpr unsigned MaxUnreached = 4;
 
-/// A request that was running at so many crashes of different upstreams is not
-/// sent again.
-static constexpr std::size_t CrashLimit = 3;
-
 /// Weighted prompt tokens that occupy an upstream for so long that other
 /// instances should not send theirs there: a tenth of a second and more.
 static constexpr std::uint64_t HeavyPrefill = 20000;
 
-/// Age of the configuration from which on a missing route or key is not taken
-/// for certain: longer than it takes to notice that the log is silent.
-static constexpr milliseconds StaleSettings{3500};
-
 /// What one failure and one request that was turned away count in the
 /// placement.
 static constexpr double FailureWeight = 1;
@@ -32,89 +24,29 @@
                              forward_caller &Caller,
                              std::shared_ptr<const forward_call> Call)
     : Ports(Ports), Upstreams(Upstreams), Caller(Caller), Call(std::move(Call)),
-      Limit(*this->Call, Ports.Tables), Candidates(Ports),
-      LastEvent(this->Call->lastEvent()) {}
+      Limit(*this->Call, Ports.Tables), Admission(Ports, *this->Call, Limit),
+      Candidates(Ports), Log(Ports, *this->Call, Admission, Progress),
+      Sequence(this->Call->lastEvent()) {}
 
 void forward_relay::run() {
-  if (auto Reason = admit()) {
+  if (auto Reason = Admission.admit()) {
     refuse(*Reason);
     return;
   }
-  Ports.Retries.noteRequest(Traits->service());
-  if (!Route->sizes().empty())
+  Ports.Retries.noteRequest(service());
+  if (!route().sizes().empty())
     Size = Ports.Sizes.first(sizeQuestion());
   sendUntilDone();
 }
 
-std::optional<refusal_reason> forward_relay::admit() {
-  serving_phase Phase = Ports.Gate.phase();
-  Table = Ports.Tables.current();
-  if (Phase == serving_phase::Starting || !Table)
-    return refusal_reason::NotReady;
-  if (Phase == serving_phase::Ended)
-    return refusal_reason::Draining;
-  if (auto Reason = checkRoute(*Table))
-    return Reason;
-  if (Phase == serving_phase::Draining && Route->kind() == route_kind::Stream)
-    return refusal_reason::Draining;
-  Print = fingerprint(std::to_string(
-      stableHash(Call->path() + "|" + Account.text() + "|" + Call->body())));
-  if (Ports.Crashes.crashesOf(Print) >= CrashLimit)
-    return refusal_reason::CrashingRequest;
-  return checkTime();
-}
-
-/// Finds the route and the account in \p Table, which must be kept.
-std::optional<refusal_reason>
-forward_relay::checkRoute(const route_table &Table) {
-  bool Stale = Ports.Gate.settingsAge() > StaleSettings;
-  Route = Table.match(Call->host(), Call->path());
-  if (!Route)
-    return Stale ? refusal_reason::SettingsStale : refusal_reason::UnknownRoute;
-  Priority = Route->priority();
-  if (Table.asksForKeys() && !Route->isPublic()) {
-    const keyed_account *Holder = Table.accountOf(Call->accountKey());
-    if (!Holder)
-      return Stale ? refusal_reason::SettingsStale
-                   : refusal_reason::Unauthenticated;
-    Account = Holder->account();
-    if (Holder->priority())
-      Priority = Holder->priority();
-  }
-  constexpr std::uint64_t Steps = 100000;
-  double Place = static_cast<double>(stableHash(sessionName()) % Steps) /
-                 static_cast<double>(Steps);
-  Traits = Table.traitsOf(Route->serviceAt(Place));
-  return Traits ? std::nullopt
-                : std::optional<refusal_reason>(refusal_reason::NoUpstream);
-}
-
-std::optional<refusal_reason> forward_relay::checkTime() const {
-  /// Part of the objective that must be left for a sending to have a chance.
-  constexpr int LeastPart = 10;
-  auto Left = Limit.at() - Ports.Clock.monotonicNow();
-  if (Runs > 0)
-    return Left.count() > 0
-               ? std::nullopt
-               : std::optional<refusal_reason>(refusal_reason::TimeLimit);
-  if (Left.count() > 0 && Left >= Route->objective() / LeastPart)
-    return std::nullopt;
-  return refusal_reason::TimeLimitUnsent;
-}
-
 /// Before each sending the newest configuration decides again.
 std::optional<refusal_reason> forward_relay::readmit() {
   if (Caller.gone())
     return refusal_reason::CallerGone;
-  auto Newest = Ports.Tables.current();
-  if (Newest != Table) {
-    auto Reason = checkRoute(*Newest);
-    Table = Newest;
-    if (Reason)
-      return Reason;
-    Size = std::min(Size, std::max<std::size_t>(1, Route->sizes().size()) - 1);
-  }
-  return checkTime();
+  auto Reason = Admission.readmit(Progress.Runs);
+  if (!Reason)
+    Size = std::min(Size, std::max<std::size_t>(1, route().sizes().size()) - 1);
+  return Reason;
 }
 
 void forward_relay::sendUntilDone() {
@@ -125,8 +57,9 @@
     }
     auto Target = choose();
     if (!Target) {
-      refuse(Arrivals + Unreached > 0 ? refusal_reason::NoCapacity
-                                      : refusal_reason::NoUpstream);
+      refuse(Progress.Arrivals + Progress.Unreached > 0
+                 ? refusal_reason::NoCapacity
+                 : refusal_reason::NoUpstream);
       return;
     }
     if (!mayRepeat()) {
@@ -143,10 +76,10 @@
   const std::string Model = modelName();
   version_rule Rule =
       BegunVersion ? version_rule(kind::Only, *BegunVersion)
-                   : Ports.RollOuts.ruleFor(Traits->service(), sessionName());
+                   : Ports.RollOuts.ruleFor(service(), Admission.sessionName());
   auto Find = [&](const version_rule &Asked) {
-    return Candidates.choose(
-        {*Traits, Asked, Tried, Call->text(), Model, pace()});
+    return Candidates.choose({Admission.traits(), Asked, Progress.Tried,
+                              Call->text(), Model, pace()});
   };
   auto Found = Find(Rule);
   // Rather on the version before than nowhere.
@@ -156,17 +89,17 @@
 }
 
 bool forward_relay::mayRepeat() {
-  if (Arrivals == 0 || RepeatPaid)
+  if (Progress.Arrivals == 0 || RepeatPaid)
     return true;
   std::size_t Instances = Ports.senders().size();
-  RepeatPaid = Ports.Retries.spend(Traits->service(), Instances);
+  RepeatPaid = Ports.Retries.spend(service(), Instances);
   return RepeatPaid;
 }
 
 forward_relay::step forward_relay::send(const placement_candidate &Target) {
   const upstream_listing &Upstream = Target.listing();
-  Tried.insert(Upstream.id());
-  logDispatch(Target);
+  Progress.Tried.insert(Upstream.id());
+  Log.dispatch(Target, modelName(), timeLeft());
   std::uint64_t Cached =
       std::min(Target.cachedTokens(), Call->text().tokensIn());
   auto Prefill = static_cast<std::uint64_t>(
@@ -174,19 +107,19 @@
   load_ticket Ticket(Ports.Loads, Upstream.id(), Prefill);
   if (Prefill >= HeavyPrefill)
     Ports.HeavyLoad.heavySent();
-  Ports.RollOuts.noteSession(Traits->service(), sessionName(),
+  Ports.RollOuts.noteSession(service(), Admission.sessionName(),
                              Upstream.version());
-  SentAt = Ports.Clock.monotonicNow();
+  Progress.SentAt = Ports.Clock.monotonicNow();
   auto Answer = Upstreams.open(attemptAt(Upstream), Limit);
   if (!Answer && Answer.error() == attempt_error::ConnectFailed) {
-    ++Unreached;
+    ++Progress.Unreached;
     return afterError(Upstream, Answer.error());
   }
-  ++Arrivals;
+  ++Progress.Arrivals;
   RepeatPaid = false;
   if (!Answer) {
     if (!surelyNotRun(Answer.error()))
-      ++Runs;
+      ++Progress.Runs;
     return afterError(Upstream, Answer.error());
   }
   return afterHead(Upstream, Ticket, **Answer);
@@ -205,40 +138,38 @@
   }
   if (Head.notRun())
     return afterError(Upstream, attempt_error::TurnedAway);
-  ++Runs;
+  ++Progress.Runs;
   Ticket.begun();
-  if (!Begun)
-    FirstByte = elapsed();
+  if (!Progress.Begun)
+    Progress.FirstByte = elapsed();
   // A stream that has begun can only go on as what it was.
-  bool Unusable = Begun && !Head.succeeded();
+  bool Unusable = Progress.Begun && !Head.succeeded();
   if (Unusable ||
       (Head.status() >= FirstServerError && repeatable() && runsLeft()))
     return afterError(Upstream, attempt_error::Failed);
   if (Head.succeeded() && !Head.vouched())
     return afterError(Upstream, attempt_error::Malformed);
-  if (Head.succeeded() && Route->kind() == route_kind::Stream)
+  if (Head.succeeded() && route().kind() == route_kind::Stream)
     return forwardStream(Upstream, Answer);
   return forwardWhole(Upstream, Answer);
 }
 
 forward_relay::step forward_relay::afterError(const upstream_listing &Upstream,
                                               attempt_error Error) {
-  if (Error == attempt_error::CallerGone) {
-    logEnd("caller_gone", 0);
-    return step::Done;
-  }
-  logAttemptError(Upstream, Error);
+  if (Error == attempt_error::CallerGone)
+    return callerLeft();
+  Log.attemptFailed(Upstream.id(), Error);
   Ports.Monitor.countAttemptError(Error);
   if (Error == attempt_error::TimeLimit) {
     refuse(refusal_reason::TimeLimit);
     return step::Done;
   }
   noteBad(Upstream, Error);
-  bool Again = surelyNotRun(Error)
-                   ? Arrivals < MaxArrivals && Unreached < MaxUnreached
-                   : repeatable() && runsLeft();
+  bool Again = surelyNotRun(Error) ? Progress.Arrivals < MaxArrivals &&
+                                         Progress.Unreached < MaxUnreached
+                                   : repeatable() && runsLeft();
   // Only a stream can go on where it broke off.
-  if (Begun && Route->kind() != route_kind::Stream)
+  if (Progress.Begun && route().kind() != route_kind::Stream)
     Again = false;
   if (!Again) {
     refuse(surelyNotRun(Error) ? refusal_reason::NoCapacity
@@ -265,18 +196,17 @@
     Body += *Piece;
     if (Body.size() <= MaxHeld)
       continue;
-    if (!beginAnswer(Answer.head()) || !Caller.write(Body)) {
-      logEnd("caller_gone", 0);
-      return step::Done;
-    }
+    if (!beginAnswer(Answer.head()) || !Caller.write(Body))
+      return callerLeft();
     Body.clear();
   }
-  bool Reached = Begun ? (Body.empty() || Caller.write(Body)) && Caller.end()
-                       : Caller.answer(Answer.head(), Body);
+  bool Reached = Progress.Begun
+                     ? (Body.empty() || Caller.write(Body)) && Caller.end()
+                     : Caller.answer(Answer.head(), Body);
   if (Answer.head().succeeded())
     noteGood(Upstream);
   else
-    Ports.RollOuts.noteAnswer(Traits->service(), Upstream.version(),
+    Ports.RollOuts.noteAnswer(service(), Upstream.version(),
                               Answer.head().status() < 500);
   logEnd(Reached ? "answered" : "caller_gone", Answer.head().status());
   return step::Done;
@@ -285,10 +215,11 @@
 forward_relay::step
 forward_relay::forwardStream(const upstream_listing &Upstream,
                              upstream_answer &Answer) {
-  if (Arrivals == 1)
-    Ports.RollOuts.noteFirstByte(Traits->service(), Upstream.version(),
-                                 std::chrono::duration_cast<milliseconds>(
-                                     Ports.Clock.monotonicNow() - SentAt));
+  if (Progress.Arrivals == 1)
+    Ports.RollOuts.noteFirstByte(
+        service(), Upstream.version(),
+        std::chrono::duration_cast<milliseconds>(Ports.Clock.monotonicNow() -
+                                                 Progress.SentAt));
   Ports.Prefixes.noteRead(modelName(), Call->text(), Upstream.id());
   if (asksLargerModel(Answer)) {
     noteGood(Upstream);
@@ -301,50 +232,31 @@
       return afterError(Upstream, Piece.error());
     if (Piece->empty())
       break;
-    auto Events = Splitter.feed(*Piece);
-    if (Events.empty())
-      continue;
-    if (!BegunVersion)
-      BegunVersion = Upstream.version();
-    if (!beginAnswer(Answer.head())) {
-      logEnd("caller_gone", 0);
-      return step::Done;
-    }
-    auto Next = passEvents(Upstream, Events);
-    if (Next)
+    if (auto Next = passPiece(Upstream, Answer.head(), *Piece))
       return *Next;
   }
-  if (!beginAnswer(Answer.head())) {
-    logEnd("caller_gone", 0);
-    return step::Done;
-  }
+  if (!beginAnswer(Answer.head()))
+    return callerLeft();
   return endStream(Upstream);
 }
 
 /// Empty when the stream goes on.
 std::optional<forward_relay::step>
-forward_relay::passEvents(const upstream_listing &Upstream,
-                          const std::vector<stream_event> &Events) {
-  std::string Bytes;
-  for (const auto &Event : Events) {
-    if (Event.number() && LastEvent) {
-      if (*Event.number() <= *LastEvent)
-        continue;
-      // A gap cannot be told to the caller; the piece is fetched elsewhere.
-      if (*Event.number() > *LastEvent + 1) {
-        if (!Bytes.empty() && !Caller.write(Bytes))
-          return step::Done;
-        return afterError(Upstream, attempt_error::Malformed);
-      }
-    }
-    if (Event.number())
-      LastEvent = Event.number();
-    Bytes += Event.bytes();
-  }
-  if (!Bytes.empty() && !Caller.write(Bytes)) {
-    logEnd("caller_gone", 0);
-    return step::Done;
-  }
+forward_relay::passPiece(const upstream_listing &Upstream,
+                         const answer_head &Head, std::string_view Piece) {
+  auto Events = Splitter.feed(Piece);
+  if (Events.empty())
+    return std::nullopt;
+  if (!BegunVersion)
+    BegunVersion = Upstream.version();
+  if (!beginAnswer(Head))
+    return callerLeft();
+  auto Passage = Sequence.pass(Events);
+  if (!Passage.bytes().empty() && !Caller.write(Passage.bytes()))
+    return callerLeft();
+  // A gap cannot be told to the caller; the missing piece is fetched elsewhere.
+  if (Passage.gap())
+    return afterError(Upstream, attempt_error::Malformed);
   return std::nullopt;
 }
 
@@ -360,91 +272,71 @@
 /// True when the answer is dropped for one of a larger model; the caller must
 /// not have got any of it.
 bool forward_relay::asksLargerModel(const upstream_answer &Answer) {
-  if (Begun || Route->sizes().empty() || !Answer.head().confidence() ||
-      !repeatable() || !runsLeft() || LastEvent)
+  if (Progress.Begun || route().sizes().empty() ||
+      !Answer.head().confidence() || !repeatable() || !runsLeft() ||
+      Sequence.last())
     return false;
   std::size_t Next =
       Ports.Sizes.next(sizeQuestion(), Size, *Answer.head().confidence());
   if (Next == Size || !mayRepeat())
     return false;
-  event_line Line("relay", "larger_model");
-  Line.add("id", Call->id().text()).add("from", modelName());
+  std::string Before = modelName();
   Size = Next;
-  Line.add("to", modelName())
-      .add("confidence",
-           static_cast<std::int64_t>(*Answer.head().confidence()));
-  Ports.Log.write(Line);
+  Log.largerModel(Before, modelName(), *Answer.head().confidence());
   return true;
 }
 
 bool forward_relay::beginAnswer(const answer_head &Head) {
-  if (Begun)
+  if (Progress.Begun)
     return true;
-  Begun = true;
+  Progress.Begun = true;
   return Caller.begin(Head);
 }
 
 forward_attempt
 forward_relay::attemptAt(const upstream_listing &Upstream) const {
-  /// Longest silence of an upstream before the request goes elsewhere, as
-  /// multiples of what is still in time, and their least values: a pause of a
-  /// busy upstream is no reason to give its work up.
-  constexpr int FirstByteTimes = 2;
-  constexpr int PauseTimes = 2;
-  constexpr milliseconds LeastFirstByte{400};
-  constexpr milliseconds LeastPause{2500};
   forward_attempt::fields Fields;
   Fields.Call = Call;
   Fields.Upstream = Upstream;
-  Fields.Account = Account;
-  Fields.Model = Route->sizes().empty() ? "" : modelName();
-  Fields.Priority = Priority;
-  Fields.LastEvent = LastEvent;
-  Fields.TimeLeft = std::chrono::duration_cast<milliseconds>(
-      Limit.at() - Ports.Clock.monotonicNow());
-  Fields.FirstByteLimit = Fields.TimeLeft;
-  Fields.PauseLimit = Fields.TimeLeft;
-  bool More = repeatable() && Runs + 1 < Route->attempts();
-  if (More && Route->objective().count() > 0) {
-    Fields.FirstByteLimit =
-        std::min(Fields.TimeLeft,
-                 std::max(LeastFirstByte, FirstByteTimes * Route->objective()));
-    Fields.PauseLimit =
-        std::min(Fields.TimeLeft,
-                 std::max(LeastPause, PauseTimes * Route->gapObjective()));
-  }
+  Fields.Account = Admission.account();
+  Fields.Model = route().sizes().empty() ? "" : modelName();
+  Fields.Priority = Admission.priority();
+  Fields.LastEvent = Sequence.last();
+  Fields.TimeLeft = timeLeft();
+  bool MoreRuns = repeatable() && Progress.Runs + 1 < route().attempts();
+  answer_patience Patience(route(), Fields.TimeLeft, MoreRuns);
+  Fields.FirstByteLimit = Patience.firstByte();
+  Fields.PauseLimit = Patience.pause();
   return forward_attempt(std::move(Fields));
 }
 
 size_question forward_relay::sizeQuestion() const {
   std::vector<model_size> Sizes;
-  for (const auto &Name : Route->sizes())
-    Sizes.emplace_back(Name, Traits->costOf(Name));
+  for (const auto &Name : route().sizes())
+    Sizes.emplace_back(Name, Admission.traits().costOf(Name));
   return size_question(std::move(Sizes), Call->text(),
-                       Candidates.occupancy(Traits->service()),
-                       Route->objective(), elapsed());
+                       Candidates.occupancy(service()), route().objective(),
+                       elapsed());
 }
 
 std::string forward_relay::modelName() const {
-  return Size < Route->sizes().size() ? Route->sizes()[Size] : std::string();
+  return Size < route().sizes().size() ? route().sizes()[Size] : std::string();
 }
 
 /// Prices grow with the time that a model takes; they stand in for its pace.
 double forward_relay::pace() const {
-  if (Route->sizes().empty())
+  if (route().sizes().empty())
     return 1;
-  double Smallest = Traits->costOf(Route->sizes().front());
-  double Chosen = Traits->costOf(modelName());
+  double Smallest = Admission.traits().costOf(route().sizes().front());
+  double Chosen = Admission.traits().costOf(modelName());
   return Smallest > 0 && Chosen > 0 ? Chosen / Smallest : 1;
 }
 
-bool forward_relay::runsLeft() const { return Runs < Route->attempts(); }
-
 void forward_relay::noteGood(const upstream_listing &Upstream) {
   Ports.Loads.noteSuccess(Upstream.id());
-  Ports.RollOuts.noteAnswer(Traits->service(), Upstream.version(),
+  Ports.RollOuts.noteAnswer(service(), Upstream.version(),
                             /*Good=*/true);
-  Ports.Crashes.noteSuccess(Print);
+  Ports.Crashes.noteSuccess(Admission.print());
 }
 
 void forward_relay::noteBad(const upstream_listing &Upstream,
@@ -453,105 +345,49 @@
   double Weight = surelyNotRun(Error) ? TurnedAwayWeight : FailureWeight;
   Ports.Loads.noteFailure(Upstream.id(), Unsent ? UnreachedWeight : Weight);
   if (!surelyNotRun(Error))
-    Ports.RollOuts.noteAnswer(Traits->service(), Upstream.version(),
+    Ports.RollOuts.noteAnswer(service(), Upstream.version(),
                               /*Good=*/false);
   if (Error == attempt_error::Truncated)
-    Ports.Crashes.noteCrash(Print, Upstream.id(), SentAt);
+    Ports.Crashes.noteCrash(Admission.print(), Upstream.id(), Progress.SentAt);
 }
 
-/// When a caller that was refused may come back with hope.
-static milliseconds retryAfter(refusal_reason Reason) {
-  switch (Reason) {
-  case refusal_reason::Draining:
-    return milliseconds(50);
-  case refusal_reason::NoCapacity:
-  case refusal_reason::RetriesExhausted:
-    return milliseconds(400);
-  default:
-    return milliseconds(600);
-  }
-}
-
-/// The final answer of the system's own. What may have run is never said to
-/// have not run.
+/// The final answer of the system's own.
 void forward_relay::refuse(refusal_reason Reason) {
-  constexpr int BadGateway = 502;
   constexpr int Unavailable = 503;
-  constexpr int GatewayTimeout = 504;
   Ports.Monitor.countRefusal(Reason);
   if (Reason == refusal_reason::CallerGone) {
-    logEnd("caller_gone", 0);
+    callerLeft();
     return;
   }
-  if (Begun) {
+  if (Progress.Begun) {
     Caller.abandon();
     logEnd(toString(Reason), 0);
     return;
   }
-  int Status = httpStatus(Reason);
-  if (Runs > 0)
-    Status = Reason == refusal_reason::TimeLimit ? GatewayTimeout : BadGateway;
-  else if (Reason == refusal_reason::CrashingRequest)
-    Status = BadGateway;
+  int Status = refusalStatus(Reason);
   Caller.refuse(Reason, Status,
                 Status == Unavailable ? retryAfter(Reason) : milliseconds(0));
   logEnd(toString(Reason), Status);
 }
 
-void forward_relay::logDispatch(const placement_candidate &Target) {
-  const upstream_listing &Upstream = Target.listing();
-  auto Entry = Ports.Roster.find(Upstream.id());
-  event_line Line("relay", "dispatch");
-  Line.add("id", Call->id().text())
-      .add("route", Route->name())
-      .add("upstream", Upstream.id().text())
-      .add("version", Upstream.version().text())
-      .add("model", modelName())
-      .add("time_left_ms", std::chrono::duration_cast<milliseconds>(
-                               Limit.at() - Ports.Clock.monotonicNow())
-                               .count())
-      .add("sending", static_cast<std::int64_t>(Arrivals) + Unreached + 1)
-      .add("running", static_cast<std::int64_t>(Target.load().running()))
-      .add("prefill", static_cast<std::int64_t>(Target.load().prefill()))
-      .add("cached", static_cast<std::int64_t>(Target.cachedTokens()))
-      .add("cold", Target.cold())
-      .add("settings", static_cast<std::int64_t>(Table->version()))
-      .add("settings_age_ms", Ports.Gate.settingsAge().count());
-  if (Entry)
-    Line.add("listing_age_ms",
-             std::chrono::duration_cast<milliseconds>(
-                 Ports.Clock.monotonicNow() - Entry->learntAt())
-                 .count());
-  Ports.Log.write(Line);
+/// What may have run is never said to have not run.
+int forward_relay::refusalStatus(refusal_reason Reason) const {
+  constexpr int BadGateway = 502;
+  constexpr int GatewayTimeout = 504;
+  if (Progress.Runs > 0)
+    return Reason == refusal_reason::TimeLimit ? GatewayTimeout : BadGateway;
+  return Reason == refusal_reason::CrashingRequest ? BadGateway
+                                                   : httpStatus(Reason);
 }
 
-void forward_relay::logAttemptError(const upstream_listing &Upstream,
-                                    attempt_error Error) {
-  event_line Line("relay", "attempt_failed");
-  Line.add("id", Call->id().text())
-      .add("upstream", Upstream.id().text())
-      .add("error", toString(Error))
-      .add("after_ms", std::chrono::duration_cast<milliseconds>(
-                           Ports.Clock.monotonicNow() - SentAt)
-                           .count());
-  Ports.Log.write(Line);
+forward_relay::step forward_relay::callerLeft() {
+  logEnd("caller_gone", 0);
+  return step::Done;
 }
 
-void forward_relay::logEnd(std::string_view Outcome, int Status) {
-  event_line Line("relay", "finished");
-  Line.add("id", Call->id().text())
-      .add("outcome", Outcome)
-      .add("status", static_cast<std::int64_t>(Status))
-      .add("arrivals", static_cast<std::int64_t>(Arrivals))
-      .add("runs", static_cast<std::int64_t>(Runs))
-      .add("model", Route ? modelName() : "")
-      .add("account", Account.text())
-      .add("took_ms", elapsed().count());
-  if (FirstByte)
-    Line.add("first_byte_ms", FirstByte->count());
-  if (LastEvent)
-    Line.add("last_event", static_cast<std::int64_t>(*LastEvent));
-  Ports.Log.write(Line);
+void forward_relay::logEnd(std::string_view Outcome, int Status) const {
+  Log.finished(Outcome, Status, Admission.routed() ? modelName() : "",
+               Sequence.last());
 }
 
 milliseconds forward_relay::elapsed() const {
@@ -559,6 +395,7 @@
                                                   Call->arrived());
 }
 
-std::string forward_relay::sessionName() const {
-  return Call->session().empty() ? Call->id().text() : Call->session();
+milliseconds forward_relay::timeLeft() const {
+  return std::chrono::duration_cast<milliseconds>(Limit.at() -
+                                                  Ports.Clock.monotonicNow());
 }
--- a/lib/Relay/RefusalReason.cpp
+++ b/lib/Relay/RefusalReason.cpp
@@ -69,3 +69,15 @@
   }();
   return Reasons;
 }
+
+milliseconds bluebellkeel::retryAfter(refusal_reason Reason) {
+  switch (Reason) {
+  case refusal_reason::Draining:
+    return milliseconds(50);
+  case refusal_reason::NoCapacity:
+  case refusal_reason::RetriesExhausted:
+    return milliseconds(400);
+  default:
+    return milliseconds(600);
+  }
+}
--- /dev/null
+++ b/unittests/Relay/EventSequenceTest.cpp
@@ -0,0 +1,54 @@
+#include "bluebellkeel/Relay.h"
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace bluebellkeel;
+
+namespace {
+
+class event_sequence_test : public testing::Test {
+protected:
+  static stream_event event(std::uint64_t Number) {
+    return {Number, std::to_string(Number) + ";"};
+  }
+};
+
+} // namespace
+
+TEST_F(event_sequence_test, eventsThatTheCallerHas_areLeftOut) {
+  event_sequence Sequence(2);
+  EXPECT_EQ(event_passage("3;", false),
+            Sequence.pass({event(1), event(2), event(3)}));
+  EXPECT_EQ(3U, Sequence.last());
+}
+
+TEST_F(event_sequence_test, missingEvent_endsWhatIsPassed) {
+  event_sequence Sequence(1);
+  EXPECT_EQ(event_passage("2;", true), Sequence.pass({event(2), event(4)}));
+  EXPECT_EQ(2U, Sequence.last());
+}
+
+TEST_F(event_sequence_test, eventsWithoutNumbers_arePassedAsTheyCome) {
+  event_sequence Sequence(std::nullopt);
+  EXPECT_EQ(event_passage("ab", false),
+            Sequence.pass({{std::nullopt, "a"}, {std::nullopt, "b"}}));
+  EXPECT_FALSE(Sequence.last());
+}
+
+RC_GTEST_FIXTURE_PROP(event_sequence_test,
+                      anySendings_ofOneStream_arePassedOnceAndInOrder,
+                      (const std::vector<std::uint8_t> &Starts)) {
+  constexpr std::uint64_t Length = 5;
+  event_sequence Sequence(0);
+  std::string Passed;
+  for (std::uint8_t Start : Starts) {
+    std::vector<stream_event> Events;
+    for (std::uint64_t I = 1; I <= Length; ++I)
+      Events.push_back(event(Start % 20 + I));
+    Passed += Sequence.pass(Events).bytes();
+  }
+  std::string Expected;
+  for (std::uint64_t I = 1; I <= Sequence.last().value_or(0); ++I)
+    Expected += event(I).bytes();
+  RC_ASSERT(Passed == Expected);
+}
