Take the bounds towards callers from the configuration

Cause: header and body size, the time for a head and the idle time were constants, although the operators' configuration gives them. Bodies were bounded one by one (4 MB, 1,500 callers), which is far more than a machine of 88 MB has. A configuration whose optional fields have an odd type threw out of the decoder (health_path as a number).

Change: route_table carries caller_limits; the server asks a limit source before each request, waits for the first byte, the head and the body with a bound each, and refuses with 503 what would take the bodies of all requests past a quarter of the machine's memory (new setting memory_mb).

Tests: five of the server with limits that change, two of the decoder.

--- a/include/bluebellkeel/Http.h
+++ b/include/bluebellkeel/Http.h
@@ -1,10 +1,13 @@
 #ifndef BLUEBELLKEEL_HTTP_H
 #define BLUEBELLKEEL_HTTP_H
 
+#include "bluebellkeel/Http/FixedLimits.h"
 #include "bluebellkeel/Http/HttpClient.h"
 #include "bluebellkeel/Http/HttpError.h"
 #include "bluebellkeel/Http/HttpHandler.h"
 #include "bluebellkeel/Http/HttpHeaders.h"
+#include "bluebellkeel/Http/HttpLimitSource.h"
+#include "bluebellkeel/Http/HttpLimits.h"
 #include "bluebellkeel/Http/HttpRequest.h"
 #include "bluebellkeel/Http/HttpResponder.h"
 #include "bluebellkeel/Http/HttpResponse.h"
--- a/include/bluebellkeel/Http/HttpLimits.h
+++ b/include/bluebellkeel/Http/HttpLimits.h
@@ -4,6 +4,7 @@
 #include "bluebellkeel/Core/Comparable.h"
 #include "bluebellkeel/Core/Time.h"
 #include <cstddef>
+#include <limits>
 #include <tuple>
 
 namespace bluebellkeel {
@@ -11,19 +12,48 @@
 /// Bounds that a server keeps towards those who connect.
 class http_limits : public comparable<http_limits> {
 public:
+  /// What holds unless it is set: a common size of header lines, and times
+  /// that only a stuck client passes.
+  static constexpr std::size_t DefaultHeaderBytes = 16UL * 1024;
+  static constexpr milliseconds DefaultHeaderTime{60000};
+  static constexpr milliseconds DefaultIdleTime{60000};
+
   http_limits(std::size_t Connections, std::size_t BodyBytes,
               milliseconds Write)
       : Connections(Connections), BodyBytes(BodyBytes), Write(Write) {}
 
+  /// The same with bounds for the head of a request.
+  http_limits withHeader(std::size_t Bytes, milliseconds Time) const;
+  /// The same with a bound for one body.
+  http_limits withBody(std::size_t Bytes) const;
+  /// The same with a bound for connections without a request.
+  http_limits withIdle(milliseconds Time) const;
+  /// The same with a bound for the bodies of all requests together.
+  http_limits withHeldBytes(std::size_t Bytes) const;
+
   std::size_t connections() const { return Connections; }
+  std::size_t headerBytes() const { return HeaderBytes; }
   std::size_t bodyBytes() const { return BodyBytes; }
+  /// Bytes of all bodies that are held at one time.
+  std::size_t heldBytes() const { return HeldBytes; }
+  /// From the first byte of a request to the end of its head.
+  milliseconds headerTime() const { return HeaderTime; }
+  /// How long a connection may be open without a request.
+  milliseconds idleTime() const { return IdleTime; }
   /// How long one piece of an answer may take to be read by the other end.
   milliseconds write() const { return Write; }
-  auto key() const { return std::tie(Connections, BodyBytes, Write); }
+  auto key() const {
+    return std::tie(Connections, HeaderBytes, BodyBytes, HeldBytes, HeaderTime,
+                    IdleTime, Write);
+  }
 
 private:
   std::size_t Connections;
+  std::size_t HeaderBytes = DefaultHeaderBytes;
   std::size_t BodyBytes;
+  std::size_t HeldBytes = std::numeric_limits<std::size_t>::max();
+  milliseconds HeaderTime = DefaultHeaderTime;
+  milliseconds IdleTime = DefaultIdleTime;
   milliseconds Write;
 };
 
--- a/include/bluebellkeel/Http/HttpServer.h
+++ b/include/bluebellkeel/Http/HttpServer.h
@@ -4,7 +4,7 @@
 #include "bluebellkeel/Core/NetworkAddress.h"
 #include "bluebellkeel/Core/Time.h"
 #include "bluebellkeel/Http/HttpHandler.h"
-#include "bluebellkeel/Http/HttpLimits.h"
+#include "bluebellkeel/Http/HttpLimitSource.h"
 #include "bluebellkeel/Http/ThreadPool.h"
 #include <memory>
 #include <string>
@@ -16,6 +16,9 @@
 class http_server {
 public:
   http_server(thread_pool &Pool, http_handler &Handler, http_limits Limits);
+  /// With bounds that may change while the server runs.
+  http_server(thread_pool &Pool, http_handler &Handler,
+              std::shared_ptr<const http_limit_source> Limits);
   ~http_server();
 
   /// Starts to listen; the error names what the system said.
--- a/include/bluebellkeel/Routing.h
+++ b/include/bluebellkeel/Routing.h
@@ -1,6 +1,7 @@
 #ifndef BLUEBELLKEEL_ROUTING_H
 #define BLUEBELLKEEL_ROUTING_H
 
+#include "bluebellkeel/Routing/CallerLimits.h"
 #include "bluebellkeel/Routing/ForwardRoute.h"
 #include "bluebellkeel/Routing/KeyedAccount.h"
 #include "bluebellkeel/Routing/ModelSize.h"
--- a/include/bluebellkeel/Routing/RouteTable.h
+++ b/include/bluebellkeel/Routing/RouteTable.h
@@ -1,6 +1,7 @@
 #ifndef BLUEBELLKEEL_ROUTING_ROUTETABLE_H
 #define BLUEBELLKEEL_ROUTING_ROUTETABLE_H
 
+#include "bluebellkeel/Routing/CallerLimits.h"
 #include "bluebellkeel/Routing/ForwardRoute.h"
 #include "bluebellkeel/Routing/KeyedAccount.h"
 #include "bluebellkeel/Routing/ServiceTraits.h"
@@ -15,11 +16,13 @@
 public:
   route_table(std::uint64_t Version, std::vector<forward_route> Routes,
               std::vector<service_traits> Services,
-              std::vector<keyed_account> Accounts);
+              std::vector<keyed_account> Accounts,
+              const caller_limits &Limits = caller_limits());
 
   std::uint64_t version() const { return Version; }
   const std::vector<forward_route> &routes() const { return Routes; }
   const std::vector<service_traits> &services() const { return Services; }
+  const caller_limits &limits() const { return Limits; }
 
   /// The route of \p Host with the longest prefix of \p Path; null when none
   /// fits. Lives as long as the table.
@@ -31,13 +34,16 @@
   /// True when callers have to show keys.
   bool asksForKeys() const { return !Accounts.empty(); }
 
-  auto key() const { return std::tie(Version, Routes, Services, Accounts); }
+  auto key() const {
+    return std::tie(Version, Routes, Services, Accounts, Limits);
+  }
 
 private:
   std::uint64_t Version;
   std::vector<forward_route> Routes;
   std::vector<service_traits> Services;
   std::vector<keyed_account> Accounts;
+  caller_limits Limits;
   /// Positions in Routes by host, longest prefix first.
   std::map<std::string, std::vector<std::size_t>, std::less<>> ByHost;
   /// Positions in Accounts.
--- a/include/bluebellkeel/Startup/GatewaySettings.h
+++ b/include/bluebellkeel/Startup/GatewaySettings.h
@@ -26,6 +26,8 @@
   network_address LogAddress;
   std::string PeerKey;
   std::string LogLevel;
+  /// Memory that the machine gives the process, in bytes.
+  std::size_t Memory = 0;
 
   /// Repeats for each request, beyond that, and the window they count in; for
   /// all instances together.
--- /dev/null
+++ b/lib/Gateway/TableLimits.cpp
@@ -0,0 +1,15 @@
+#include "bluebellkeel/Gateway/TableLimits.h"
+
+using namespace bluebellkeel;
+
+http_limits table_limits::limits() const {
+  auto Table = Tables.current();
+  if (!Table)
+    return Fixed;
+  const caller_limits &Given = Table->limits();
+  return Fixed
+      .withHeader(Given.headerBytes().value_or(Fixed.headerBytes()),
+                  Given.headerTime().value_or(Fixed.headerTime()))
+      .withBody(Given.bodyBytes().value_or(Fixed.bodyBytes()))
+      .withIdle(Given.idleTime().value_or(Fixed.idleTime()));
+}
--- a/lib/Http/HttpServer.cpp
+++ b/lib/Http/HttpServer.cpp
@@ -1,5 +1,6 @@
 #include "bluebellkeel/Http/HttpServer.h"
 #include "ServerConnection.h"
+#include "bluebellkeel/Http/FixedLimits.h"
 #include <atomic>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/strand.hpp>
@@ -13,8 +14,9 @@
 
 class http_server::impl : public std::enable_shared_from_this<impl> {
 public:
-  impl(thread_pool &Pool, http_handler &Handler, http_limits Limits)
-      : Pool(Pool), Handler(Handler), Limits(Limits),
+  impl(thread_pool &Pool, http_handler &Handler,
+       std::shared_ptr<const http_limit_source> Limits)
+      : Pool(Pool), Handler(Handler), Limits(std::move(Limits)),
         Acceptor(asio::make_strand(Pool.context())) {}
 
   tl::expected<void, std::string> listen(const network_address &Address);
@@ -30,7 +32,7 @@
 
   thread_pool &Pool;
   http_handler &Handler;
-  http_limits Limits;
+  std::shared_ptr<const http_limit_source> Limits;
   tcp::acceptor Acceptor;
   server_state State;
 };
@@ -66,7 +68,7 @@
     Acceptor.async_accept(Socket, Yield[Code]);
     if (Code)
       continue;
-    if (State.Connections >= Limits.connections())
+    if (State.Connections >= Limits->limits().connections())
       continue;
     serve(std::move(Socket));
   }
@@ -80,7 +82,7 @@
       Executor,
       [Self, Shared](asio::yield_context Yield) {
         server_connection Connection(std::move(*Shared), Self->Handler,
-                                     Self->Limits, Self->State, Yield);
+                                     *Self->Limits, Self->State, Yield);
         Connection.run();
       },
       asio::detached);
@@ -97,7 +99,12 @@
 
 http_server::http_server(thread_pool &Pool, http_handler &Handler,
                          http_limits Limits)
-    : Impl(std::make_shared<impl>(Pool, Handler, Limits)) {}
+    : http_server(Pool, Handler, std::make_shared<const fixed_limits>(Limits)) {
+}
+
+http_server::http_server(thread_pool &Pool, http_handler &Handler,
+                         std::shared_ptr<const http_limit_source> Limits)
+    : Impl(std::make_shared<impl>(Pool, Handler, std::move(Limits))) {}
 
 http_server::~http_server() = default;
 
--- a/lib/Http/ServerConnection.cpp
+++ b/lib/Http/ServerConnection.cpp
@@ -1,4 +1,5 @@
 #include "ServerConnection.h"
+#include <algorithm>
 #include <boost/asio/write.hpp>
 
 using namespace bluebellkeel;
@@ -9,18 +10,18 @@
 using boost::system::error_code;
 
 static constexpr unsigned Http11 = 11;
-static constexpr std::size_t MaxHeaderBytes = 16UL * 1024;
 
-/// How long a connection may be open without a request, and how long a request
-/// may take to arrive.
-static constexpr seconds IdleTimeout{60};
+/// How long a body may take to arrive; a slow link brings a megabyte in that
+/// time.
+static constexpr seconds BodyTime{60};
 
 server_connection::server_connection(asio::ip::tcp::socket Socket,
-                                     http_handler &Handler, http_limits Limits,
+                                     http_handler &Handler,
+                                     const http_limit_source &Source,
                                      server_state &State,
                                      asio::yield_context Yield)
-    : Stream(std::move(Socket)), Handler(Handler), Limits(Limits), State(State),
-      Yield(Yield),
+    : Stream(std::move(Socket)), Handler(Handler), Source(Source),
+      Limits(Source.limits()), State(State), Yield(Yield),
       Watch(std::make_shared<caller_watch>(this->Stream.socket())) {
   ++State.Connections;
 }
@@ -39,32 +40,72 @@
   Stream.socket().set_option(asio::ip::tcp::no_delay(true), Ignored);
   // The watch looks without waiting.
   Stream.socket().non_blocking(true, Ignored);
-  while (KeepAlive) {
-    auto Message = readRequest();
+  while (KeepAlive && awaitRequest()) {
+    body_claim Claim(State, Limits.heldBytes());
+    auto Message = readRequest(Claim);
     if (!Message)
       break;
     KeepAlive = Message->keep_alive() && !State.Draining;
     State.beginRequest();
-    answer(*Message);
+    answer(std::move(*Message));
     State.endRequest();
   }
   Stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, Ignored);
 }
 
-std::optional<server_connection::message> server_connection::readRequest() {
-  http::request_parser<http::string_body> Parser;
-  Parser.header_limit(MaxHeaderBytes);
+/// False when none came in time. The bounds may have changed since the last
+/// one.
+bool server_connection::awaitRequest() {
+  /// Room for the head and a small body in one read.
+  constexpr std::size_t FirstRead = 8192;
+  Limits = Source.limits();
+  if (Buffer.size() > 0)
+    return true;
+  Stream.expires_after(Limits.idleTime());
+  error_code Code;
+  Buffer.commit(Stream.async_read_some(Buffer.prepare(FirstRead), Yield[Code]));
+  Limits = Source.limits();
+  return !Code;
+}
+
+std::optional<server_connection::message>
+server_connection::readRequest(body_claim &Claim) {
+  parser Parser;
+  Parser.header_limit(static_cast<std::uint32_t>(Limits.headerBytes()));
   Parser.body_limit(Limits.bodyBytes());
-  Stream.expires_after(IdleTimeout);
+  Stream.expires_after(Limits.headerTime());
   error_code Code;
-  http::async_read(Stream, Buffer, Parser, Yield[Code]);
+  http::async_read_header(Stream, Buffer, Parser, Yield[Code]);
+  if (!Code && !readBody(Parser, Claim, Code)) {
+    refuse(503, "too many bytes held");
+    return std::nullopt;
+  }
   if (!Code)
     return Parser.release();
+  refuseUnread(Code);
+  return std::nullopt;
+}
+
+/// False when there is no room for the body; what else goes wrong is told by
+/// \p Code.
+bool server_connection::readBody(parser &Parser, body_claim &Claim,
+                                 error_code &Code) {
+  Stream.expires_after(BodyTime);
+  auto Announced =
+      static_cast<std::size_t>(Parser.content_length_remaining().value_or(0));
+  while (!Code && !Parser.is_done()) {
+    if (!Claim.growTo(std::max(Announced, Parser.get().body().size())))
+      return false;
+    http::async_read_some(Stream, Buffer, Parser, Yield[Code]);
+  }
+  return true;
+}
+
+void server_connection::refuseUnread(const error_code &Code) {
   if (Code == http::error::body_limit)
     refuse(413, "body too large");
   else if (Code == http::error::header_limit)
     refuse(431, "header too large");
-  return std::nullopt;
 }
 
 void server_connection::refuse(int Status, const char *Text) {
@@ -72,15 +113,15 @@
   send(http_response(Status, http_headers(), std::string(Text) + "\n"));
 }
 
-void server_connection::answer(const message &Message) {
+void server_connection::answer(message Message) {
   Started = false;
   std::vector<http_headers::field> Fields;
   for (const auto &Field : Message)
     Fields.emplace_back(std::string(Field.name_string()),
                         std::string(Field.value()));
-  http_request Request(std::string(Message.method_string()),
-                       std::string(Message.target()),
-                       http_headers(std::move(Fields)), Message.body());
+  http_request Request(
+      std::string(Message.method_string()), std::string(Message.target()),
+      http_headers(std::move(Fields)), std::move(Message.body()));
   Handler.handle(Request, *this, Yield);
   Watch->disarm();
   if (!Started)
--- a/lib/Http/ServerConnection.h
+++ b/lib/Http/ServerConnection.h
@@ -1,10 +1,11 @@
 #ifndef BLUEBELLKEEL_LIB_HTTP_SERVERCONNECTION_H
 #define BLUEBELLKEEL_LIB_HTTP_SERVERCONNECTION_H
 
+#include "BodyClaim.h"
 #include "CallerWatch.h"
 #include "ServerState.h"
 #include "bluebellkeel/Http/HttpHandler.h"
-#include "bluebellkeel/Http/HttpLimits.h"
+#include "bluebellkeel/Http/HttpLimitSource.h"
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/spawn.hpp>
 #include <boost/beast/core.hpp>
@@ -17,7 +18,7 @@
 class server_connection final : private http_responder {
 public:
   server_connection(boost::asio::ip::tcp::socket Socket, http_handler &Handler,
-                    http_limits Limits, server_state &State,
+                    const http_limit_source &Source, server_state &State,
                     boost::asio::yield_context Yield);
   ~server_connection() override;
 
@@ -26,8 +27,15 @@
 private:
   using message = boost::beast::http::request<boost::beast::http::string_body>;
 
-  std::optional<message> readRequest();
-  void answer(const message &Message);
+  using parser =
+      boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+  bool awaitRequest();
+  std::optional<message> readRequest(body_claim &Claim);
+  bool readBody(parser &Parser, body_claim &Claim,
+                boost::system::error_code &Code);
+  void refuseUnread(const boost::system::error_code &Code);
+  void answer(message Message);
   void refuse(int Status, const char *Text);
 
   bool send(const http_response &Response) override;
@@ -40,6 +48,8 @@
 
   boost::beast::tcp_stream Stream;
   http_handler &Handler;
+  const http_limit_source &Source;
+  /// Those in force for the present request.
   http_limits Limits;
   server_state &State;
   boost::asio::yield_context Yield;
--- a/lib/Http/ServerState.h
+++ b/lib/Http/ServerState.h
@@ -15,6 +15,8 @@
 public:
   std::atomic<std::size_t> Connections{0};
   std::atomic<bool> Draining{false};
+  /// Bytes of the bodies of all requests that are read or answered.
+  std::atomic<std::size_t> HeldBytes{0};
 
   /// A request is being answered from here until it ends.
   void beginRequest() {
--- a/lib/Routing/RouteTable.cpp
+++ b/lib/Routing/RouteTable.cpp
@@ -14,9 +14,11 @@
 route_table::route_table(std::uint64_t Version,
                          std::vector<forward_route> Routes,
                          std::vector<service_traits> Services,
-                         std::vector<keyed_account> Accounts)
+                         std::vector<keyed_account> Accounts,
+                         const caller_limits &Limits)
     : Version(Version), Routes(std::move(Routes)),
-      Services(std::move(Services)), Accounts(std::move(Accounts)) {
+      Services(std::move(Services)), Accounts(std::move(Accounts)),
+      Limits(Limits) {
   for (std::size_t I = 0; I < this->Routes.size(); ++I)
     ByHost[this->Routes[I].host()].push_back(I);
   auto Longer = [this](std::size_t L, std::size_t R) {
--- a/lib/Startup/GatewaySettingsReader.cpp
+++ b/lib/Startup/GatewaySettingsReader.cpp
@@ -12,6 +12,11 @@
 static constexpr double MaxCount = 1e6;
 static constexpr double HourInSeconds = 3600;
 
+/// Memory of a machine in megabytes: usual, least and most.
+static constexpr std::uint64_t UsualMemory = 256;
+static constexpr std::uint64_t MinMemory = 16;
+static constexpr std::uint64_t MaxMemory = 1UL << 20;
+
 static milliseconds secondsOf(object_reader &Reader, const char *Name) {
   constexpr double MillisPerSecond = 1000;
   double Seconds = Reader.real(Name, 0, HourInSeconds);
@@ -63,6 +68,9 @@
   readListen(Root, Settings);
   readPeers(Root, Settings);
   readRules(Root, Settings);
+  constexpr std::size_t Megabyte = 1UL << 20;
+  Settings.Memory =
+      Root.numberOr("memory_mb", UsualMemory, MinMemory, MaxMemory) * Megabyte;
   Settings.LogLevel =
       Root.choiceOr("log_level", "info", {"debug", "info", "warn", "error"});
   Root.finish();
--- a/unittests/Adapter/GatewayProcessTest.cpp
+++ b/unittests/Adapter/GatewayProcessTest.cpp
@@ -1,6 +1,7 @@
 #include "GatewayProcess.h"
 #include "StandinHandler.h"
 #include "StoreStandin.h"
+#include "absl/synchronization/notification.h"
 #include "bluebellkeel/Http.h"
 #include "bluebellkeel/Http/Await.h"
 #include <gtest/gtest.h>
@@ -62,6 +63,7 @@
     Settings.PeerAddress = address(6);
     Settings.MetricsAddress = address(7);
     Settings.PeerKey = "a key for the tests";
+    Settings.Memory = 64UL << 20;
     Settings.RetryRatio = 0.9;
     Settings.RetrySlack = 56;
     Settings.RetryWindow = milliseconds(10000);
--- a/unittests/Adapter/StoreRecordsTest.cpp
+++ b/unittests/Adapter/StoreRecordsTest.cpp
@@ -82,6 +82,26 @@
       R"({"version":1,"routes":[1],"services":[2],"tenants":[3]})"));
 }
 
+TEST_F(store_records_test, configurationsLimits_areDecodedAndOddOnesLeftOut) {
+  std::string Text = Configuration;
+  const std::string Plain = R"("max_header_bytes":16384)";
+  Text.replace(Text.find(Plain), Plain.size(),
+               R"("max_header_bytes":9000,"max_body_bytes":-1,
+                  "header_timeout_ms":"x","idle_timeout_ms":15000)");
+  auto Table = readConfiguration(Text);
+  ASSERT_TRUE(Table.has_value());
+  EXPECT_EQ(caller_limits(9000, std::nullopt, std::nullopt, seconds(15)),
+            Table->limits());
+}
+
+TEST_F(store_records_test, configuration_withOddOptionalFields_isReadWithout) {
+  auto Table = readConfiguration(
+      R"({"version":1,"routes":[],"limits":7,
+          "services":[{"name":"one","health_path":3,"engine":"x"}]})");
+  ASSERT_TRUE(Table.has_value());
+  EXPECT_EQ(caller_limits(), Table->limits());
+}
+
 TEST_F(store_records_test, registration_isDecoded) {
   auto Listing = readRegistration("i-1", Registration);
   ASSERT_TRUE(Listing.has_value());
--- a/unittests/Http/HttpServerTest.cpp
+++ b/unittests/Http/HttpServerTest.cpp
@@ -1,6 +1,10 @@
 #include "bluebellkeel/Core.h"
 #include "bluebellkeel/Http.h"
 #include "bluebellkeel/Http/Await.h"
+#include "bluebellkeel/Http/FixedLimits.h"
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
 using namespace bluebellkeel;
@@ -84,3 +88,114 @@
   EXPECT_EQ("/x/y", Request.query("path"));
   EXPECT_EQ("", Request.query("none"));
 }
+
+namespace {
+
+/// Bounds that a test changes while the server runs.
+class settable_limits final : public http_limit_source {
+public:
+  http_limits limits() const override {
+    absl::MutexLock Lock(&Mutex);
+    return Limits;
+  }
+  void set(http_limits Newer) {
+    absl::MutexLock Lock(&Mutex);
+    Limits = Newer;
+  }
+
+private:
+  mutable absl::Mutex Mutex;
+  http_limits Limits{10, 1000, milliseconds(1000)};
+};
+
+class http_server_limits_test : public testing::Test {
+protected:
+  void SetUp() override { ASSERT_TRUE(Server.listen(Address)); }
+  void TearDown() override { Pool.stop(); }
+
+  boost::asio::ip::tcp::socket connect() {
+    boost::asio::ip::tcp::socket Socket(Io);
+    Socket.connect(boost::asio::ip::tcp::endpoint(
+        boost::asio::ip::make_address(Address.host()), Address.port()));
+    return Socket;
+  }
+  static void put(boost::asio::ip::tcp::socket &Socket,
+                  const std::string &Text) {
+    boost::asio::write(Socket, boost::asio::buffer(Text));
+  }
+  /// All that comes until the server closes.
+  static std::string rest(boost::asio::ip::tcp::socket &Socket) {
+    std::string Text;
+    boost::system::error_code Code;
+    boost::asio::read(Socket, boost::asio::dynamic_buffer(Text), Code);
+    return Text;
+  }
+  static std::string head(std::size_t Length) {
+    return "POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: " +
+           std::to_string(Length) + "\r\n\r\n";
+  }
+
+  network_address Address{"127.0.0.1", 21812};
+  boost::asio::io_context Io;
+  echo_handler Handler;
+  thread_pool Pool{2};
+  std::shared_ptr<settable_limits> Limits = std::make_shared<settable_limits>();
+  http_server Server{Pool, Handler, Limits};
+};
+
+} // namespace
+
+TEST_F(http_server_limits_test, connectionWithoutARequest_isClosedWhenIdle) {
+  Limits->set(Limits->limits().withIdle(milliseconds(100)));
+  auto Socket = connect();
+  EXPECT_EQ("", rest(Socket));
+}
+
+TEST_F(http_server_limits_test, headThatTakesTooLong_endsTheConnection) {
+  Limits->set(Limits->limits().withHeader(1000, milliseconds(100)));
+  auto Socket = connect();
+  put(Socket, "POST /x HTTP/1.1\r\n");
+  EXPECT_EQ("", rest(Socket));
+}
+
+TEST_F(http_server_limits_test, headPastItsBound_isRefused) {
+  Limits->set(Limits->limits().withHeader(200, seconds(5)));
+  auto Socket = connect();
+  put(Socket,
+      "POST /x HTTP/1.1\r\nLong: " + std::string(500, 'x') + "\r\n\r\n");
+  EXPECT_EQ("HTTP/1.1 431", rest(Socket).substr(0, 12));
+}
+
+TEST_F(http_server_limits_test, newBound_holdsForTheNextRequest) {
+  auto Socket = connect();
+  put(Socket, head(4) + "body");
+  std::string First(12, ' ');
+  boost::asio::read(Socket, boost::asio::buffer(First));
+  EXPECT_EQ("HTTP/1.1 200", First);
+  Limits->set(Limits->limits().withBody(3));
+  put(Socket, head(4) + "body");
+  EXPECT_NE(std::string::npos, rest(Socket).find("HTTP/1.1 413"));
+}
+
+TEST_F(http_server_limits_test,
+       bodiesPastTheWholeBound_areRefusedUntilOthersEnd) {
+  Limits->set(Limits->limits().withHeldBytes(150));
+  auto Slow = connect();
+  put(Slow, head(100) + "begun");
+  auto Refused = connect();
+  // The first body may be claimed a moment after the second one.
+  std::string Answer;
+  for (int Try = 0; Try < 100 && Answer.substr(0, 12) != "HTTP/1.1 503";
+       ++Try) {
+    Refused = connect();
+    put(Refused, "POST /x HTTP/1.1\r\nConnection: close\r\n"
+                 "Content-Length: 100\r\n\r\n" +
+                     std::string(100, 'x'));
+    Answer = rest(Refused);
+  }
+  EXPECT_EQ("HTTP/1.1 503", Answer.substr(0, 12));
+  put(Slow, std::string(95, 'x'));
+  std::string First(12, ' ');
+  boost::asio::read(Slow, boost::asio::buffer(First));
+  EXPECT_EQ("HTTP/1.1 200", First);
+}
--- a/unittests/Startup/GatewaySettingsTest.cpp
+++ b/unittests/Startup/GatewaySettingsTest.cpp
@@ -20,7 +20,8 @@
  "peers": {"seeds": ["10.0.0.3:4"], "key": "sixteen characters"},
  "rules": {"retry_ratio": 0.9, "retry_slack": 56, "retry_window_s": 10,
    "trial_share": 0.15, "session_life_s": 6.5, "grace_s": 8,
-   "advice_life_s": 5}})";
+   "advice_life_s": 5},
+ "memory_mb": 88})";
 };
 
 } // namespace
@@ -29,6 +30,7 @@
   auto Settings = readGatewaySettings(Good);
   ASSERT_TRUE(Settings.has_value());
   EXPECT_EQ("edge-1", Settings->Instance.text());
+  EXPECT_EQ(88UL << 20, Settings->Memory);
   EXPECT_EQ(milliseconds(6500), Settings->SessionLife);
   EXPECT_EQ(1U, Settings->Seeds.size());
   EXPECT_EQ("info", Settings->LogLevel);
