Put changed rules in force without a restart

Cause: SIGHUP read the settings file and logged whether it was good, but nothing of it was used before the next start; a change without a signal was never seen.

Change: the settings that may change while the gateway runs are a value of their own (gateway_rules): seeds, repeats, trials, sessions, grace, life of an answer of the directory.

Tests: file_watch, and the whole program with a file that changes.

--- a/include/bluebellkeel/Core.h
+++ b/include/bluebellkeel/Core.h
@@ -6,6 +6,7 @@
 #include "bluebellkeel/Core/DataCentreId.h"
 #include "bluebellkeel/Core/EventLine.h"
 #include "bluebellkeel/Core/EventLog.h"
+#include "bluebellkeel/Core/GuardedValue.h"
 #include "bluebellkeel/Core/HmacSigner.h"
 #include "bluebellkeel/Core/Identifier.h"
 #include "bluebellkeel/Core/InstanceId.h"
--- /dev/null
+++ b/include/bluebellkeel/Core/GuardedValue.h
@@ -0,0 +1,31 @@
+#ifndef BLUEBELLKEEL_CORE_GUARDEDVALUE_H
+#define BLUEBELLKEEL_CORE_GUARDEDVALUE_H
+
+#include "absl/base/thread_annotations.h"
+#include "absl/synchronization/mutex.h"
+#include <utility>
+
+namespace bluebellkeel {
+
+/// One value under its own lock, read as a copy and replaced as a whole.
+template <typename value_t> class guarded_value {
+public:
+  explicit guarded_value(value_t Value) : Value(std::move(Value)) {}
+
+  value_t get() const {
+    absl::MutexLock Lock(&Mutex);
+    return Value;
+  }
+  void set(value_t Newer) {
+    absl::MutexLock Lock(&Mutex);
+    Value = std::move(Newer);
+  }
+
+private:
+  mutable absl::Mutex Mutex;
+  value_t Value ABSL_GUARDED_BY(Mutex);
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_CORE_GUARDEDVALUE_H
--- a/include/bluebellkeel/Gateway/GatewayParts.h
+++ b/include/bluebellkeel/Gateway/GatewayParts.h
@@ -21,12 +21,16 @@
 struct gateway_parts {
   explicit gateway_parts(const gateway_settings &Settings);
 
+  /// Puts other rules in force.
+  void adopt(const gateway_rules &Newer);
   /// What forwarding works with.
   forward_ports ports();
   /// This instance as its peers should see it.
   instance_record self() const;
 
+  /// As at the start; Rules may be newer.
   const gateway_settings Settings;
+  guarded_value<gateway_rules> Rules;
   system_clock Clock;
   system_random Random;
   event_writer Log;
--- a/include/bluebellkeel/Policy/RetryWindow.h
+++ b/include/bluebellkeel/Policy/RetryWindow.h
@@ -1,6 +1,7 @@
 #ifndef BLUEBELLKEEL_POLICY_RETRYWINDOW_H
 #define BLUEBELLKEEL_POLICY_RETRYWINDOW_H
 
+#include "bluebellkeel/Core/GuardedValue.h"
 #include "bluebellkeel/Core/ServiceId.h"
 #include "bluebellkeel/Core/Sharded.h"
 #include "bluebellkeel/Core/TimeSource.h"
@@ -18,6 +19,8 @@
   retry_window(retry_rules Rules, const time_source &Clock)
       : Rules(Rules), Clock(Clock) {}
 
+  /// Other rules hold from now on.
+  void adopt(retry_rules Newer) { Rules.set(Newer); }
   /// A caller's request for \p Service came.
   void noteRequest(const service_id &Service);
   /// True when a repeat may be sent; it then counts.
@@ -35,7 +38,7 @@
 
   static void dropOld(std::deque<monotonic_time> &Times, monotonic_time Since);
 
-  retry_rules Rules;
+  guarded_value<retry_rules> Rules;
   const time_source &Clock;
   sharded<history_map> Histories;
 };
--- a/include/bluebellkeel/Policy/RollOutBook.h
+++ b/include/bluebellkeel/Policy/RollOutBook.h
@@ -1,6 +1,7 @@
 #ifndef BLUEBELLKEEL_POLICY_ROLLOUTBOOK_H
 #define BLUEBELLKEEL_POLICY_ROLLOUTBOOK_H
 
+#include "bluebellkeel/Core/GuardedValue.h"
 #include "bluebellkeel/Core/InstanceId.h"
 #include "bluebellkeel/Core/Sharded.h"
 #include "bluebellkeel/Core/TimeSource.h"
@@ -22,6 +23,9 @@
   roll_out_book(roll_out_limits Limits, const time_source &Clock)
       : Limits(Limits), Clock(Clock) {}
 
+  /// Other limits hold from now on, for orders that run as well.
+  void adopt(roll_out_limits Newer) { Limits.set(Newer); }
+
   /// The operators gave an order; one that is known, or older, changes nothing.
   void noteOrder(const roll_out_order &Order);
   /// The operators took the order for \p Service away.
@@ -81,7 +85,7 @@
   static void settle(state &Shard, entry &Entry, roll_out_stage Stage);
   void absorbOne(const instance_id &Peer, const roll_out_evidence &Evidence);
 
-  roll_out_limits Limits;
+  guarded_value<roll_out_limits> Limits;
   const time_source &Clock;
   sharded<state> Shards;
 };
--- a/include/bluebellkeel/Startup.h
+++ b/include/bluebellkeel/Startup.h
@@ -1,6 +1,8 @@
 #ifndef BLUEBELLKEEL_STARTUP_H
 #define BLUEBELLKEEL_STARTUP_H
 
+#include "bluebellkeel/Startup/FileWatch.h"
+#include "bluebellkeel/Startup/GatewayRules.h"
 #include "bluebellkeel/Startup/GatewaySettings.h"
 #include "bluebellkeel/Startup/GatewaySettingsReader.h"
 #include "bluebellkeel/Startup/PlatformAddresses.h"
--- a/include/bluebellkeel/Startup/GatewaySettings.h
+++ b/include/bluebellkeel/Startup/GatewaySettings.h
@@ -4,7 +4,7 @@
 #include "bluebellkeel/Core/DataCentreId.h"
 #include "bluebellkeel/Core/InstanceId.h"
 #include "bluebellkeel/Core/NetworkAddress.h"
-#include "bluebellkeel/Core/Time.h"
+#include "bluebellkeel/Startup/GatewayRules.h"
 #include <string>
 #include <vector>
 
@@ -21,27 +21,20 @@
   network_address DirectoryAddress;
   network_address PeerAddress;
   network_address MetricsAddress;
-  /// Peers to ask while no other is known.
-  std::vector<network_address> Seeds;
   network_address LogAddress;
   std::string PeerKey;
   std::string LogLevel;
   /// Memory that the machine gives the process, in bytes.
   std::size_t Memory = 0;
 
-  /// Repeats for each request, beyond that, and the window they count in; for
-  /// all instances together.
-  double RetryRatio = 0;
-  double RetrySlack = 0;
-  milliseconds RetryWindow{0};
-  /// Share of the requests that a bad version may get.
-  double TrialShare = 0;
-  /// Requests of one session come at least this often.
-  milliseconds SessionLife{0};
-  /// Time from the order to stop until the process is killed.
-  milliseconds Grace{0};
-  /// Longest time for which callers may keep an answer of the directory.
-  milliseconds AdviceLife{0};
+  gateway_rules Rules;
+
+  /// All but the rules and the log's level, which take a restart to change.
+  auto fixedKey() const {
+    return std::tie(Instance, DataCentre, CallerAddress, ReadyAddress,
+                    DirectoryAddress, PeerAddress, MetricsAddress, LogAddress,
+                    PeerKey, Memory);
+  }
 };
 
 } // namespace bluebellkeel
--- a/lib/Gateway/DigestDesk.cpp
+++ b/lib/Gateway/DigestDesk.cpp
@@ -152,7 +152,7 @@
     ask(Peer);
   if (!Parts.Instances.alive().empty())
     return;
-  for (const auto &Seed : Parts.Settings.Seeds) {
+  for (const auto &Seed : Parts.Rules.get().Seeds) {
     if (Seed == Parts.Settings.PeerAddress)
       continue;
     ask(instance_record(instance_id(), data_centre_id(), network_address(),
--- a/lib/Gateway/GatewayParts.cpp
+++ b/lib/Gateway/GatewayParts.cpp
@@ -2,19 +2,29 @@
 
 using namespace bluebellkeel;
 
+static roll_out_limits trialsOf(const gateway_rules &Rules) {
+  return {Rules.TrialShare, Rules.SessionLife};
+}
+
+static retry_rules repeatsOf(const gateway_rules &Rules) {
+  return {Rules.RetryRatio, Rules.RetrySlack, Rules.RetryWindow};
+}
+
 gateway_parts::gateway_parts(const gateway_settings &Settings)
-    : Settings(Settings), Log(Settings.Instance.text(), Clock),
-      State(SettingsAge, Clock), Roster(Clock), Keeper(Roster, Clock),
-      Loads(Clock), Cold(Settings.Instance, Clock), Centres(Clock),
-      Instances(Clock),
-      RollOuts(roll_out_limits(Settings.TrialShare, Settings.SessionLife),
-               Clock),
-      Prefixes(Clock), Crashes(Clock),
-      Retries(retry_rules(Settings.RetryRatio, Settings.RetrySlack,
-                          Settings.RetryWindow),
-              Clock),
+    : Settings(Settings), Rules(Settings.Rules),
+      Log(Settings.Instance.text(), Clock), State(SettingsAge, Clock),
+      Roster(Clock), Keeper(Roster, Clock), Loads(Clock),
+      Cold(Settings.Instance, Clock), Centres(Clock), Instances(Clock),
+      RollOuts(trialsOf(Settings.Rules), Clock), Prefixes(Clock),
+      Crashes(Clock), Retries(repeatsOf(Settings.Rules), Clock),
       HeavyLoad(Clock) {}
 
+void gateway_parts::adopt(const gateway_rules &Newer) {
+  Rules.set(Newer);
+  RollOuts.adopt(trialsOf(Newer));
+  Retries.adopt(repeatsOf(Newer));
+}
+
 forward_ports gateway_parts::ports() {
   return forward_ports{Settings.Instance,
                        Settings.DataCentre,
--- a/lib/Policy/RollOutBook.cpp
+++ b/lib/Policy/RollOutBook.cpp
@@ -91,7 +91,7 @@
     Target = Target.plus(Tallies.first);
     Others = Others.plus(Tallies.second);
   }
-  roll_out_schedule Schedule(Entry.Order.duration(), Limits);
+  roll_out_schedule Schedule(Entry.Order.duration(), Limits.get());
   if (roll_out_judge::isBad(Target, Others))
     settle(Shard, Entry, roll_out_stage::RolledBack);
   else if (Schedule.finished(elapsedOf(Entry)))
@@ -117,13 +117,13 @@
       return version_rule(kind::Only, Target);
     if (Entry.Stage == roll_out_stage::RolledBack)
       return version_rule(kind::Not, Target);
-    roll_out_schedule Schedule(Entry.Order.duration(), Limits);
+    roll_out_schedule Schedule(Entry.Order.duration(), Limits.get());
     milliseconds Elapsed = elapsedOf(Entry);
     if (!inTrial(Entry, Session, Schedule.shareAt(Elapsed)))
       return version_rule(kind::Not, Target);
     auto Elsewhere = Entry.Elsewhere.find(Session);
     if (Schedule.pinsSessions(Elapsed) && Elsewhere != Entry.Elsewhere.end() &&
-        Clock.monotonicNow() - Elsewhere->second <= Limits.sessionLife())
+        Clock.monotonicNow() - Elsewhere->second <= Limits.get().sessionLife())
       return version_rule(kind::Not, Target);
     return version_rule(kind::Only, Target);
   });
@@ -151,7 +151,7 @@
     if (Known == Shard.Entries.end())
       return;
     entry &Entry = Known->second;
-    roll_out_schedule Schedule(Entry.Order.duration(), Limits);
+    roll_out_schedule Schedule(Entry.Order.duration(), Limits.get());
     if (Entry.Stage != roll_out_stage::Running ||
         Version == Entry.Order.target() ||
         !Schedule.pinsSessions(elapsedOf(Entry)) ||
@@ -200,7 +200,7 @@
       Fields.Target = Entry.Target;
       Fields.Others = Entry.Others;
       for (const auto &[Session, At] : Entry.Elsewhere) {
-        if (Now - At <= Limits.sessionLife())
+        if (Now - At <= Limits.get().sessionLife())
           Fields.SessionsElsewhere.push_back(Session);
       }
       Evidence.emplace_back(std::move(Fields));
--- a/lib/Startup/GatewaySettingsReader.cpp
+++ b/lib/Startup/GatewaySettingsReader.cpp
@@ -35,12 +35,12 @@
 
 static void readPeers(object_reader &Root, gateway_settings &Settings) {
   object_reader Peers = Root.object("peers", /*Required=*/true);
-  Settings.Seeds = Peers.addresses("seeds");
+  Settings.Rules.Seeds = Peers.addresses("seeds");
   Settings.PeerKey = Peers.text("key", MinKeyBytes);
   Peers.finish();
 }
 
-static void readRules(object_reader &Root, gateway_settings &Settings) {
+static void readRules(object_reader &Root, gateway_rules &Settings) {
   object_reader Rules = Root.object("rules", /*Required=*/true);
   Settings.RetryRatio = Rules.real("retry_ratio", 0, MaxCount);
   Settings.RetrySlack = Rules.real("retry_slack", 0, MaxCount);
@@ -67,7 +67,7 @@
   Settings.LogAddress = Root.address("log");
   readListen(Root, Settings);
   readPeers(Root, Settings);
-  readRules(Root, Settings);
+  readRules(Root, Settings.Rules);
   constexpr std::size_t Megabyte = 1UL << 20;
   Settings.Memory =
       Root.numberOr("memory_mb", UsualMemory, MinMemory, MaxMemory) * Megabyte;
--- a/unittests/Adapter/GatewayProcessTest.cpp
+++ b/unittests/Adapter/GatewayProcessTest.cpp
@@ -4,6 +4,8 @@
 #include "absl/synchronization/notification.h"
 #include "bluebellkeel/Http.h"
 #include "bluebellkeel/Http/Await.h"
+#include <cstdio>
+#include <fstream>
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 #include <unistd.h>
@@ -64,13 +66,13 @@
     Settings.MetricsAddress = address(7);
     Settings.PeerKey = "a key for the tests";
     Settings.Memory = 64UL << 20;
-    Settings.RetryRatio = 0.9;
-    Settings.RetrySlack = 56;
-    Settings.RetryWindow = milliseconds(10000);
-    Settings.TrialShare = 0.15;
-    Settings.SessionLife = milliseconds(5000);
-    Settings.Grace = milliseconds(1200);
-    Settings.AdviceLife = milliseconds(5000);
+    Settings.Rules.RetryRatio = 0.9;
+    Settings.Rules.RetrySlack = 56;
+    Settings.Rules.RetryWindow = milliseconds(10000);
+    Settings.Rules.TrialShare = 0.15;
+    Settings.Rules.SessionLife = milliseconds(5000);
+    Settings.Rules.Grace = milliseconds(1200);
+    Settings.Rules.AdviceLife = milliseconds(5000);
     return Settings;
   }
 
@@ -129,6 +131,13 @@
     return Response ? Response->status() : 0;
   }
 
+  int adviceLife() {
+    auto Response = Client.send(
+        address(5), http_request("GET", "/bluebellkeel/resolve?name=a.example",
+                                 http_headers(), ""));
+    return Response ? json::parse(Response->body()).value("ttl_s", 0) : 0;
+  }
+
   static http_request request(const std::string &Kind,
                               const std::string &Key = "key") {
     return http_request("POST", "/" + Kind + "/x",
@@ -401,3 +410,19 @@
   EXPECT_EQ("late", Response->body());
   Stopper.join();
 }
+
+TEST_F(gateway_process_test, changedSettingsFile_isInForceWithoutASignal) {
+  const std::string Path = testing::TempDir() + "gateway_process_test.json";
+  std::ofstream(Path) << "5";
+  Gateway->watch(Path, [](const std::string &File) {
+    int Life = 0;
+    std::ifstream(File) >> Life;
+    auto Changed = settings();
+    Changed.Rules.AdviceLife = seconds(Life);
+    return std::optional(Changed);
+  });
+  EXPECT_EQ(2, adviceLife());
+  std::ofstream(Path) << "1";
+  EXPECT_TRUE(waitFor([&] { return adviceLife() == 1; }));
+  std::remove(Path.c_str());
+}
--- a/unittests/Adapter/StoreRecordsTest.cpp
+++ b/unittests/Adapter/StoreRecordsTest.cpp
@@ -37,8 +37,8 @@
   static gateway_settings settings() {
     gateway_settings Settings;
     Settings.Instance = instance_id("self");
-    Settings.TrialShare = 0.15;
-    Settings.SessionLife = milliseconds(5000);
+    Settings.Rules.TrialShare = 0.15;
+    Settings.Rules.SessionLife = milliseconds(5000);
     return Settings;
   }
   static keyed_record record(const std::string &Key, const std::string &Value,
