Weigh a random part of many upstreams, and equal ones in a random order

Among equal upstreams every instance took the one with the lowest id, and 81 instances hear too little of each other to notice in time. Each sending also copied every listing and looked up every load.

Change: the upstreams are shuffled by the request before they are ordered; among more than 32 each request weighs 20, the homes of its shared part and those that have read it. The lanes and homes move into upstream_division, which all instances compute alike. The roster shares its entries.

--- a/include/bluebellkeel/Policy.h
+++ b/include/bluebellkeel/Policy.h
@@ -46,6 +46,7 @@
 #include "bluebellkeel/Policy/SizeQuestion.h"
 #include "bluebellkeel/Policy/UpstreamCandidate.h"
 #include "bluebellkeel/Policy/UpstreamChooser.h"
+#include "bluebellkeel/Policy/UpstreamDivision.h"
 #include "bluebellkeel/Policy/VersionEligibility.h"
 #include "bluebellkeel/Policy/VersionPlan.h"
 #include "bluebellkeel/Policy/VersionPlanner.h"
--- a/include/bluebellkeel/Policy/PlacementCandidate.h
+++ b/include/bluebellkeel/Policy/PlacementCandidate.h
@@ -9,27 +9,36 @@
 /// An upstream that may take a request, as this instance sees it.
 class placement_candidate : public comparable<placement_candidate> {
 public:
-  placement_candidate(upstream_listing Listing, upstream_load Load,
-                      std::uint64_t CachedTokens, bool SameCentre, bool Cold)
-      : Listing(std::move(Listing)), Load(Load), CachedTokens(CachedTokens),
-        SameCentre(SameCentre), Cold(Cold) {}
+  /// What a candidate is made from.
+  struct fields {
+    upstream_listing Listing;
+    upstream_load Load;
+    std::uint64_t CachedTokens = 0;
+    bool SameCentre = true;
+    bool Cold = false;
+    bool Light = false;
+    bool Home = false;
+  };
 
-  const upstream_listing &listing() const { return Listing; }
-  const upstream_load &load() const { return Load; }
+  explicit placement_candidate(fields Fields) : Held(std::move(Fields)) {}
+
+  const upstream_listing &listing() const { return Held.Listing; }
+  const upstream_load &load() const { return Held.Load; }
   /// Tokens of the prompt that it need not read again.
-  std::uint64_t cachedTokens() const { return CachedTokens; }
-  bool sameCentre() const { return SameCentre; }
-  bool cold() const { return Cold; }
+  std::uint64_t cachedTokens() const { return Held.CachedTokens; }
+  bool sameCentre() const { return Held.SameCentre; }
+  bool cold() const { return Held.Cold; }
+  /// Left to small models.
+  bool light() const { return Held.Light; }
+  /// Where requests with the same shared part meet.
+  bool home() const { return Held.Home; }
   auto key() const {
-    return std::tie(Listing, Load, CachedTokens, SameCentre, Cold);
+    return std::tie(Held.Listing, Held.Load, Held.CachedTokens, Held.SameCentre,
+                    Held.Cold, Held.Light, Held.Home);
   }
 
 private:
-  upstream_listing Listing;
-  upstream_load Load;
-  std::uint64_t CachedTokens;
-  bool SameCentre;
-  bool Cold;
+  fields Held;
 };
 
 } // namespace bluebellkeel
--- a/include/bluebellkeel/Policy/PrefixBook.h
+++ b/include/bluebellkeel/Policy/PrefixBook.h
@@ -6,6 +6,7 @@
 #include "bluebellkeel/Core/UpstreamId.h"
 #include "bluebellkeel/Policy/Prompt.h"
 #include <map>
+#include <set>
 
 namespace bluebellkeel {
 
@@ -26,6 +27,9 @@
   std::uint64_t cachedTokens(const std::string &Model, const prompt &Prompt,
                              const upstream_id &Upstream);
 
+  /// Upstreams that have likely read some part of \p Prompt.
+  std::set<upstream_id> readers(const std::string &Model, const prompt &Prompt);
+
 private:
   using reader_map = std::map<upstream_id, monotonic_time>;
   using part_map = std::map<std::string, reader_map>;
--- a/include/bluebellkeel/Relay/ForwardCandidates.h
+++ b/include/bluebellkeel/Relay/ForwardCandidates.h
@@ -1,6 +1,8 @@
 #ifndef BLUEBELLKEEL_RELAY_FORWARDCANDIDATES_H
 #define BLUEBELLKEEL_RELAY_FORWARDCANDIDATES_H
 
+#include "bluebellkeel/Core/RequestId.h"
+#include "bluebellkeel/Policy/UpstreamDivision.h"
 #include "bluebellkeel/Relay/ForwardPorts.h"
 #include <set>
 
@@ -14,6 +16,7 @@
     const service_traits &Traits;
     const version_rule &Rule;
     const std::set<upstream_id> &Tried;
+    const request_id &Request;
     const prompt &Prompt;
     const std::string &Model;
     double Pace;
@@ -28,7 +31,15 @@
   double occupancy(const service_id &Service) const;
 
 private:
-  std::vector<placement_candidate> gather(const query &Query) const;
+  using entry_list = std::vector<std::shared_ptr<const roster_entry>>;
+
+  entry_list permittedOnes(const query &Query) const;
+  /// The best of \p Entries that may take the request now.
+  std::optional<placement_candidate>
+  bestOf(const entry_list &Entries, const query &Query,
+         const upstream_division &Division) const;
+  placement_candidate candidateOf(const roster_entry &Entry, const query &Query,
+                                  const upstream_division &Division) const;
   bool permitted(const roster_entry &Entry, const query &Query) const;
   bool isCold(const roster_entry &Entry) const;
 
--- a/include/bluebellkeel/Upstream/UpstreamRoster.h
+++ b/include/bluebellkeel/Upstream/UpstreamRoster.h
@@ -4,7 +4,9 @@
 #include "bluebellkeel/Core/Sharded.h"
 #include "bluebellkeel/Core/TimeSource.h"
 #include "bluebellkeel/Upstream/RosterEntry.h"
+#include <atomic>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <vector>
@@ -27,21 +29,26 @@
   /// An upstream of another id answered at this one's address.
   void noteReplaced(const upstream_id &Id, const network_address &Address);
 
+  /// Grows with each change that matters to others: a listing that only says
+  /// again what was known does not count.
+  std::uint64_t changes() const { return Changes; }
+
   std::optional<roster_entry> find(const upstream_id &Id);
   /// Upstreams of \p Service that are not leaving, by id.
-  std::vector<roster_entry> serving(const service_id &Service);
-  std::vector<roster_entry> all();
+  std::vector<std::shared_ptr<const roster_entry>>
+  serving(const service_id &Service);
 
 private:
   struct state {
-    std::map<upstream_id, roster_entry> Entries;
+    std::map<upstream_id, std::shared_ptr<const roster_entry>> Entries;
     /// The last listing of upstreams that were removed.
     std::map<upstream_id, upstream_listing> Removed;
   };
 
-  static void removeFrom(state &Shard, const upstream_id &Id);
+  void removeFrom(state &Shard, const upstream_id &Id);
 
   const time_source &Clock;
+  std::atomic<std::uint64_t> Changes{0};
   sharded<state> Shards;
 };
 
--- a/lib/Policy/PrefixBook.cpp
+++ b/lib/Policy/PrefixBook.cpp
@@ -63,3 +63,22 @@
   }
   return Tokens;
 }
+
+std::set<upstream_id> prefix_book::readers(const std::string &Model,
+                                           const prompt &Prompt) {
+  monotonic_time Now = Clock.monotonicNow();
+  std::set<upstream_id> Readers;
+  for (const auto &Part : Prompt.parts()) {
+    std::string Key = keyOf(Model, Part);
+    Parts.withShard(Key, [&](part_map &Shard) {
+      auto Found = Shard.find(Key);
+      if (Found == Shard.end())
+        return;
+      for (const auto &[Upstream, At] : Found->second) {
+        if (Now - At <= Life)
+          Readers.insert(Upstream);
+      }
+    });
+  }
+  return Readers;
+}
--- /dev/null
+++ b/lib/Policy/UpstreamDivision.cpp
@@ -0,0 +1,62 @@
+#include "bluebellkeel/Policy/UpstreamDivision.h"
+#include "bluebellkeel/Core/StableHash.h"
+#include <algorithm>
+#include <cmath>
+
+using namespace bluebellkeel;
+
+/// Parts that several requests share; the last one is this request's own.
+static const prompt_part *sharedPart(const prompt &Prompt) {
+  constexpr std::size_t OwnParts = 1;
+  const auto &Parts = Prompt.parts();
+  return Parts.size() > OwnParts ? &Parts[Parts.size() - OwnParts - 1]
+                                 : nullptr;
+}
+
+/// The \p Count upstreams that \p WeightOf puts first.
+template <typename weight_t>
+static std::set<upstream_id> first(const std::vector<upstream_id> &All,
+                                   std::size_t Count, weight_t WeightOf) {
+  std::vector<std::pair<std::uint64_t, const upstream_id *>> Ranked;
+  Ranked.reserve(All.size());
+  for (const auto &Id : All)
+    Ranked.emplace_back(WeightOf(Id), &Id);
+  auto End = Ranked.begin() +
+             static_cast<std::ptrdiff_t>(std::min(Count, Ranked.size()));
+  std::partial_sort(Ranked.begin(), End, Ranked.end(),
+                    [](const auto &L, const auto &R) {
+                      return L.first > R.first ||
+                             (L.first == R.first && *L.second < *R.second);
+                    });
+  std::set<upstream_id> Chosen;
+  for (auto It = Ranked.begin(); It != End; ++It)
+    Chosen.insert(*It->second);
+  return Chosen;
+}
+
+upstream_division::upstream_division(std::vector<upstream_id> Ids,
+                                     const prompt &Prompt)
+    : All(std::move(Ids)) {
+  if (Prompt.tokensIn() > 0 && All.size() >= FewestForLanes) {
+    auto Count = static_cast<std::size_t>(
+        std::lround(LightPart * static_cast<double>(All.size())));
+    Light = first(All, Count,
+                  [](const upstream_id &Id) { return ~stableHash(Id.text()); });
+  }
+  if (const prompt_part *Shared = sharedPart(Prompt)) {
+    std::size_t Count = (All.size() + WeighAllUpTo - 1) / WeighAllUpTo;
+    Homes = first(All, Count, [Shared](const upstream_id &Id) {
+      return rendezvousWeight(Shared->id(), Id.text());
+    });
+  }
+}
+
+std::set<upstream_id>
+upstream_division::shortlist(const std::string &Request) const {
+  std::size_t Count = All.size() <= WeighAllUpTo ? All.size() : DrawnAmongMany;
+  auto Chosen = first(All, Count, [&Request](const upstream_id &Id) {
+    return rendezvousWeight(Request, Id.text());
+  });
+  Chosen.insert(Homes.begin(), Homes.end());
+  return Chosen;
+}
--- a/lib/Relay/ForwardCandidates.cpp
+++ b/lib/Relay/ForwardCandidates.cpp
@@ -1,4 +1,5 @@
 #include "bluebellkeel/Relay/ForwardCandidates.h"
+#include "bluebellkeel/Core/StableHash.h"
 #include <algorithm>
 
 using namespace bluebellkeel;
@@ -17,31 +18,90 @@
          Ports.Centres.reopenedLately(Entry.listing().dataCentre());
 }
 
-std::vector<placement_candidate>
-forward_candidates::gather(const query &Query) const {
-  std::vector<placement_candidate> Candidates;
-  for (const auto &Entry : Ports.Roster.serving(Query.Traits.service())) {
-    if (!permitted(Entry, Query))
-      continue;
-    const upstream_listing &Listing = Entry.listing();
-    bool Cold = Query.Traits.coldRate() > 0 && isCold(Entry);
-    Candidates.emplace_back(
-        Listing, Ports.Loads.of(Listing.id()),
-        Ports.Prefixes.cachedTokens(Query.Model, Query.Prompt, Listing.id()),
-        Listing.dataCentre() == Ports.Home, Cold);
+forward_candidates::entry_list
+forward_candidates::permittedOnes(const query &Query) const {
+  entry_list Permitted;
+  for (auto &Entry : Ports.Roster.serving(Query.Traits.service())) {
+    if (permitted(*Entry, Query))
+      Permitted.push_back(std::move(Entry));
   }
-  return Candidates;
+  return Permitted;
+}
+
+placement_candidate
+forward_candidates::candidateOf(const roster_entry &Entry, const query &Query,
+                                const upstream_division &Division) const {
+  const upstream_id &Id = Entry.listing().id();
+  placement_candidate::fields Fields;
+  Fields.Listing = Entry.listing();
+  Fields.Load = Ports.Loads.of(Id);
+  Fields.CachedTokens =
+      Ports.Prefixes.cachedTokens(Query.Model, Query.Prompt, Id);
+  Fields.SameCentre = Entry.listing().dataCentre() == Ports.Home;
+  Fields.Cold = Query.Traits.coldRate() > 0 && isCold(Entry);
+  Fields.Light = Division.light(Id);
+  Fields.Home = Division.home(Id);
+  return placement_candidate(std::move(Fields));
+}
+
+/// In an order of the request's own, so that among equal upstreams not every
+/// request takes the same one.
+static void shuffleFor(const request_id &Request,
+                       std::vector<std::shared_ptr<const roster_entry>> &List) {
+  using weighted =
+      std::pair<std::uint64_t, std::shared_ptr<const roster_entry>>;
+  std::vector<weighted> Weighted;
+  Weighted.reserve(List.size());
+  for (auto &Entry : List)
+    Weighted.emplace_back(
+        rendezvousWeight(Request.text(), Entry->listing().id().text()),
+        std::move(Entry));
+  std::sort(Weighted.begin(), Weighted.end(),
+            [](const auto &L, const auto &R) { return L.first < R.first; });
+  std::transform(Weighted.begin(), Weighted.end(), List.begin(),
+                 [](auto &Pair) { return std::move(Pair.second); });
+}
+
+static std::vector<upstream_id>
+idsOf(const std::vector<std::shared_ptr<const roster_entry>> &Entries) {
+  std::vector<upstream_id> Ids;
+  Ids.reserve(Entries.size());
+  for (const auto &Entry : Entries)
+    Ids.push_back(Entry->listing().id());
+  return Ids;
 }
 
 std::optional<placement_candidate>
 forward_candidates::choose(const query &Query) const {
-  auto Ordered = Ports.Placement.order(gather(Query), Query.Prompt, Query.Pace);
-  for (const auto &Candidate : Ordered) {
+  entry_list Permitted = permittedOnes(Query);
+  shuffleFor(Query.Request, Permitted);
+  upstream_division Division(idsOf(Permitted), Query.Prompt);
+  auto Weighed = Division.shortlist(Query.Request.text());
+  Weighed.merge(Ports.Prefixes.readers(Query.Model, Query.Prompt));
+  auto Short = std::stable_partition(
+      Permitted.begin(), Permitted.end(), [&Weighed](const auto &Entry) {
+        return Weighed.count(Entry->listing().id()) > 0;
+      });
+  auto Found = bestOf(entry_list(Permitted.begin(), Short), Query, Division);
+  if (!Found && Short != Permitted.end())
+    Found = bestOf(entry_list(Short, Permitted.end()), Query, Division);
+  return Found;
+}
+
+std::optional<placement_candidate>
+forward_candidates::bestOf(const entry_list &Entries, const query &Query,
+                           const upstream_division &Division) const {
+  std::vector<placement_candidate> Candidates;
+  Candidates.reserve(Entries.size());
+  for (const auto &Entry : Entries)
+    Candidates.push_back(candidateOf(*Entry, Query, Division));
+  for (auto &Candidate :
+       Ports.Placement.order(std::move(Candidates), Query.Prompt, Query.Pace)) {
     if (Candidate.cold() &&
         !Ports.Cold.admit(Candidate.listing().id(), Query.Traits.coldRate(),
                           Ports.senders()))
       continue;
-    return Candidate;
+    return std::move(Candidate);
   }
   return std::nullopt;
 }
@@ -50,8 +110,8 @@
   double Running = 0;
   double Slots = 0;
   for (const auto &Entry : Ports.Roster.serving(Service)) {
-    Running += Ports.Loads.of(Entry.listing().id()).running();
-    Slots += Entry.listing().slots();
+    Running += Ports.Loads.of(Entry->listing().id()).running();
+    Slots += Entry->listing().slots();
   }
   return Slots > 0 ? Running / Slots : 0;
 }
--- a/lib/Relay/ForwardRelay.cpp
+++ b/lib/Relay/ForwardRelay.cpp
@@ -79,7 +79,7 @@
                    : Ports.RollOuts.ruleFor(service(), Admission.sessionName());
   auto Find = [&](const version_rule &Asked) {
     return Candidates.choose({Admission.traits(), Asked, Progress.Tried,
-                              Call->text(), Model, pace()});
+                              Call->id(), Call->text(), Model, pace()});
   };
   auto Found = Find(Rule);
   // Rather on the version before than nowhere.
--- a/lib/Upstream/UpstreamRoster.cpp
+++ b/lib/Upstream/UpstreamRoster.cpp
@@ -3,6 +3,17 @@
 
 using namespace bluebellkeel;
 
+/// True when \p Newer says more than that the upstream still lives.
+static bool saysMore(const upstream_listing &Newer,
+                     const upstream_listing &Last) {
+  return Newer.incarnation() != Last.incarnation() ||
+         Newer.leaving() != Last.leaving() ||
+         (Newer.coldLeft() > milliseconds(0)) !=
+             (Last.coldLeft() > milliseconds(0)) ||
+         Newer.address() != Last.address() ||
+         Newer.version() != Last.version() || Newer.service() != Last.service();
+}
+
 bool upstream_roster::learn(const upstream_listing &Listing) {
   monotonic_time Now = Clock.monotonicNow();
   return Shards.withShard(Listing.id().text(), [&](state &Shard) {
@@ -16,14 +27,18 @@
     }
     auto Known = Shard.Entries.find(Listing.id());
     if (Known != Shard.Entries.end()) {
-      const upstream_listing &Last = Known->second.listing();
+      const upstream_listing &Last = Known->second->listing();
       bool SameLife = Last.incarnation() == Listing.incarnation();
       if (Listing.age() < Last.age() || (SameLife && Last.leaving()))
         return false;
+      Changes += saysMore(Listing, Last) ? 1 : 0;
       Shard.Entries.erase(Known);
+    } else {
+      ++Changes;
     }
     Shard.Entries.emplace(Listing.id(),
-                          roster_entry(Listing, Now, Now + Listing.coldLeft()));
+                          std::make_shared<const roster_entry>(
+                              Listing, Now, Now + Listing.coldLeft()));
     return true;
   });
 }
@@ -32,7 +47,8 @@
   auto Known = Shard.Entries.find(Id);
   if (Known == Shard.Entries.end())
     return;
-  Shard.Removed[Id] = Known->second.listing();
+  ++Changes;
+  Shard.Removed[Id] = Known->second->listing();
   Shard.Entries.erase(Known);
 }
 
@@ -57,9 +73,9 @@
     auto Known = Shard.Entries.find(Id);
     if (Known == Shard.Entries.end())
       return;
-    roster_entry Colder(Known->second.listing(), Known->second.learntAt(),
-                        std::max(Until, Known->second.coldUntil()));
-    Known->second = Colder;
+    const roster_entry &Entry = *Known->second;
+    Known->second = std::make_shared<const roster_entry>(
+        Entry.listing(), Entry.learntAt(), std::max(Until, Entry.coldUntil()));
   });
 }
 
@@ -68,7 +84,7 @@
   Shards.withShard(Id.text(), [&](state &Shard) {
     auto Known = Shard.Entries.find(Id);
     if (Known != Shard.Entries.end() &&
-        Known->second.listing().address() == Address)
+        Known->second->listing().address() == Address)
       removeFrom(Shard, Id);
   });
 }
@@ -79,25 +95,21 @@
                             auto Known = Shard.Entries.find(Id);
                             if (Known == Shard.Entries.end())
                               return std::nullopt;
-                            return Known->second;
+                            return *Known->second;
                           });
 }
 
-std::vector<roster_entry> upstream_roster::serving(const service_id &Service) {
-  std::vector<roster_entry> Serving;
-  for (auto &Entry : all()) {
-    if (Entry.listing().service() == Service && !Entry.listing().leaving())
-      Serving.push_back(std::move(Entry));
-  }
-  return Serving;
-}
-
-std::vector<roster_entry> upstream_roster::all() {
-  std::vector<roster_entry> Entries;
+std::vector<std::shared_ptr<const roster_entry>>
+upstream_roster::serving(const service_id &Service) {
+  std::vector<std::shared_ptr<const roster_entry>> Serving;
   Shards.forEachShard([&](state &Shard) {
-    for (const auto &[Id, Entry] : Shard.Entries)
-      Entries.push_back(Entry);
+    for (const auto &[Id, Entry] : Shard.Entries) {
+      if (Entry->listing().service() == Service && !Entry->listing().leaving())
+        Serving.push_back(Entry);
+    }
   });
-  std::sort(Entries.begin(), Entries.end());
-  return Entries;
+  std::sort(Serving.begin(), Serving.end(), [](const auto &L, const auto &R) {
+    return L->listing().id() < R->listing().id();
+  });
+  return Serving;
 }
--- a/unittests/Policy/PlacementTest.cpp
+++ b/unittests/Policy/PlacementTest.cpp
@@ -13,11 +13,37 @@
                                        upstream_load Load,
                                        std::uint64_t Cached = 0,
                                        bool Cold = false) {
-    return placement_candidate(upstream_listing(listingOf(Id)), Load, Cached,
-                               /*SameCentre=*/true, Cold);
+    placement_candidate::fields Fields;
+    Fields.Listing = upstream_listing(listingOf(Id));
+    Fields.Load = Load;
+    Fields.CachedTokens = Cached;
+    Fields.Cold = Cold;
+    return placement_candidate(std::move(Fields));
   }
-  std::string best(std::vector<placement_candidate> Candidates) const {
-    return Policy.order(std::move(Candidates), Prompt, 1)
+  /// As all instances divide these upstreams.
+  static std::vector<placement_candidate>
+  divided(const std::vector<placement_candidate> &Candidates,
+          const prompt &Prompt) {
+    std::vector<upstream_id> Ids;
+    for (const auto &Candidate : Candidates)
+      Ids.push_back(Candidate.listing().id());
+    upstream_division Division(Ids, Prompt);
+    std::vector<placement_candidate> Divided;
+    for (const auto &Candidate : Candidates) {
+      placement_candidate::fields Fields;
+      Fields.Listing = Candidate.listing();
+      Fields.Load = Candidate.load();
+      Fields.CachedTokens = Candidate.cachedTokens();
+      Fields.Cold = Candidate.cold();
+      Fields.Light = Division.light(Candidate.listing().id());
+      Fields.Home = Division.home(Candidate.listing().id());
+      Divided.emplace_back(std::move(Fields));
+    }
+    return Divided;
+  }
+  std::string best(const std::vector<placement_candidate> &Candidates,
+                   double Pace = 1) const {
+    return Policy.order(divided(Candidates, Prompt), Prompt, Pace)
         .front()
         .listing()
         .id()
@@ -83,3 +109,16 @@
   Clock.advance(prefix_book::Life + milliseconds(1));
   EXPECT_EQ(0U, Book.cachedTokens("m", prompt(0, 0, 0, {{"x", 10}}), U));
 }
+
+TEST_F(placement_test, largeModel_leavesTheLightPartAlone) {
+  std::vector<placement_candidate> Candidates;
+  std::vector<upstream_id> Ids;
+  for (int I = 0; I < 8; ++I) {
+    std::string Id = "u" + std::to_string(I);
+    Ids.emplace_back(Id);
+    Candidates.push_back(candidate(Id, {1, 10000, 0, 0}));
+  }
+  upstream_division Division(Ids, Prompt);
+  EXPECT_FALSE(Division.light(upstream_id(best(Candidates, 15))));
+  EXPECT_TRUE(Division.light(upstream_id(best(Candidates, 1))));
+}
--- /dev/null
+++ b/unittests/Policy/UpstreamDivisionTest.cpp
@@ -0,0 +1,96 @@
+#include "bluebellkeel/Policy.h"
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <map>
+#include <rapidcheck/gtest.h>
+
+using namespace bluebellkeel;
+
+namespace {
+
+class upstream_division_test : public testing::Test {
+protected:
+  static std::vector<upstream_id> ids(std::size_t Count) {
+    std::vector<upstream_id> Ids;
+    Ids.reserve(Count);
+    for (std::size_t I = 0; I < Count; ++I)
+      Ids.emplace_back("u" + std::to_string(I));
+    return Ids;
+  }
+  std::size_t countLight(std::size_t Count) const {
+    auto Ids = ids(Count);
+    upstream_division Division(Ids, Prompt);
+    return static_cast<std::size_t>(
+        std::count_if(Ids.begin(), Ids.end(), [&](const upstream_id &Id) {
+          return Division.light(Id);
+        }));
+  }
+
+  const prompt Prompt{6000, 400, 300, {{"shared", 5000}, {"own", 1000}}};
+};
+
+} // namespace
+
+TEST_F(upstream_division_test, lightPart_isAQuarterAndNoneOfAFew) {
+  EXPECT_EQ(0U, countLight(3));
+  EXPECT_EQ(2U, countLight(9));
+  EXPECT_EQ(16U, countLight(64));
+}
+
+TEST_F(upstream_division_test, plainServices_haveNoLightPart) {
+  auto Ids = ids(9);
+  upstream_division Division(Ids, prompt());
+  for (const auto &Id : Ids)
+    EXPECT_FALSE(Division.light(Id));
+}
+
+TEST_F(upstream_division_test, fewUpstreams_areAllWeighed) {
+  constexpr std::size_t Few = upstream_division::WeighAllUpTo;
+  upstream_division Division(ids(Few), Prompt);
+  EXPECT_EQ(Few, Division.shortlist("r").size());
+}
+
+TEST_F(upstream_division_test,
+       manyUpstreams_areWeighedInSmallPartsWithTheHomes) {
+  auto Ids = ids(64);
+  upstream_division Division(Ids, Prompt);
+  auto Weighed = Division.shortlist("r");
+  EXPECT_LE(Weighed.size(), upstream_division::DrawnAmongMany + 4);
+  for (const auto &Id : Ids)
+    EXPECT_TRUE(!Division.home(Id) || Weighed.count(Id) == 1) << Id.text();
+}
+
+TEST_F(upstream_division_test, manyRequests_weighEveryUpstreamAboutAsOften) {
+  constexpr int Requests = 6400;
+  constexpr std::size_t Upstreams = 64;
+  upstream_division Division(ids(Upstreams), prompt());
+  std::map<upstream_id, int> Weighed;
+  for (int I = 0; I < Requests; ++I) {
+    for (const auto &Id : Division.shortlist("r" + std::to_string(I)))
+      ++Weighed[Id];
+  }
+  EXPECT_EQ(Upstreams, Weighed.size());
+  int Mean = Requests * int(upstream_division::DrawnAmongMany) / int(Upstreams);
+  for (const auto &[Id, Count] : Weighed) {
+    EXPECT_GT(Count, Mean * 3 / 4) << Id.text();
+    EXPECT_LT(Count, Mean * 5 / 4) << Id.text();
+  }
+}
+
+RC_GTEST_FIXTURE_PROP(upstream_division_test,
+                      anyOrderOfUpstreams_isDividedAlike, ()) {
+  auto Ids = ids(*rc::gen::inRange<std::size_t>(1, 100));
+  upstream_division Division(Ids, Prompt);
+  auto Shuffled = Ids;
+  std::rotate(Shuffled.begin(),
+              Shuffled.begin() +
+                  *rc::gen::inRange<std::ptrdiff_t>(
+                      0, static_cast<std::ptrdiff_t>(Ids.size())),
+              Shuffled.end());
+  upstream_division Other(Shuffled, Prompt);
+  for (const auto &Id : Ids) {
+    RC_ASSERT(Division.light(Id) == Other.light(Id));
+    RC_ASSERT(Division.home(Id) == Other.home(Id));
+  }
+  RC_ASSERT(Division.shortlist("r") == Other.shortlist("r"));
+}
--- a/unittests/Relay/ForwardRelayTest.cpp
+++ b/unittests/Relay/ForwardRelayTest.cpp
@@ -316,3 +316,15 @@
   RC_ASSERT(Caller.Status != 200 || Caller.Body == "whole");
   Upstreams.Scripts.clear();
 }
+
+TEST_F(forward_relay_test, equalUpstreams_areUsedAboutAsOften) {
+  constexpr int Requests = 300;
+  std::map<std::string, int> Uses;
+  for (int I = 0; I < Requests; ++I) {
+    script({upstream_script()});
+    run("/once/x");
+    ++Uses[Upstreams.Attempts.back().upstream().id().text()];
+  }
+  for (const char *Id : {"u1", "u2", "u3"})
+    EXPECT_GT(Uses[Id], Requests / 5) << Id;
+}
--- a/unittests/Upstream/UpstreamRosterTest.cpp
+++ b/unittests/Upstream/UpstreamRosterTest.cpp
@@ -66,6 +66,24 @@
   EXPECT_EQ(0U, serving());
 }
 
+TEST_F(upstream_roster_test, signsOfLife_areNoChanges) {
+  learn(1, 1);
+  std::uint64_t Known = Roster.changes();
+  learn(1, 2);
+  EXPECT_EQ(Known, Roster.changes());
+  learn(1, 3, /*Leaving=*/true);
+  EXPECT_LT(Known, Roster.changes());
+}
+
+TEST_F(upstream_roster_test, newOnesAndRemovals_areChanges) {
+  std::uint64_t Before = Roster.changes();
+  learn(1, 1);
+  std::uint64_t Listed = Roster.changes();
+  EXPECT_LT(Before, Listed);
+  Roster.remove(upstream_id("u"));
+  EXPECT_LT(Listed, Roster.changes());
+}
+
 TEST_F(upstream_roster_test, coldLeft_fromTheListing_endsOnTime) {
   auto Fields = listingOf("u");
   Fields.ColdLeft = milliseconds(500);
