Blame no request whose like has succeeded before

Change: crash_book remembers the contents that succeeded lately, bounded; a content that crashes upstreams crashes each of them, so one that succeeded is a bystander.

--- a/include/bluebellkeel/Core.h
+++ b/include/bluebellkeel/Core.h
@@ -13,6 +13,7 @@
 #include "bluebellkeel/Core/LogOffset.h"
 #include "bluebellkeel/Core/NetworkAddress.h"
 #include "bluebellkeel/Core/RandomSource.h"
+#include "bluebellkeel/Core/RecentSet.h"
 #include "bluebellkeel/Core/RequestId.h"
 #include "bluebellkeel/Core/ServiceId.h"
 #include "bluebellkeel/Core/Sharded.h"
--- a/include/bluebellkeel/Policy/CrashBook.h
+++ b/include/bluebellkeel/Policy/CrashBook.h
@@ -1,6 +1,7 @@
 #ifndef BLUEBELLKEEL_POLICY_CRASHBOOK_H
 #define BLUEBELLKEEL_POLICY_CRASHBOOK_H
 
+#include "bluebellkeel/Core/RecentSet.h"
 #include "bluebellkeel/Core/Sharded.h"
 #include "bluebellkeel/Core/TimeSource.h"
 #include "bluebellkeel/Core/UpstreamId.h"
@@ -14,7 +15,8 @@
 /// Which requests were running when upstreams crashed. A request that was
 /// there at several crashes is refused for a while; one that then succeeds is
 /// cleared, so a bystander is not blamed. Neither is one that was sent after
-/// the crash and found the upstream restarting.
+/// the crash and found the upstream restarting, nor one whose like has
+/// succeeded before: a request that crashes upstreams crashes each of them.
 class crash_book {
 public:
   /// Crashes of different upstreams after which a request is refused.
@@ -24,7 +26,8 @@
   /// How long after a crash broken connections come from the restart; process
   /// managers restart within about this time.
   static constexpr seconds RestartTime{5};
-  /// Most requests that are remembered in one shard.
+  /// Most requests that are remembered in one shard, for crashes and for
+  /// successes.
   static constexpr std::size_t MaxEntries = 1024;
 
   explicit crash_book(const time_source &Clock) : Clock(Clock) {}
@@ -56,6 +59,12 @@
   /// When each upstream crashed last.
   using crash_times = std::map<upstream_id, monotonic_time>;
 
+  /// What one shard knows of requests that succeeded.
+  struct success_set : recent_set<fingerprint> {
+    success_set() : recent_set(MaxEntries) {}
+  };
+
+  bool succeededBefore(const fingerprint &Request);
   static void dropOld(entry_map &Shard, monotonic_time Now);
   bool restartingAt(const upstream_id &Upstream, monotonic_time Sent);
   void noteTime(const upstream_id &Upstream, monotonic_time Now);
@@ -66,6 +75,7 @@
   const time_source &Clock;
   sharded<entry_map> Entries;
   sharded<crash_times> Times;
+  sharded<success_set> Successes;
 };
 
 } // namespace bluebellkeel
--- a/lib/Policy/CrashBook.cpp
+++ b/lib/Policy/CrashBook.cpp
@@ -39,6 +39,8 @@
 
 bool crash_book::blame(const fingerprint &Request, const upstream_id &Upstream,
                        monotonic_time Now) {
+  if (succeededBefore(Request))
+    return false;
   return Entries.withShard(Request.text(), [&](entry_map &Shard) {
     if (Shard.count(Request) == 0)
       dropOld(Shard, Now);
@@ -70,6 +72,14 @@
 void crash_book::noteSuccess(const fingerprint &Request) {
   Entries.withShard(Request.text(),
                     [&](entry_map &Shard) { Shard.erase(Request); });
+  Successes.withShard(Request.text(),
+                      [&](success_set &Shard) { Shard.add(Request); });
+}
+
+bool crash_book::succeededBefore(const fingerprint &Request) {
+  return Successes.withShard(Request.text(), [&](success_set &Shard) {
+    return Shard.contains(Request);
+  });
 }
 
 std::size_t crash_book::crashesOf(const fingerprint &Request) {
--- a/unittests/Policy/CrashBookTest.cpp
+++ b/unittests/Policy/CrashBookTest.cpp
@@ -85,3 +85,11 @@
   }
   EXPECT_TRUE(Book.recent(seconds(5)).empty());
 }
+
+TEST_F(crash_book_test, requestWhoseLikeSucceeded_isNotBlamedWhenManyCrash) {
+  Book.noteSuccess(Innocent);
+  for (const char *Upstream : {"u1", "u2", "u3", "u4"})
+    crash(Innocent, Upstream);
+  Book.notePeerCrash(Innocent, upstream_id("u5"));
+  EXPECT_EQ(0U, Book.crashesOf(Innocent));
+}
