--- a/test/Processes/ChildProcess.cpp
+++ b/test/Processes/ChildProcess.cpp
@@ -1,20 +1,44 @@
 #include "ChildProcess.h"
 #include <csignal>
+#include <fcntl.h>
 #include <spawn.h>
 #include <stdexcept>
 #include <sys/wait.h>
+#include <unistd.h>
 
 using namespace bluebellkeel;
 
-child_process::child_process(const std::vector<std::string> &Command) {
-  std::vector<char *> Arguments;
-  Arguments.reserve(Command.size() + 1);
-  for (const auto &Word : Command)
-    Arguments.push_back(const_cast<char *>(Word.c_str()));
-  Arguments.push_back(nullptr);
-  char *const Environment[] = {nullptr};
-  if (posix_spawn(&Pid, Arguments[0], nullptr, nullptr, Arguments.data(),
-                  Environment) != 0)
+child_process::child_process(const std::vector<std::string> &Command)
+    : child_process(Command, {}, "") {}
+
+/// The words as the system wants them; they live as long as \p Words.
+static std::vector<char *> pointersTo(const std::vector<std::string> &Words) {
+  std::vector<char *> Pointers;
+  Pointers.reserve(Words.size() + 1);
+  for (const auto &Word : Words)
+    Pointers.push_back(const_cast<char *>(Word.c_str()));
+  Pointers.push_back(nullptr);
+  return Pointers;
+}
+
+child_process::child_process(const std::vector<std::string> &Command,
+                             const std::vector<std::string> &Variables,
+                             const std::string &OutputFile) {
+  constexpr int Mode = 0644;
+  auto Arguments = pointersTo(Command);
+  auto Environment = pointersTo(Variables);
+  posix_spawn_file_actions_t Actions;
+  posix_spawn_file_actions_init(&Actions);
+  if (!OutputFile.empty()) {
+    posix_spawn_file_actions_addopen(&Actions, STDOUT_FILENO,
+                                     OutputFile.c_str(),
+                                     O_WRONLY | O_CREAT | O_APPEND, Mode);
+    posix_spawn_file_actions_adddup2(&Actions, STDOUT_FILENO, STDERR_FILENO);
+  }
+  int Failed = posix_spawn(&Pid, Arguments[0], &Actions, nullptr,
+                           Arguments.data(), Environment.data());
+  posix_spawn_file_actions_destroy(&Actions);
+  if (Failed != 0)
     throw std::runtime_error("cannot start " + Command[0]);
 }
 
@@ -40,3 +64,11 @@
   Pid = -1;
   return WIFEXITED(Status) ? WEXITSTATUS(Status) : -1;
 }
+
+bool child_process::ended() const {
+  siginfo_t Info = {};
+  return Pid > 0 &&
+         waitid(P_PID, static_cast<id_t>(Pid), &Info,
+                WEXITED | WNOHANG | WNOWAIT) == 0 &&
+         Info.si_pid == Pid;
+}
--- a/test/Processes/ChildProcess.h
+++ b/test/Processes/ChildProcess.h
@@ -11,6 +11,10 @@
 class child_process {
 public:
   explicit child_process(const std::vector<std::string> &Command);
+  /// With variables NAME=VALUE, and its output in a file if one is named.
+  child_process(const std::vector<std::string> &Command,
+                const std::vector<std::string> &Variables,
+                const std::string &OutputFile);
   child_process(const child_process &) = delete;
   child_process &operator=(const child_process &) = delete;
   ~child_process();
@@ -20,6 +24,8 @@
   void kill();
   /// Waits for its end and returns its exit code; -1 after a signal.
   int wait();
+  /// True once it has ended by itself; wait() then tells how.
+  bool ended() const;
 
 private:
   pid_t Pid = -1;
--- /dev/null
+++ b/test/Soak/AnswerCheck.cpp
@@ -0,0 +1,52 @@
+#include "AnswerCheck.h"
+#include <cstdlib>
+#include <optional>
+#include <sstream>
+
+using namespace bluebellkeel;
+
+static constexpr int Events = 20;
+
+/// The numbers of the events in a stream's body.
+static std::vector<int> eventsOf(const std::string &Body) {
+  std::vector<int> Numbers;
+  std::istringstream Lines(Body);
+  for (std::string Line; std::getline(Lines, Line);) {
+    if (Line.rfind("id: ", 0) == 0)
+      Numbers.push_back(std::atoi(Line.c_str() + 4));
+  }
+  return Numbers;
+}
+
+static std::optional<std::string> faultOf(const soak_attempt &Attempt) {
+  bool Wrong = Attempt.status() == 404 || Attempt.status() == 401;
+  if (Wrong && Attempt.kind() != request_kind::Probe)
+    return "got " + std::to_string(Attempt.status()) + " on a known route";
+  if (Attempt.status() != 200)
+    return std::nullopt;
+  if (Attempt.answersTo() != Attempt.id())
+    return "got the answer of " + Attempt.answersTo();
+  if (Attempt.kind() != request_kind::Stream)
+    return Attempt.whole() && Attempt.body() != "done"
+               ? std::optional<std::string>("got another body")
+               : std::nullopt;
+  auto Numbers = eventsOf(Attempt.body());
+  for (std::size_t I = 0; I < Numbers.size(); ++I) {
+    if (Numbers[I] != static_cast<int>(I) + 1)
+      return "got event " + std::to_string(Numbers[I]) + " in place " +
+             std::to_string(I + 1);
+  }
+  if (Attempt.whole() && Numbers.size() != Events)
+    return "ended well after " + std::to_string(Numbers.size()) + " events";
+  return std::nullopt;
+}
+
+std::vector<std::string>
+answer_check::violations(const soak_history &History) const {
+  std::vector<std::string> Lines;
+  for (const auto &Attempt : History.Attempts) {
+    if (auto Fault = faultOf(Attempt))
+      Lines.push_back(Attempt.id() + " " + *Fault);
+  }
+  return Lines;
+}
--- /dev/null
+++ b/test/Soak/AnswerCheck.h
@@ -0,0 +1,18 @@
+#ifndef TEST_SOAK_ANSWERCHECK_H
+#define TEST_SOAK_ANSWERCHECK_H
+
+#include "SoakCheck.h"
+
+namespace bluebellkeel {
+
+/// An answer is the caller's own; a stream is in order, without a gap, and
+/// whole if it ends as such.
+class answer_check final : public soak_check {
+public:
+  std::vector<std::string>
+  violations(const soak_history &History) const override;
+};
+
+} // namespace bluebellkeel
+
+#endif // TEST_SOAK_ANSWERCHECK_H
--- /dev/null
+++ b/test/Soak/FaultProxy.cpp
@@ -0,0 +1,177 @@
+#include "FaultProxy.h"
+#include "bluebellkeel/Http/Await.h"
+#include <array>
+#include <atomic>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/write.hpp>
+#include <list>
+#include <stdexcept>
+
+using namespace bluebellkeel;
+
+namespace asio = boost::asio;
+
+using asio::ip::tcp;
+using boost::system::error_code;
+
+/// How late a delayed piece comes.
+static constexpr milliseconds Lateness{150};
+
+namespace {
+
+/// The two ends of one connection; used on one strand.
+struct connection {
+  explicit connection(const asio::any_io_executor &Executor)
+      : Opener(Executor), Target(Executor) {}
+
+  void reset() {
+    error_code Ignored;
+    for (tcp::socket *End : {&Opener, &Target}) {
+      End->set_option(asio::socket_base::linger(true, 0), Ignored);
+      End->close(Ignored);
+    }
+  }
+
+  tcp::socket Opener;
+  tcp::socket Target;
+};
+
+} // namespace
+
+class fault_proxy::impl : public std::enable_shared_from_this<impl> {
+public:
+  impl(thread_pool &Pool, const network_address &Target)
+      : Strand(asio::make_strand(Pool.context())), Acceptor(Strand),
+        TargetAddress(endpointOf(Target)) {}
+
+  void listen(const network_address &Address);
+  void set(link_mode NewMode);
+
+private:
+  static tcp::endpoint endpointOf(const network_address &Address) {
+    return {asio::ip::make_address(Address.host()), Address.port()};
+  }
+
+  void acceptLoop(asio::yield_context Yield);
+  void connect(const std::shared_ptr<connection> &Both,
+               asio::yield_context Yield);
+  void pump(const std::shared_ptr<connection> &Both, bool ToTarget);
+  bool loses(bool ToTarget) const;
+
+  asio::strand<asio::io_context::executor_type> Strand;
+  tcp::acceptor Acceptor;
+  tcp::endpoint TargetAddress;
+  std::atomic<link_mode> Mode{link_mode::Pass};
+  std::list<std::weak_ptr<connection>> Open;
+};
+
+void fault_proxy::impl::listen(const network_address &Address) {
+  Acceptor.open(tcp::v4());
+  Acceptor.set_option(asio::socket_base::reuse_address(true));
+  Acceptor.bind(endpointOf(Address));
+  Acceptor.listen();
+  asio::spawn(
+      Strand,
+      [Self = shared_from_this()](asio::yield_context Yield) {
+        Self->acceptLoop(Yield);
+      },
+      asio::detached);
+}
+
+void fault_proxy::impl::set(link_mode NewMode) {
+  Mode = NewMode;
+  if (NewMode != link_mode::Reset)
+    return;
+  asio::post(Strand, [Self = shared_from_this()] {
+    for (const auto &Weak : Self->Open) {
+      if (auto Both = Weak.lock())
+        Both->reset();
+    }
+    Self->Open.clear();
+  });
+}
+
+void fault_proxy::impl::acceptLoop(asio::yield_context Yield) {
+  while (true) {
+    auto Both = std::make_shared<connection>(Acceptor.get_executor());
+    error_code Code;
+    Acceptor.async_accept(Both->Opener, Yield[Code]);
+    if (Code)
+      continue;
+    if (Mode == link_mode::Reset) {
+      Both->reset();
+      continue;
+    }
+    Open.remove_if([](const auto &Weak) { return Weak.expired(); });
+    Open.push_back(Both);
+    asio::spawn(
+        Strand,
+        [Self = shared_from_this(), Both](asio::yield_context Inner) {
+          Self->connect(Both, Inner);
+        },
+        asio::detached);
+  }
+}
+
+void fault_proxy::impl::connect(const std::shared_ptr<connection> &Both,
+                                asio::yield_context Yield) {
+  error_code Code;
+  Both->Target.async_connect(TargetAddress, Yield[Code]);
+  if (Code) {
+    Both->reset();
+    return;
+  }
+  pump(Both, /*ToTarget=*/true);
+  pump(Both, /*ToTarget=*/false);
+}
+
+bool fault_proxy::impl::loses(bool ToTarget) const {
+  link_mode Now = Mode;
+  return Now == link_mode::Silent ||
+         Now == (ToTarget ? link_mode::LoseRequests : link_mode::LoseAnswers);
+}
+
+void fault_proxy::impl::pump(const std::shared_ptr<connection> &Both,
+                             bool ToTarget) {
+  auto Loop = [Self = shared_from_this(), Both,
+               ToTarget](asio::yield_context Yield) {
+    tcp::socket &From = ToTarget ? Both->Opener : Both->Target;
+    tcp::socket &To = ToTarget ? Both->Target : Both->Opener;
+    std::array<char, 8192> Piece = {};
+    error_code Code;
+    while (true) {
+      std::size_t Size = From.async_read_some(asio::buffer(Piece), Yield[Code]);
+      if (Code || Self->loses(ToTarget))
+        // A lost byte would be sent again; the connection just stays silent.
+        break;
+      if (Self->Mode == link_mode::Delay)
+        awaitTime(Yield, Lateness);
+      asio::async_write(To, asio::buffer(Piece, Size), Yield[Code]);
+      if (Code)
+        break;
+    }
+    if (Code == asio::error::eof) {
+      To.shutdown(tcp::socket::shutdown_send, Code);
+      return;
+    }
+    if (Code) {
+      Both->reset();
+      return;
+    }
+    // Holds both ends open until somebody gives up.
+    while (!Code)
+      From.async_read_some(asio::buffer(Piece), Yield[Code]);
+    Both->reset();
+  };
+  asio::spawn(Strand, Loop, asio::detached);
+}
+
+fault_proxy::fault_proxy(thread_pool &Pool, const network_address &Listen,
+                         const network_address &Target)
+    : Impl(std::make_shared<impl>(Pool, Target)) {
+  Impl->listen(Listen);
+}
+
+void fault_proxy::set(link_mode Mode) { Impl->set(Mode); }
--- /dev/null
+++ b/test/Soak/FaultProxy.h
@@ -0,0 +1,27 @@
+#ifndef TEST_SOAK_FAULTPROXY_H
+#define TEST_SOAK_FAULTPROXY_H
+
+#include "LinkMode.h"
+#include "bluebellkeel/Core/NetworkAddress.h"
+#include "bluebellkeel/Http/ThreadPool.h"
+#include <memory>
+
+namespace bluebellkeel {
+
+/// Passes connections on to a target on loopback, as well as its mode says.
+class fault_proxy {
+public:
+  /// \throws std::runtime_error when \p Listen cannot be had.
+  fault_proxy(thread_pool &Pool, const network_address &Listen,
+              const network_address &Target);
+
+  void set(link_mode Mode);
+
+private:
+  class impl;
+  std::shared_ptr<impl> Impl;
+};
+
+} // namespace bluebellkeel
+
+#endif // TEST_SOAK_FAULTPROXY_H
--- /dev/null
+++ b/test/Soak/LimitCheck.cpp
@@ -0,0 +1,33 @@
+#include "LimitCheck.h"
+#include <algorithm>
+
+using namespace bluebellkeel;
+
+/// As in the configuration.
+static constexpr milliseconds TimeLimit{8000};
+/// For the way there and back beside other processes.
+static constexpr milliseconds Margin{1000};
+
+/// True when the gateway itself could not answer for a while.
+static bool heldUp(const soak_attempt &Attempt, const soak_history &History) {
+  return std::any_of(History.Faults.begin(), History.Faults.end(),
+                     [&Attempt](const soak_fault &Fault) {
+                       return (Fault.kind() == fault_kind::PauseGateway ||
+                               Fault.kind() == fault_kind::KillGateway) &&
+                              Fault.touchesGateway(Attempt.gateway()) &&
+                              Fault.start() <= Attempt.ended() &&
+                              Fault.end() >= Attempt.sent();
+                     });
+}
+
+std::vector<std::string>
+limit_check::violations(const soak_history &History) const {
+  std::vector<std::string> Lines;
+  for (const auto &Attempt : History.Attempts) {
+    milliseconds Took = Attempt.ended() - Attempt.sent();
+    if (Took > TimeLimit + Margin && !heldUp(Attempt, History))
+      Lines.push_back(Attempt.id() + " took " + std::to_string(Took.count()) +
+                      " ms at gateway " + std::to_string(Attempt.gateway()));
+  }
+  return Lines;
+}
--- /dev/null
+++ b/test/Soak/LimitCheck.h
@@ -0,0 +1,17 @@
+#ifndef TEST_SOAK_LIMITCHECK_H
+#define TEST_SOAK_LIMITCHECK_H
+
+#include "SoakCheck.h"
+
+namespace bluebellkeel {
+
+/// Every request has its final answer by the time limit of its route.
+class limit_check final : public soak_check {
+public:
+  std::vector<std::string>
+  violations(const soak_history &History) const override;
+};
+
+} // namespace bluebellkeel
+
+#endif // TEST_SOAK_LIMITCHECK_H
--- /dev/null
+++ b/test/Soak/Main.cpp
@@ -0,0 +1,70 @@
+#include "SoakRun.h"
+#include "absl/flags/flag.h"
+#include "absl/flags/parse.h"
+#include "absl/flags/usage.h"
+#include <atomic>
+#include <csignal>
+#include <filesystem>
+#include <iostream>
+
+ABSL_FLAG(std::uint64_t, seed, 1, "the faults are drawn from this");
+ABSL_FLAG(std::string, folder, "",
+          "for logs; kept when a promise was broken (a new one if empty)");
+
+ABSL_FLAG(std::string, gateway, GATEWAY_PATH, "the program that is tried");
+
+using namespace bluebellkeel;
+
+static std::string folderFor(std::uint64_t Seed) {
+  std::string Named = absl::GetFlag(FLAGS_folder);
+  if (Named.empty())
+    Named = (std::filesystem::temp_directory_path() /
+             ("bluebellkeel-soak-" + std::to_string(Seed)))
+                .string();
+  std::filesystem::remove_all(Named);
+  std::filesystem::create_directories(Named);
+  return Named;
+}
+
+static std::atomic<bool> Cancelled{false};
+
+static void noteCancel(int /*Signal*/) { Cancelled = true; }
+
+/// Ends every process that it started, also when it fails.
+static int playSeed(std::uint64_t Seed, const std::string &Folder) {
+  soak_run Run(Seed, Folder, absl::GetFlag(FLAGS_gateway), Cancelled);
+  auto Violations = Run.play();
+  std::cout << "seed " << Seed << ": " << Run.requests() << " requests, "
+            << Run.faults().size() << " faults, " << Violations.size()
+            << " violations\n";
+  if (Violations.empty()) {
+    std::filesystem::remove_all(Folder);
+    return 0;
+  }
+  for (const auto &Fault : Run.faults())
+    std::cout << "  " << Fault.text() << "\n";
+  for (const auto &Line : Violations)
+    std::cout << "  BROKEN " << Line << "\n";
+  std::cout << "  logs in " << Folder << "\n";
+  return 1;
+}
+
+int main(int Argc, char **Argv) {
+  constexpr int NotPlayed = 2;
+  absl::SetProgramUsageMessage(
+      "Runs gateways and stand-ins as processes, breaks them from outside and "
+      "checks what callers and upstreams see.\n"
+      "bluebellkeel-soak --seed=N [--folder=PATH] [--gateway=PROGRAM]");
+  absl::ParseCommandLine(Argc, Argv);
+  std::signal(SIGPIPE, SIG_IGN);
+  std::signal(SIGTERM, noteCancel);
+  std::signal(SIGINT, noteCancel);
+  std::uint64_t Seed = absl::GetFlag(FLAGS_seed);
+  std::string Folder = folderFor(Seed);
+  try {
+    return playSeed(Seed, Folder);
+  } catch (const std::exception &Fault) {
+    std::cout << "seed " << Seed << " was not played: " << Fault.what() << "\n";
+    return NotPlayed;
+  }
+}
--- /dev/null
+++ b/test/Soak/RecoveryCheck.cpp
@@ -0,0 +1,16 @@
+#include "RecoveryCheck.h"
+
+using namespace bluebellkeel;
+
+std::vector<std::string>
+recovery_check::violations(const soak_history &History) const {
+  std::vector<std::string> Lines;
+  for (const auto &Attempt : History.Afterwards) {
+    if (!Attempt.good())
+      Lines.push_back(Attempt.id() + " got " +
+                      std::to_string(Attempt.status()) + " from gateway " +
+                      std::to_string(Attempt.gateway()) +
+                      " when all faults were over");
+  }
+  return Lines;
+}
--- /dev/null
+++ b/test/Soak/RecoveryCheck.h
@@ -0,0 +1,17 @@
+#ifndef TEST_SOAK_RECOVERYCHECK_H
+#define TEST_SOAK_RECOVERYCHECK_H
+
+#include "SoakCheck.h"
+
+namespace bluebellkeel {
+
+/// Once all faults are over, every request is served.
+class recovery_check final : public soak_check {
+public:
+  std::vector<std::string>
+  violations(const soak_history &History) const override;
+};
+
+} // namespace bluebellkeel
+
+#endif // TEST_SOAK_RECOVERYCHECK_H
--- /dev/null
+++ b/test/Soak/RepeatCheck.cpp
@@ -0,0 +1,19 @@
+#include "RepeatCheck.h"
+
+using namespace bluebellkeel;
+
+/// As in the settings of the gateways.
+static constexpr double Ratio = 0.9;
+static constexpr double Slack = 56;
+
+std::vector<std::string>
+repeat_check::violations(const soak_history &History) const {
+  double Runs = 0;
+  for (const auto &Attempt : History.Attempts)
+    Runs += History.runsOf(Attempt.id());
+  auto Requests = static_cast<double>(History.Attempts.size());
+  if (Runs <= Requests * (1 + Ratio) + Slack)
+    return {};
+  return {std::to_string(Runs) + " runs of " + std::to_string(Requests) +
+          " requests"};
+}
--- /dev/null
+++ b/test/Soak/RepeatCheck.h
@@ -0,0 +1,17 @@
+#ifndef TEST_SOAK_REPEATCHECK_H
+#define TEST_SOAK_REPEATCHECK_H
+
+#include "SoakCheck.h"
+
+namespace bluebellkeel {
+
+/// Repeats stay within the budget that all gateways share.
+class repeat_check final : public soak_check {
+public:
+  std::vector<std::string>
+  violations(const soak_history &History) const override;
+};
+
+} // namespace bluebellkeel
+
+#endif // TEST_SOAK_REPEATCHECK_H
--- /dev/null
+++ b/test/Soak/RunCheck.h
@@ -0,0 +1,17 @@
+#ifndef TEST_SOAK_RUNCHECK_H
+#define TEST_SOAK_RUNCHECK_H
+
+#include "SoakCheck.h"
+
+namespace bluebellkeel {
+
+/// No request runs more often than its route allows; most run at most once.
+class run_check final : public soak_check {
+public:
+  std::vector<std::string>
+  violations(const soak_history &History) const override;
+};
+
+} // namespace bluebellkeel
+
+#endif // TEST_SOAK_RUNCHECK_H
--- /dev/null
+++ b/test/Soak/SettingsCheck.cpp
@@ -0,0 +1,63 @@
+#include "SettingsCheck.h"
+#include <algorithm>
+
+using namespace bluebellkeel;
+
+/// From the store's confirmation until the configuration is in force.
+static constexpr milliseconds ApplyLimit{2000};
+
+/// For the way of the request itself.
+static constexpr milliseconds Margin{300};
+
+static bool knowsVersion(const soak_attempt &Probe) {
+  return Probe.status() == 200 || Probe.status() >= 500;
+}
+
+static std::vector<soak_attempt> probesOf(const soak_history &History) {
+  std::vector<soak_attempt> Probes;
+  for (const auto &Attempt : History.Attempts) {
+    // A refusal says nothing of the version.
+    if (Attempt.kind() == request_kind::Probe && Attempt.status() != 0 &&
+        Attempt.status() != 503)
+      Probes.push_back(Attempt);
+  }
+  return Probes;
+}
+
+static bool wentBack(const soak_attempt &Probe,
+                     const std::vector<soak_attempt> &Probes) {
+  return std::any_of(
+      Probes.begin(), Probes.end(), [&Probe](const soak_attempt &Earlier) {
+        return Earlier.gateway() == Probe.gateway() &&
+               Earlier.life() == Probe.life() &&
+               Earlier.ended() < Probe.sent() && knowsVersion(Earlier) &&
+               Earlier.version() >= Probe.version();
+      });
+}
+
+static bool late(const soak_attempt &Probe, const soak_history &History) {
+  auto Written = History.Versions.find(Probe.version());
+  if (Written == History.Versions.end())
+    return false;
+  milliseconds Due = Written->second + ApplyLimit;
+  return Probe.sent() > Due + Margin &&
+         !History.disturbed(Probe.gateway(), Written->second, Probe.sent());
+}
+
+std::vector<std::string>
+settings_check::violations(const soak_history &History) const {
+  std::vector<std::string> Lines;
+  auto Probes = probesOf(History);
+  for (const auto &Probe : Probes) {
+    if (Probe.status() != 404)
+      continue;
+    std::string Where = Probe.id() + ": gateway " +
+                        std::to_string(Probe.gateway()) + " version " +
+                        std::to_string(Probe.version());
+    if (wentBack(Probe, Probes))
+      Lines.push_back(Where + " is not in force any more");
+    else if (late(Probe, History))
+      Lines.push_back(Where + " is not in force in time");
+  }
+  return Lines;
+}
--- /dev/null
+++ b/test/Soak/SettingsCheck.h
@@ -0,0 +1,17 @@
+#ifndef TEST_SOAK_SETTINGSCHECK_H
+#define TEST_SOAK_SETTINGSCHECK_H
+
+#include "SoakCheck.h"
+
+namespace bluebellkeel {
+
+/// The configuration is in force in time and never goes back within a life.
+class settings_check final : public soak_check {
+public:
+  std::vector<std::string>
+  violations(const soak_history &History) const override;
+};
+
+} // namespace bluebellkeel
+
+#endif // TEST_SOAK_SETTINGSCHECK_H
--- /dev/null
+++ b/test/Soak/SoakCaller.h
@@ -0,0 +1,55 @@
+#ifndef TEST_SOAK_SOAKCALLER_H
+#define TEST_SOAK_SOAKCALLER_H
+
+#include "AttemptLog.h"
+#include "SoakWorld.h"
+#include <atomic>
+#include <boost/asio/spawn.hpp>
+#include <boost/beast/core.hpp>
+#include <optional>
+#include <random>
+
+namespace bluebellkeel {
+
+/// One caller that sends requests one after the other. It keeps its connection
+/// until the other end closes it or fails.
+class soak_caller {
+public:
+  soak_caller(soak_world &World, attempt_log &Log,
+              std::chrono::steady_clock::time_point Began, std::string Name,
+              std::uint64_t Seed)
+      : World(World), Log(Log), Began(Began), Name(std::move(Name)),
+        Random(Seed) {}
+
+  /// Sends at random until \p Stop.
+  void run(const std::atomic<bool> &Stop, const std::atomic<int> &Version,
+           boost::asio::yield_context Yield);
+  /// Sends one request to \p Gateway.
+  void send(request_kind Kind, int Gateway, int Version,
+            boost::asio::yield_context Yield);
+
+private:
+  milliseconds now() const {
+    return std::chrono::duration_cast<milliseconds>(
+        std::chrono::steady_clock::now() - Began);
+  }
+  int below(int Bound) {
+    return static_cast<int>(Random() % static_cast<std::uint64_t>(Bound));
+  }
+  bool connect(int Gateway, boost::asio::yield_context Yield);
+  void exchange(soak_attempt::fields &Attempt,
+                boost::asio::yield_context Yield);
+
+  soak_world &World;
+  attempt_log &Log;
+  const std::chrono::steady_clock::time_point Began;
+  const std::string Name;
+  std::mt19937_64 Random;
+  int Sent = 0;
+  int Connected = -1;
+  std::optional<boost::beast::tcp_stream> Stream;
+};
+
+} // namespace bluebellkeel
+
+#endif // TEST_SOAK_SOAKCALLER_H
--- /dev/null
+++ b/test/Soak/SoakFault.cpp
@@ -0,0 +1,26 @@
+#include "SoakFault.h"
+#include <array>
+
+using namespace bluebellkeel;
+
+bool soak_fault::touchesGateway(int Gateway) const {
+  if (Kind == fault_kind::PauseStore)
+    return true;
+  return Target == Gateway && Kind != fault_kind::PauseRunner &&
+         Kind != fault_kind::KillRunner && Kind != fault_kind::RunnerLink;
+}
+
+std::string soak_fault::text() const {
+  static constexpr std::array<const char *, 8> Kinds = {
+      "pause gateway", "kill gateway", "stop gateway", "pause runner",
+      "kill runner",   "store link",   "runner link",  "pause store"};
+  static constexpr std::array<const char *, 6> Modes = {
+      "pass", "delay", "reset", "lose requests", "lose answers", "silent"};
+  std::string Text = std::to_string(Start.count()) + " to " +
+                     std::to_string(end().count()) +
+                     " ms: " + Kinds.at(static_cast<std::size_t>(Kind)) + " " +
+                     std::to_string(Target);
+  if (Kind == fault_kind::StoreLink || Kind == fault_kind::RunnerLink)
+    Text += std::string(", ") + Modes.at(static_cast<std::size_t>(Mode));
+  return Text;
+}
--- /dev/null
+++ b/test/Soak/SoakRun.h
@@ -0,0 +1,78 @@
+#ifndef TEST_SOAK_SOAKRUN_H
+#define TEST_SOAK_SOAKRUN_H
+
+#include "AttemptLog.h"
+#include "FaultScript.h"
+#include "SoakCheck.h"
+#include "SoakWorld.h"
+#include <array>
+#include <atomic>
+#include <functional>
+#include <map>
+
+namespace bluebellkeel {
+
+/// Plays one seed and collects what was seen.
+class soak_run {
+public:
+  /// Faults begin within this time.
+  static constexpr milliseconds FaultTime{12000};
+
+  /// \param Program the gateway's.
+  soak_run(std::uint64_t Seed, const std::string &Folder,
+           const std::string &Program, const std::atomic<bool> &Cancelled);
+  ~soak_run();
+
+  /// All violations, none when every promise was kept.
+  std::vector<std::string> play();
+  const std::vector<soak_fault> &faults() const { return Script.faults(); }
+  std::size_t requests() { return Log.all().size(); }
+
+private:
+  enum class process_state { Running, Stopping, Down };
+
+  milliseconds now() const {
+    return std::chrono::duration_cast<milliseconds>(
+        std::chrono::steady_clock::now() - Began);
+  }
+  void plan();
+  void startCallers();
+  void playTimeline();
+  void begin(const soak_fault &Fault);
+  void end(const soak_fault &Fault);
+  void beginStop(int Gateway);
+  void killGateway(int Gateway);
+  void restartGateway(int Gateway);
+  void watchProcesses();
+  bool allRunning() const;
+  void configure();
+  std::vector<std::string> check();
+  void sendAfterwards();
+  process_state &stateOf(int Gateway) {
+    return States.at(static_cast<std::size_t>(Gateway));
+  }
+
+  const std::uint64_t Seed;
+  /// Ends the run early.
+  const std::atomic<bool> &Cancelled;
+  const fault_script Script;
+  thread_pool Pool{3};
+  soak_world World;
+  attempt_log Log;
+  attempt_log AfterLog;
+  std::chrono::steady_clock::time_point Began;
+  std::atomic<bool> Stop{false};
+  std::atomic<int> Version{1};
+  std::atomic<int> CallersLeft{0};
+  int Written = 1;
+  /// What is to be done when.
+  std::multimap<milliseconds, std::function<void()>> Timeline;
+  std::array<process_state, soak_world::Gateways> States = {};
+  std::array<milliseconds, soak_world::Gateways> StopAsked = {};
+  std::map<int, bool> RunnerDown;
+  soak_history History;
+};
+
+} // namespace bluebellkeel
+
+#endif // TEST_SOAK_SOAKRUN_H
--- /dev/null
+++ b/test/Soak/SoakWorld.cpp
@@ -0,0 +1,204 @@
+#include "SoakWorld.h"
+#include <chrono>
+#include <csignal>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+using namespace bluebellkeel;
+
+using nlohmann::json;
+
+static constexpr int StorePort = 50;
+static constexpr int FirstRunnerPort = 60;
+static constexpr int FirstRunnerLinkPort = 70;
+static constexpr int FirstStoreLinkPort = 80;
+/// Below the ports that the system gives to connections.
+static constexpr int FirstPort = 21000;
+
+static constexpr seconds StartLimit{15};
+
+/// Runs with different seeds may go on beside each other.
+static std::string hostOf(std::uint64_t Seed) {
+  constexpr std::uint64_t Hosts = 250;
+  return "127.90." + std::to_string(Seed / Hosts % Hosts) + "." +
+         std::to_string(Seed % Hosts + 1);
+}
+
+soak_world::soak_world(std::uint64_t Seed, std::string Folder,
+                       std::string Program, thread_pool &Pool)
+    : Folder(std::move(Folder)), Program(std::move(Program)),
+      Host(hostOf(Seed)), Pool(Pool) {}
+
+network_address soak_world::address(int Port) const {
+  return network_address(Host, static_cast<std::uint16_t>(FirstPort + Port));
+}
+
+bool soak_world::put(const std::string &Topic, const std::string &Key,
+                     const std::string &Value) {
+  auto Response = Client.send(
+      address(StorePort),
+      http_request("POST", "/put?topic=" + Topic + "&key=" + Key, {}, Value));
+  return Response && Response->status() == 200;
+}
+
+static json routeOf(const std::string &Path, const std::string &Kind,
+                    int Attempts) {
+  return {{"name", Path},
+          {"host", "soak.example"},
+          {"path_prefix", "/" + Path + "/"},
+          {"kind", Kind},
+          {"timeout_ms", 8000},
+          {"slo_ms", 1000},
+          {"gap_slo_ms", 1000},
+          {"attempts", Attempts},
+          {"resumable", true},
+          {"service", "desk"}};
+}
+
+/// Each version has a route of its own beside those of all versions before.
+bool soak_world::configure(int Version) {
+  json Routes = {routeOf("once", "non_idempotent", 1),
+                 routeOf("again", "idempotent", 2),
+                 routeOf("stream", "streaming", 3)};
+  for (int Old = 1; Old <= Version; ++Old)
+    Routes.push_back(routeOf("v" + std::to_string(Old), "idempotent", 2));
+  json Table = {{"version", Version},
+                {"routes", std::move(Routes)},
+                {"services", {{{"name", "desk"}}}}};
+  return put("keyed.op", "config", Table.dump());
+}
+
+void soak_world::list(int Runner) {
+  ++Listings;
+  json Listing = {{"service", "desk"},
+                  {"address", address(FirstRunnerLinkPort + Runner).text()},
+                  {"zone", Runner % 2 == 0 ? "north" : "south"},
+                  {"version", "v1"},
+                  {"slots", 64},
+                  {"state", "ready"},
+                  {"cold_left_ms", 0},
+                  {"seq", Listings},
+                  {"born", 1785798316334 + Listings}};
+  put("keyed.servers", "r" + std::to_string(Runner), Listing.dump());
+}
+
+std::string soak_world::writeSettings(int Index) const {
+  int Base = 100 + 10 * Index;
+  json Settings = {{"instance", "g" + std::to_string(Index)},
+                   {"data_centre", Index % 2 == 0 ? "north" : "south"},
+                   {"log", address(FirstStoreLinkPort + Index).text()},
+                   {"listen",
+                    {{"callers", address(Base).text()},
+                     {"ready", address(Base + 1).text()},
+                     {"directory", address(Base + 2).text()},
+                     {"peers", address(Base + 3).text()},
+                     {"metrics", address(Base + 4).text()}}},
+                   {"peers",
+                    {{"seeds", {address(103).text(), address(113).text()}},
+                     {"key", "a key for the soak"}}},
+                   {"rules",
+                    {{"retry_ratio", 0.9},
+                     {"retry_slack", 56},
+                     {"retry_window_s", 10},
+                     {"trial_share", 0.15},
+                     {"session_life_s", 5},
+                     {"grace_s", 8},
+                     {"advice_life_s", 5}}}};
+  std::string Path = Folder + "/g" + std::to_string(Index) + ".json";
+  std::ofstream(Path) << Settings.dump();
+  return Path;
+}
+
+bool soak_world::start() {
+  Store = std::make_unique<child_process>(std::vector<std::string>{
+      STANDIN_PATH, "store", "--listen=" + address(StorePort).text()});
+  auto End = std::chrono::steady_clock::now() + StartLimit;
+  auto InTime = [End] { return std::chrono::steady_clock::now() < End; };
+  while (!configure(1) && InTime())
+    std::this_thread::yield();
+  for (int Runner = 0; Runner < Runners; ++Runner) {
+    RunnerLinks.at(index(Runner)) = std::make_unique<fault_proxy>(
+        Pool, address(FirstRunnerLinkPort + Runner),
+        address(FirstRunnerPort + Runner));
+    startRunner(Runner);
+  }
+  for (int Gateway = 0; Gateway < Gateways; ++Gateway) {
+    StoreLinks.at(index(Gateway)) = std::make_unique<fault_proxy>(
+        Pool, address(FirstStoreLinkPort + Gateway), address(StorePort));
+    startGateway(Gateway);
+  }
+  for (int Gateway = 0; Gateway < Gateways; ++Gateway) {
+    while (!ready(Gateway)) {
+      if (!InTime())
+        return false;
+      std::this_thread::yield();
+    }
+  }
+  return true;
+}
+
+bool soak_world::ready(int Index) {
+  auto Response =
+      Client.send(address(101 + 10 * Index),
+                  http_request("GET", "/bluebellkeel/readyz", {}, ""));
+  return Response && Response->status() == 200;
+}
+
+void soak_world::startGateway(int Index) {
+  std::string Log = Folder + "/g" + std::to_string(Index) + ".log";
+  ++Lives.at(index(Index));
+  GatewayProcesses.at(index(Index)) = std::make_unique<child_process>(
+      std::vector<std::string>{Program},
+      std::vector<std::string>{"BLUEBELLKEEL_CONFIG=" + writeSettings(Index)},
+      Log);
+}
+
+void soak_world::signalGateway(int Index, int Signal) {
+  GatewayProcesses.at(index(Index))->signal(Signal);
+}
+
+void soak_world::killGateway(int Index) {
+  GatewayProcesses.at(index(Index))->kill();
+}
+
+int soak_world::waitForGateway(int Index) {
+  return GatewayProcesses.at(index(Index))->wait();
+}
+
+bool soak_world::gatewayEnded(int Index) const {
+  return GatewayProcesses.at(index(Index))->ended();
+}
+
+void soak_world::startRunner(int Index) {
+  RunnerProcesses.at(index(Index)) =
+      std::make_unique<child_process>(std::vector<std::string>{
+          STANDIN_PATH, "runner", "--id=r" + std::to_string(Index),
+          "--listen=" + address(FirstRunnerPort + Index).text(),
+          "--ledger=" + Folder + "/ledger", "--work_ms=150"});
+  list(Index);
+}
+
+void soak_world::signalRunner(int Index, int Signal) {
+  RunnerProcesses.at(index(Index))->signal(Signal);
+}
+
+void soak_world::killRunner(int Index) {
+  RunnerProcesses.at(index(Index))->kill();
+}
+
+void soak_world::setStoreLink(int Gateway, link_mode Mode) {
+  StoreLinks.at(index(Gateway))->set(Mode);
+}
+
+void soak_world::setRunnerLink(int Runner, link_mode Mode) {
+  RunnerLinks.at(index(Runner))->set(Mode);
+}
+
+std::map<std::string, int> soak_world::runs() const {
+  std::map<std::string, int> Runs;
+  std::ifstream Ledger(Folder + "/ledger");
+  for (std::string Id; std::getline(Ledger, Id);)
+    ++Runs[Id];
+  return Runs;
+}
--- /dev/null
+++ b/test/Soak/StopCheck.cpp
@@ -0,0 +1,49 @@
+#include "StopCheck.h"
+#include <algorithm>
+
+using namespace bluebellkeel;
+
+static constexpr milliseconds Grace{8000};
+/// For the start of the signal and the wait for the end.
+static constexpr milliseconds Margin{500};
+
+/// True when more than the stop was done to the gateway meanwhile.
+static bool otherwiseDisturbed(const process_end &End,
+                               const soak_history &History) {
+  return std::any_of(History.Faults.begin(), History.Faults.end(),
+                     [&End](const soak_fault &Fault) {
+                       return Fault.kind() != fault_kind::StopGateway &&
+                              Fault.touchesGateway(End.gateway()) &&
+                              Fault.start() <= End.ended() &&
+                              Fault.end() >= End.asked();
+                     });
+}
+
+static void checkEnd(const process_end &End, const soak_history &History,
+                     std::vector<std::string> &Lines) {
+  std::string Who = "gateway " + std::to_string(End.gateway());
+  if (End.code() != 0)
+    Lines.push_back(Who + " ended with " + std::to_string(End.code()));
+  if (End.ended() - End.asked() > Grace + Margin)
+    Lines.push_back(Who + " took longer than its grace to stop");
+  for (const auto &Attempt : History.Attempts) {
+    bool Taken = Attempt.gateway() == End.gateway() &&
+                 Attempt.sent() + Margin < End.asked() &&
+                 Attempt.ended() > End.asked() &&
+                 Attempt.ended() <= End.ended() + Margin;
+    if (Taken && Attempt.status() == 0 && !Attempt.timedOut())
+      Lines.push_back(Attempt.id() + " was left without an answer by " + Who);
+  }
+}
+
+std::vector<std::string>
+stop_check::violations(const soak_history &History) const {
+  std::vector<std::string> Lines;
+  for (int Gateway : History.Crashed)
+    Lines.push_back("gateway " + std::to_string(Gateway) + " ended by itself");
+  for (const auto &End : History.Ends) {
+    if (!otherwiseDisturbed(End, History))
+      checkEnd(End, History, Lines);
+  }
+  return Lines;
+}
--- a/utils/Platform/Main.cpp
+++ b/utils/Platform/Main.cpp
@@ -10,6 +10,11 @@
 ABSL_FLAG(std::string, listen, "127.0.0.1:0", "address to listen on");
 ABSL_FLAG(std::string, id, "runner", "runner: the id that it registers under");
 
+ABSL_FLAG(std::string, ledger, "",
+          "runner: file to which each request is added that it begins to run");
+ABSL_FLAG(std::uint32_t, work_ms, 0,
+          "runner: how long a request takes that is no stream");
+
 using namespace bluebellkeel;
 
 static std::unique_ptr<http_handler> makeStandin(const std::string &Kind) {
@@ -17,7 +22,8 @@
     return std::make_unique<store_standin>();
   if (Kind == "runner")
     return std::make_unique<runner_standin>(
-        upstream_id(absl::GetFlag(FLAGS_id)));
+        upstream_id(absl::GetFlag(FLAGS_id)), absl::GetFlag(FLAGS_ledger),
+        milliseconds(absl::GetFlag(FLAGS_work_ms)));
   return nullptr;
 }
 
--- a/utils/Platform/RunnerStandin.cpp
+++ b/utils/Platform/RunnerStandin.cpp
@@ -24,6 +24,14 @@
   return nlohmann::json(Runs).dump();
 }
 
+void runner_standin::noteRun(const std::string &Request) {
+  absl::MutexLock Lock(&Mutex);
+  ++Runs[Request];
+  // One write a line, so that runners may share the file.
+  if (Ledger.is_open())
+    Ledger << Request + "\n" << std::flush;
+}
+
 void runner_standin::handle(const http_request &Request,
                             http_responder &Responder,
                             boost::asio::yield_context Yield) {
@@ -35,14 +43,13 @@
     Responder.send(http_response(Misdirected, http_headers(), ""));
     return;
   }
-  {
-    absl::MutexLock Lock(&Mutex);
-    ++Runs[Request.headers().get(wire::RequestId)];
-  }
+  noteRun(Request.headers().get(wire::RequestId));
   if (Request.path().rfind("/stream/", 0) == 0) {
     stream(Request, Responder, Yield);
     return;
   }
+  if (Work.count() > 0)
+    awaitTime(Yield, Work);
   Responder.send(http_response(Ok, headersFor(Request), "done"));
 }
 
--- a/utils/Platform/RunnerStandin.h
+++ b/utils/Platform/RunnerStandin.h
@@ -3,8 +3,10 @@
 
 #include "absl/base/thread_annotations.h"
 #include "absl/synchronization/mutex.h"
+#include "bluebellkeel/Core/Time.h"
 #include "bluebellkeel/Core/UpstreamId.h"
 #include "bluebellkeel/Http/HttpHandler.h"
+#include <fstream>
 #include <map>
 #include <string>
 
@@ -14,7 +16,15 @@
 /// elsewhere, and counts how often it ran each request.
 class runner_standin final : public http_handler {
 public:
-  explicit runner_standin(upstream_id Id) : Id(std::move(Id)) {}
+  /// \param Ledger file that outlasts the process and gets a line with the id
+  /// of each request that begins to run; none if empty.
+  /// \param Work how long a request takes that is no stream.
+  explicit runner_standin(upstream_id Id, const std::string &Ledger = "",
+                          milliseconds Work = milliseconds(0))
+      : Id(std::move(Id)), Work(Work) {
+    if (!Ledger.empty())
+      this->Ledger.open(Ledger, std::ios::app);
+  }
 
   void handle(const http_request &Request, http_responder &Responder,
               boost::asio::yield_context Yield) override;
@@ -24,10 +34,13 @@
               boost::asio::yield_context Yield) const;
   http_headers headersFor(const http_request &Request) const;
   std::string runs() const;
+  void noteRun(const std::string &Request);
 
   const upstream_id Id;
+  const milliseconds Work;
   mutable absl::Mutex Mutex;
   std::map<std::string, int> Runs ABSL_GUARDED_BY(Mutex);
+  std::ofstream Ledger ABSL_GUARDED_BY(Mutex);
 };
 
 } // namespace bluebellkeel
