--- a/utils/Platform/Main.cpp
+++ b/utils/Platform/Main.cpp
@@ -1,11 +1,9 @@
 #include "RunnerStandin.h"
+#include "ServeStandin.h"
 #include "StoreStandin.h"
 #include "absl/flags/flag.h"
 #include "absl/flags/parse.h"
 #include "absl/flags/usage.h"
-#include "bluebellkeel/Http.h"
-#include <csignal>
-#include <iostream>
 
 ABSL_FLAG(std::string, listen, "127.0.0.1:0", "address to listen on");
 ABSL_FLAG(std::string, id, "runner", "runner: the id that it registers under");
@@ -28,35 +26,9 @@
 }
 
 int main(int Argc, char **Argv) {
-  constexpr int BadUsage = 2;
-  constexpr std::size_t MaxConnections = 1000;
-  constexpr std::size_t MaxBodyBytes = 4UL * 1024 * 1024;
-  constexpr milliseconds Write{5000};
   absl::SetProgramUsageMessage(
       "bluebellkeel-platform-standin store|runner --listen=IP:PORT [--id=ID]");
   auto Words = absl::ParseCommandLine(Argc, Argv);
-  std::signal(SIGPIPE, SIG_IGN);
-  auto Address = network_address::parse(absl::GetFlag(FLAGS_listen));
-  auto Standin = Words.size() == 2 ? makeStandin(Words[1]) : nullptr;
-  if (!Standin || !Address) {
-    std::cerr << absl::ProgramUsageMessage() << "\n";
-    return BadUsage;
-  }
-  sigset_t Signals;
-  sigemptyset(&Signals);
-  sigaddset(&Signals, SIGTERM);
-  sigaddset(&Signals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
-  thread_pool Pool(2);
-  http_server Server(Pool, *Standin,
-                     http_limits(MaxConnections, MaxBodyBytes, Write));
-  auto Listening = Server.listen(*Address);
-  if (!Listening) {
-    std::cerr << Listening.error() << "\n";
-    return BadUsage;
-  }
-  int Signal = 0;
-  sigwait(&Signals, &Signal);
-  Pool.stop();
-  return 0;
+  return serveStandin(Words.size() == 2 ? makeStandin(Words[1]) : nullptr,
+                      absl::GetFlag(FLAGS_listen));
 }
--- a/utils/Standin/Main.cpp
+++ b/utils/Standin/Main.cpp
@@ -1,11 +1,8 @@
+#include "ServeStandin.h"
 #include "Standins.h"
 #include "absl/flags/flag.h"
 #include "absl/flags/parse.h"
 #include "absl/flags/usage.h"
-#include "bluebellkeel/Core/NetworkAddress.h"
-#include "bluebellkeel/Http.h"
-#include <csignal>
-#include <iostream>
 
 ABSL_FLAG(std::string, listen, "127.0.0.1:0", "address to listen on");
 ABSL_FLAG(std::string, version, "model@1", "engine: version it runs");
@@ -39,34 +36,9 @@
 }
 
 int main(int Argc, char **Argv) {
-  constexpr int BadUsage = 2;
-  constexpr std::size_t MaxConnections = 4000;
-  constexpr std::size_t MaxBodyBytes = 16UL * 1024 * 1024;
   absl::SetProgramUsageMessage(
       "bluebellkeel-standin log|list|engine|service|rater --listen=IP:PORT");
   auto Words = absl::ParseCommandLine(Argc, Argv);
-  std::signal(SIGPIPE, SIG_IGN);
-  auto Address = network_address::parse(absl::GetFlag(FLAGS_listen));
-  auto Standin = Words.size() == 2 ? makeStandin(Words[1]) : nullptr;
-  if (!Standin || !Address) {
-    std::cerr << absl::ProgramUsageMessage() << "\n";
-    return BadUsage;
-  }
-  sigset_t Signals;
-  sigemptyset(&Signals);
-  sigaddset(&Signals, SIGTERM);
-  sigaddset(&Signals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
-  thread_pool Pool(2);
-  http_server Server(Pool, *Standin,
-                     http_limits(MaxConnections, MaxBodyBytes, seconds(30)));
-  auto Listening = Server.listen(*Address);
-  if (!Listening) {
-    std::cerr << Listening.error() << "\n";
-    return BadUsage;
-  }
-  int Signal = 0;
-  sigwait(&Signals, &Signal);
-  Pool.stop();
-  return 0;
+  return serveStandin(Words.size() == 2 ? makeStandin(Words[1]) : nullptr,
+                      absl::GetFlag(FLAGS_listen));
 }
