Let sessions join a roll-out in its second half only

Cause: a session may not move to the new version in the first half, but an instance knew only the sessions that had run on the old version after the order, from itself at once and from its peers with digests of 0.7 s and several hops. Sessions that ran just before the order moved.

Ruled out: refreshing and bounding the table better. What the last digest interval holds is still unknown to the others.

Now no session is on the new version in the first half; requests without a session still are. The table, its field in the digest and the setting session_life_s go; the reader still accepts the setting.

--- a/include/bluebellkeel/Policy/RollOutEvidence.h
+++ b/include/bluebellkeel/Policy/RollOutEvidence.h
@@ -4,8 +4,7 @@
 #include "bluebellkeel/Policy/RollOutOrder.h"
 #include "bluebellkeel/Policy/RollOutStage.h"
 #include "bluebellkeel/Policy/VersionStats.h"
-#include <string>
-#include <vector>
+#include <tuple>
 
 namespace bluebellkeel {
 
@@ -21,8 +20,6 @@
     bool Published = false;
     version_stats Target;
     version_stats Others;
-    /// Trial sessions that recently ran on a version other than the target.
-    std::vector<std::string> SessionsOnOtherVersions;
   };
 
   explicit roll_out_evidence(fields Fields) : Content(std::move(Fields)) {}
@@ -35,13 +32,9 @@
   bool published() const { return Content.Published; }
   const version_stats &target() const { return Content.Target; }
   const version_stats &others() const { return Content.Others; }
-  const std::vector<std::string> &sessionsOnOtherVersions() const {
-    return Content.SessionsOnOtherVersions;
-  }
   auto key() const {
     return std::tie(Content.Order, Content.Elapsed, Content.Stage,
-                    Content.Published, Content.Target, Content.Others,
-                    Content.SessionsOnOtherVersions);
+                    Content.Published, Content.Target, Content.Others);
   }
 
 private:
--- a/include/bluebellkeel/Policy/RollOutTracker.h
+++ b/include/bluebellkeel/Policy/RollOutTracker.h
@@ -5,6 +5,7 @@
 #include "bluebellkeel/Core/InstanceId.h"
 #include "bluebellkeel/Core/Sharded.h"
 #include "bluebellkeel/Core/TimeSource.h"
+#include "bluebellkeel/Policy/AssignmentKey.h"
 #include "bluebellkeel/Policy/RollOutEvidence.h"
 #include "bluebellkeel/Policy/RollOutLimits.h"
 #include "bluebellkeel/Policy/RollOutStatus.h"
@@ -12,10 +13,11 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <vector>
 
 namespace bluebellkeel {
 
-/// Tracks roll-outs: assigns sessions to versions, collects the outcomes, and
+/// Tracks roll-outs: assigns requests to versions, collects the outcomes, and
 /// decides when a roll-out is complete or rolled back. Each instance decides
 /// independently to roll a bad version back, from its own statistics and those
 /// of its peers.
@@ -39,20 +41,13 @@
   /// needs no order.
   void noteEstablished(const service_id &Service, const version_id &Version);
 
-  /// Returns the versions that a request may run on.
-  ///
-  /// \param Session key of the requests that must stay on one version.
-  version_rule ruleFor(const service_id &Service, const std::string &Session);
+  /// Returns the versions that a request with \p Key may run on.
+  version_rule ruleFor(const service_id &Service, const assignment_key &Key);
   /// True if requests may run on \p Version: it was not rolled back, and it is
   /// established or the target of the current order. While no version is
   /// established, each one that was not rolled back is usable.
   bool usable(const service_id &Service, const version_id &Version);
 
-  /// Records that \p Session ran on \p Version. A trial session that ran on
-  /// another version than the target stays off the target while sessions must
-  /// not move, until roll_out_limits::sessionLifetime() has passed.
-  void noteSession(const service_id &Service, const std::string &Session,
-                   const version_id &Version);
   /// Counts a response of \p Version; ignored if no roll-out is known.
   void noteResponse(const service_id &Service, const version_id &Version,
                     bool Good);
@@ -80,7 +75,6 @@
     version_stats Target;
     version_stats Others;
     std::map<instance_id, std::pair<version_stats, version_stats>> Peers;
-    std::map<std::string, monotonic_time> LastOnOtherVersion;
 
     version_stats &statsOf(const version_id &Version) {
       return Version == Order.target() ? Target : Others;
@@ -94,8 +88,6 @@
   };
 
   milliseconds elapsedOf(const entry &Entry) const;
-  bool inTrial(const entry &Entry, const std::string &Session,
-               double Share) const;
   void advance(state &Shard, entry &Entry) const;
   static void setStage(state &Shard, entry &Entry, roll_out_stage Stage);
   void mergeEvidence(const instance_id &Peer,
--- a/include/bluebellkeel/Relay/ForwardAdmission.h
+++ b/include/bluebellkeel/Relay/ForwardAdmission.h
@@ -34,9 +34,8 @@
 
   /// Fingerprint of the path, the account and the body.
   const fingerprint &requestFingerprint() const { return RequestFingerprint; }
-  /// The caller's session, or the request's id if the caller named none. Calls
-  /// with the same session key stay on the same version.
-  std::string sessionKey() const;
+  /// The caller's session, or the request's id if the caller named none.
+  assignment_key assignmentKey() const;
 
 private:
   std::optional<refusal_reason> checkRoute();
--- a/include/bluebellkeel/Startup/ReloadableSettings.h
+++ b/include/bluebellkeel/Startup/ReloadableSettings.h
@@ -20,8 +20,6 @@
   milliseconds RetryWindow{0};
   /// Largest share of the requests that a faulty version may get, from 0 to 1.
   double TrialShare = 0;
-  /// Longest time between two requests of one session.
-  milliseconds SessionLifetime{0};
   /// Time from the stop signal until the platform kills the process.
   milliseconds Grace{0};
   /// Longest time for which callers may cache a response of the directory.
@@ -29,7 +27,7 @@
 
   auto key() const {
     return std::tie(Seeds, RetryRatio, RetrySlack, RetryWindow, TrialShare,
-                    SessionLifetime, Grace, DirectoryTtl);
+                    Grace, DirectoryTtl);
   }
 };
 
--- a/lib/Gateway/GatewayContext.cpp
+++ b/lib/Gateway/GatewayContext.cpp
@@ -3,7 +3,7 @@
 using namespace bluebellkeel;
 
 static roll_out_limits rollOutLimitsOf(const reloadable_settings &Reloadable) {
-  return {Reloadable.TrialShare, Reloadable.SessionLifetime};
+  return roll_out_limits(Reloadable.TrialShare);
 }
 
 static retry_rules retryRulesOf(const reloadable_settings &Reloadable) {
--- a/lib/Peer/DigestJson.cpp
+++ b/lib/Peer/DigestJson.cpp
@@ -37,8 +37,7 @@
           {"st", static_cast<std::uint64_t>(Evidence.stage())},
           {"p", Evidence.published()},
           {"tt", toCompactJson(Evidence.target())},
-          {"to", toCompactJson(Evidence.others())},
-          {"se", Evidence.sessionsOnOtherVersions()}};
+          {"to", toCompactJson(Evidence.others())}};
 }
 
 static roll_out_evidence evidenceFrom(const json &Json, field_reader &Outer) {
@@ -58,10 +57,6 @@
   Evidence.Published = Fields.flag("p");
   Evidence.Target = versionStatsFrom(Fields.optional("tt"), Fields);
   Evidence.Others = versionStatsFrom(Fields.optional("to"), Fields);
-  for (const auto &Session : Fields.array("se")) {
-    if (Session.is_string())
-      Evidence.SessionsOnOtherVersions.push_back(Session.get<std::string>());
-  }
   if (Fields.failed())
     Outer.fail(Fields.error().message());
   return roll_out_evidence(std::move(Evidence));
--- a/lib/Policy/RollOutSchedule.cpp
+++ b/lib/Policy/RollOutSchedule.cpp
@@ -8,11 +8,11 @@
 /// requests between the first bad responses and the end of the trial.
 static constexpr double TrialPart = 0.55;
 
-/// Fractions of the duration. Sessions must not move before half of it; the
-/// trial ends later than that by more than the instances' clocks differ.
-static constexpr double TrialEnd = 0.53;
-static constexpr double FullShareAt = 0.80;
-static constexpr double CompleteAt = 0.92;
+/// Fractions of the duration. Requests without a session join at once.
+static constexpr double SessionsJoinAt = 0.50;
+static constexpr double TrialEnd = 0.62;
+static constexpr double FullShareAt = 0.81;
+static constexpr double CompleteAt = 0.93;
 
 /// Exponent of the growth: the share grows slowly at first, when faults under
 /// load appear.
@@ -25,7 +25,10 @@
          static_cast<double>(Duration.count());
 }
 
-double roll_out_schedule::shareAt(milliseconds Elapsed) const {
+double roll_out_schedule::shareAt(milliseconds Elapsed,
+                                  const assignment_key &Key) const {
+  if (Key.hasSession() && elapsedFraction(Elapsed) < SessionsJoinAt)
+    return 0;
   double Trial = TrialPart * Limits.trialShare();
   double Grown =
       (elapsedFraction(Elapsed) - TrialEnd) / (FullShareAt - TrialEnd);
@@ -33,10 +36,6 @@
   return Trial + (1 - Trial) * std::pow(Grown, GrowthPower);
 }
 
-bool roll_out_schedule::pinsSessions(milliseconds Elapsed) const {
-  return elapsedFraction(Elapsed) < TrialEnd;
-}
-
 bool roll_out_schedule::finished(milliseconds Elapsed) const {
   return elapsedFraction(Elapsed) >= CompleteAt;
 }
--- a/lib/Policy/RollOutTracker.cpp
+++ b/lib/Policy/RollOutTracker.cpp
@@ -7,18 +7,13 @@
 
 using namespace bluebellkeel;
 
-/// Maximum number of sessions tracked per roll-out.
-static constexpr std::size_t MaxSessions = 2048;
-
-/// Returns a session's fixed position in a roll-out, from 0 up to but excluding
-/// 1.
-static double trialPosition(const roll_out_order &Order,
-                            const std::string &Session) {
+/// Returns a key's fixed position in a roll-out, from 0 up to but excluding 1.
+static double positionOf(const roll_out_order &Order,
+                         const assignment_key &Key) {
   constexpr std::uint64_t Steps = 10000;
-  std::string Key =
-      Order.service().text() + "|" + Order.target().text() + "|" + Session;
-  return static_cast<double>(stableHash(Key) % Steps) /
-         static_cast<double>(Steps);
+  std::uint64_t Hash = stableHash(Order.service().text() + "|" +
+                                  Order.target().text() + "|" + Key.text());
+  return static_cast<double>(Hash % Steps) / static_cast<double>(Steps);
 }
 
 milliseconds roll_out_tracker::elapsedOf(const entry &Entry) const {
@@ -101,13 +96,8 @@
     setStage(Shard, Entry, roll_out_stage::Complete);
 }
 
-bool roll_out_tracker::inTrial(const entry &Entry, const std::string &Session,
-                               double Share) const {
-  return trialPosition(Entry.Order, Session) < Share;
-}
-
 version_rule roll_out_tracker::ruleFor(const service_id &Service,
-                                       const std::string &Session) {
+                                       const assignment_key &Key) {
   using kind = version_rule::kind;
   return Shards.withShard(Service.text(), [&](state &Shard) {
     auto Known = Shard.Entries.find(Service);
@@ -121,14 +111,7 @@
     if (Entry.Stage == roll_out_stage::RolledBack)
       return version_rule(kind::Not, Target);
     roll_out_schedule Schedule(Entry.Order.duration(), Limits.get());
-    milliseconds Elapsed = elapsedOf(Entry);
-    if (!inTrial(Entry, Session, Schedule.shareAt(Elapsed)))
-      return version_rule(kind::Not, Target);
-    auto LastOnOtherVersion = Entry.LastOnOtherVersion.find(Session);
-    if (Schedule.pinsSessions(Elapsed) &&
-        LastOnOtherVersion != Entry.LastOnOtherVersion.end() &&
-        Clock.monotonicNow() - LastOnOtherVersion->second <=
-            Limits.get().sessionLifetime())
+    if (positionOf(Entry.Order, Key) >= Schedule.shareAt(elapsedOf(Entry), Key))
       return version_rule(kind::Not, Target);
     return version_rule(kind::Only, Target);
   });
@@ -148,25 +131,6 @@
   });
 }
 
-void roll_out_tracker::noteSession(const service_id &Service,
-                                   const std::string &Session,
-                                   const version_id &Version) {
-  Shards.withShard(Service.text(), [&](state &Shard) {
-    auto Known = Shard.Entries.find(Service);
-    if (Known == Shard.Entries.end())
-      return;
-    entry &Entry = Known->second;
-    roll_out_schedule Schedule(Entry.Order.duration(), Limits.get());
-    if (Entry.Stage != roll_out_stage::Running ||
-        Version == Entry.Order.target() ||
-        !Schedule.pinsSessions(elapsedOf(Entry)) ||
-        !inTrial(Entry, Session, Schedule.shareAt(elapsedOf(Entry))))
-      return;
-    if (Entry.LastOnOtherVersion.size() < MaxSessions)
-      Entry.LastOnOtherVersion[Session] = Clock.monotonicNow();
-  });
-}
-
 void roll_out_tracker::noteResponse(const service_id &Service,
                                     const version_id &Version, bool Good) {
   Shards.withShard(Service.text(), [&](state &Shard) {
@@ -193,7 +157,6 @@
 
 std::vector<roll_out_evidence> roll_out_tracker::evidence() {
   std::vector<roll_out_evidence> Evidence;
-  monotonic_time Now = Clock.monotonicNow();
   Shards.forEachShard([&](state &Shard) {
     for (auto &[Service, Entry] : Shard.Entries) {
       advance(Shard, Entry);
@@ -204,10 +167,6 @@
       Fields.Published = Entry.Published == Entry.Stage;
       Fields.Target = Entry.Target;
       Fields.Others = Entry.Others;
-      for (const auto &[Session, At] : Entry.LastOnOtherVersion) {
-        if (Now - At <= Limits.get().sessionLifetime())
-          Fields.SessionsOnOtherVersions.push_back(Session);
-      }
       Evidence.emplace_back(std::move(Fields));
     }
   });
@@ -237,10 +196,6 @@
     if (Evidence.published() &&
         (!Entry.Published || *Entry.Published < Evidence.stage()))
       Entry.Published = Evidence.stage();
-    for (const auto &Session : Evidence.sessionsOnOtherVersions()) {
-      if (Entry.LastOnOtherVersion.size() < MaxSessions)
-        Entry.LastOnOtherVersion.emplace(Session, Now);
-    }
   });
 }
 
--- a/lib/Relay/ForwardAdmission.cpp
+++ b/lib/Relay/ForwardAdmission.cpp
@@ -58,7 +58,7 @@
   }
   constexpr std::uint64_t HashBuckets = 100000;
   double HashFraction =
-      static_cast<double>(stableHash(sessionKey()) % HashBuckets) /
+      static_cast<double>(stableHash(assignmentKey().text()) % HashBuckets) /
       static_cast<double>(HashBuckets);
   ServiceConfig = Table->configOf(Route->serviceAt(HashFraction));
   return ServiceConfig
@@ -81,6 +81,7 @@
   return refusal_reason::TimeLimitUnsent;
 }
 
-std::string forward_admission::sessionKey() const {
-  return Call.session().empty() ? Call.id().text() : Call.session();
+assignment_key forward_admission::assignmentKey() const {
+  return Call.session().empty() ? assignment_key::ofRequest(Call.id().text())
+                                : assignment_key::ofSession(Call.session());
 }
--- a/lib/Relay/ForwardRelay.cpp
+++ b/lib/Relay/ForwardRelay.cpp
@@ -77,8 +77,9 @@
   using kind = version_rule::kind;
   const std::string Model = modelName();
   version_rule Rule =
-      StreamVersion ? version_rule(kind::Only, *StreamVersion)
-                    : Deps.RollOuts.ruleFor(service(), Admission.sessionKey());
+      StreamVersion
+          ? version_rule(kind::Only, *StreamVersion)
+          : Deps.RollOuts.ruleFor(service(), Admission.assignmentKey());
   auto Find = [&](const version_rule &VersionRule) {
     return Candidates.choose({Admission.serviceConfig(), VersionRule,
                               Progress.Tried, Call->id(), Call->requestPrompt(),
@@ -112,8 +113,6 @@
   scoped_request_load RequestLoad(Deps.Loads, Upstream.id(), Prefill);
   if (Prefill >= HeavyPrefillTokens)
     Deps.HeavyLoad.onHeavyPrefill();
-  Deps.RollOuts.noteSession(service(), Admission.sessionKey(),
-                            Upstream.version());
   Progress.SentAt = Deps.Clock.monotonicNow();
   auto Response = Upstreams.open(attemptAt(Upstream), Limit);
   if (!Response && Response.error() == attempt_error::ConnectFailed) {
--- a/lib/Startup/GatewaySettingsReader.cpp
+++ b/lib/Startup/GatewaySettingsReader.cpp
@@ -46,9 +46,9 @@
   Settings.RetrySlack = Reloadable.real("retry_slack", 0, MaxCount);
   Settings.RetryWindow = secondsOf(Reloadable, "retry_window_s");
   Settings.TrialShare = Reloadable.real("trial_share", 0, 1);
-  Settings.SessionLifetime = secondsOf(Reloadable, "session_life_s");
   Settings.Grace = secondsOf(Reloadable, "grace_s");
   Settings.DirectoryTtl = secondsOf(Reloadable, "advice_life_s");
+  Reloadable.ignore("session_life_s");
   Reloadable.finish();
 }
 
--- a/unittests/Adapter/GatewayProcessTest.cpp
+++ b/unittests/Adapter/GatewayProcessTest.cpp
@@ -70,7 +70,6 @@
     Settings.Reloadable.RetrySlack = 56;
     Settings.Reloadable.RetryWindow = milliseconds(10000);
     Settings.Reloadable.TrialShare = 0.15;
-    Settings.Reloadable.SessionLifetime = milliseconds(5000);
     Settings.Reloadable.Grace = milliseconds(1200);
     Settings.Reloadable.DirectoryTtl = milliseconds(5000);
     return Settings;
--- a/unittests/Adapter/StoreRecordsTest.cpp
+++ b/unittests/Adapter/StoreRecordsTest.cpp
@@ -38,7 +38,6 @@
     gateway_settings Settings;
     Settings.Instance = instance_id("self");
     Settings.Reloadable.TrialShare = 0.15;
-    Settings.Reloadable.SessionLifetime = milliseconds(5000);
     return Settings;
   }
   static keyed_record record(const std::string &Key, const std::string &Value,
--- a/unittests/Peer/DigestTest.cpp
+++ b/unittests/Peer/DigestTest.cpp
@@ -35,7 +35,6 @@
   Evidence.Stage = roll_out_stage::RolledBack;
   Evidence.Published = true;
   Evidence.Target = version_stats(1, 2, 3, 4.5);
-  Evidence.SessionsOnOtherVersions = {"x"};
   instance_digest::fields Fields;
   Fields.Sender = Record;
   Fields.SettingsEnd = log_offset(7);
--- a/unittests/Policy/RollOutStatusPublisherTest.cpp
+++ b/unittests/Policy/RollOutStatusPublisherTest.cpp
@@ -53,7 +53,7 @@
   }
 
   manual_clock Clock;
-  roll_out_limits Limits{0.15, milliseconds(5000)};
+  roll_out_limits Limits{0.15};
   service_id Service{"engines"};
   version_id V2{"v2"};
   memory_status_log Log;
--- a/unittests/Support/ForwardFixture.h
+++ b/unittests/Support/ForwardFixture.h
@@ -254,7 +254,7 @@
   cold_start_limiter Cold{instance_id("self"), Clock};
   closed_data_centres Centres{Clock};
   live_instances Instances{Clock};
-  roll_out_tracker RollOuts{roll_out_limits(0.15, milliseconds(5000)), Clock};
+  roll_out_tracker RollOuts{roll_out_limits(0.15), Clock};
   prefix_tracker Prefixes{Clock};
   crash_tracker Crashes{Clock};
   retry_window Retries{retry_rules(0.9, 56, milliseconds(10000)), Clock};
