Send the chats of the shutdown tests to the instance that is stopped

Cause: the caller asked the instance for addresses first and sent its chat to any of the three. Other tests that name an instance passed without having checked it.

Ruled out: a signal that is merged or swallowed; the exit came at once after the second one in every run in which the chat was at the instance.

--- a/test/Processes/Deployment.cpp
+++ b/test/Processes/Deployment.cpp
@@ -3,6 +3,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <iostream>
 #include <set>
 #include <thread>
 #include <unistd.h>
@@ -63,9 +64,21 @@
   Instances.clear();
   Engines.clear();
   Services.clear();
+  if (HasFailure())
+    printLogs();
   std::filesystem::remove_all(Folder);
 }
 
+std::string deployment::logFile(int Index) const {
+  return Folder + "/i" + std::to_string(Index) + ".log";
+}
+
+void deployment::printLogs() const {
+  for (int Index = 0; Index < InstanceCount; ++Index)
+    std::cout << "== log of instance " << Index << "\n"
+              << std::ifstream(logFile(Index)).rdbuf() << "\n";
+}
+
 void deployment::startStandins() {
   auto Listen = [](const network_address &Address) {
     return "--listen=" + Address.text();
@@ -137,7 +150,7 @@
         {"between_tokens_ms", 1000},
         {"caller_write_ms", 1000},
         {"drain_s", 10}}},
-      {"log_level", "error"}};
+      {"log_level", "info"}};
   std::string Path = Folder + "/i" + std::to_string(Index) + ".json";
   std::ofstream(Path) << Settings.dump();
   return Path;
@@ -148,7 +161,8 @@
 void deployment::startInstance(int Index, const network_address &LogAddress) {
   std::string Path = writeSettings(Index, LogAddress);
   Instances[Index] = std::make_unique<child_process>(
-      std::vector<std::string>{DAEMON_PATH, "--settings=" + Path});
+      std::vector<std::string>{DAEMON_PATH, "--settings=" + Path},
+      std::vector<std::string>(), logFile(Index));
   post(list(), "/instances",
        {{"kind", "instance"},
         {"id", "i" + std::to_string(Index)},
--- a/test/Processes/Deployment.h
+++ b/test/Processes/Deployment.h
@@ -68,11 +68,17 @@
                       milliseconds Timeout);
   static void sleepFor(milliseconds Time);
 
-  /// Returns a caller that knows only instance \p Index; callerOfAll() returns
-  /// one that knows all instances.
+  /// Returns a caller that knows only instance \p Index at first, and may be
+  /// directed to others; callerOfAll() returns one that knows all instances.
   static caller callerOf(int Index) {
     return caller({instance(Index)}, ApiKey);
   }
+  /// Returns a caller that sends every request to instance \p Index.
+  static caller directCallerOf(int Index) {
+    caller Caller = callerOf(Index);
+    Caller.skipDiscovery();
+    return Caller;
+  }
   static caller callerOfAll();
 
   /// Sends a chat to one instance, without discovery or retries.
@@ -104,6 +110,9 @@
   void startStandins();
   void putSettings();
   std::string writeSettings(int Index, const network_address &LogAddress);
+  std::string logFile(int Index) const;
+  /// Prints the logs of all instances, to trace a failure.
+  void printLogs() const;
 
   http_client Client{http_timeouts(seconds(1), seconds(20), seconds(20))};
   std::string Folder;
--- a/test/Processes/SettingsTest.cpp
+++ b/test/Processes/SettingsTest.cpp
@@ -85,7 +85,7 @@
   startInstance(2);
   ASSERT_TRUE(waitFor([&] { return ready(2); }, seconds(20)));
   EXPECT_EQ(json(400.0), valueAt(2, CostPath));
-  auto Result = callerOf(2).chat("auto", "hello", 8, true, "r", "");
+  auto Result = directCallerOf(2).chat("auto", "hello", 8, true, "r", "");
   EXPECT_EQ(request_outcome::Whole, Result.End) << Result.Reason;
 }
 
@@ -133,7 +133,7 @@
   // Longer than freshness_rules::DefaultMaxLogAge.
   sleepFor(seconds(11));
   for (int Index = 0; Index < InstanceCount; ++Index) {
-    auto Result = callerOf(Index).chat("auto", "hello", 8, true,
+    auto Result = directCallerOf(Index).chat("auto", "hello", 8, true,
                                        "r" + std::to_string(Index), "");
     EXPECT_EQ(request_outcome::Whole, Result.End) << Result.Reason;
   }
@@ -147,29 +147,29 @@
   sleepFor(seconds(2));
   for (int Index = 0; Index < 6; ++Index) {
     auto Result =
-        callerOf(Index % InstanceCount)
+        directCallerOf(Index % InstanceCount)
             .chat("auto", "hello", 8, true, "r" + std::to_string(Index), "");
     EXPECT_EQ("lace@2", Result.Version) << Result.Reason;
   }
 }
 
 TEST_F(settings_test, session_acrossInstancesAndRollOuts_keepsItsVersion) {
-  auto First = callerOf(0).chat("auto", "hello", 8, true, "r0", "");
+  auto First = directCallerOf(0).chat("auto", "hello", 8, true, "r0", "");
   ASSERT_EQ("lace@1", First.Version) << First.Reason;
   change(CatalogKey, 0, {{"/catalog/versions/lace@1/stage", "held"}});
   sleepFor(seconds(2));
   killInstance(0);
   for (int Index : {1, 2}) {
-    auto Kept = callerOf(Index).chat(
+    auto Kept = directCallerOf(Index).chat(
         "auto", "more", 8, true, "k" + std::to_string(Index), First.Session);
     EXPECT_EQ("lace@1", Kept.Version) << Kept.Reason;
-    auto Fresh = callerOf(Index).chat("auto", "new", 8, true,
+    auto Fresh = directCallerOf(Index).chat("auto", "new", 8, true,
                                       "f" + std::to_string(Index), "");
     EXPECT_EQ("lace@2", Fresh.Version) << Fresh.Reason;
   }
   change(CatalogKey, 1, {{"/catalog/versions/lace@1/stage", "withdrawn"}});
   sleepFor(seconds(2));
-  auto Ended = callerOf(1).chat("auto", "more", 8, true, "e", First.Session);
+  auto Ended = directCallerOf(1).chat("auto", "more", 8, true, "e", First.Session);
   EXPECT_EQ("session_version_withdrawn", Ended.Reason);
   EXPECT_EQ(request_outcome::NotRun, Ended.End);
 }
--- a/test/Processes/ShutdownTest.cpp
+++ b/test/Processes/ShutdownTest.cpp
@@ -12,7 +12,7 @@
     for (int Index = 0; Index < EngineCount; ++Index)
       set(engine(Index), {{"token_ms", 50}});
     return std::async(std::launch::async, [Instance, Tokens] {
-      return callerOf(Instance).chat("auto", "slow", Tokens, true, "slow", "");
+      return directCallerOf(Instance).chat("auto", "slow", Tokens, true, "slow", "");
     });
   }
 };
@@ -32,7 +32,7 @@
 TEST_F(shutdown_test, newChat_afterReadinessIsWithdrawn_isStillServed) {
   Instances[0]->signal(SIGTERM);
   ASSERT_TRUE(waitFor([&] { return !ready(0); }, seconds(2)));
-  auto Result = callerOf(0).chat("auto", "hello", 4, true, "r", "");
+  auto Result = directCallerOf(0).chat("auto", "hello", 4, true, "r", "");
   EXPECT_EQ(request_outcome::Whole, Result.End) << Result.Reason;
   EXPECT_EQ(0, Instances[0]->wait());
 }
@@ -51,7 +51,7 @@
 
 TEST_F(shutdown_test, pendingBills_areWrittenBeforeExit) {
   ASSERT_EQ(request_outcome::Whole,
-            callerOf(0).chat("auto", "hello", 4, true, "r", "").End);
+            directCallerOf(0).chat("auto", "hello", 4, true, "r", "").End);
   Instances[0]->signal(SIGTERM);
   EXPECT_EQ(0, Instances[0]->wait());
   EXPECT_EQ(1, billCounts()["r"]);
--- a/test/Processes/UpstreamTest.cpp
+++ b/test/Processes/UpstreamTest.cpp
@@ -28,7 +28,7 @@
   }
 
   static request_result chat(int Instance, const std::string &Prompt) {
-    return callerOf(Instance).chat("auto", Prompt, 8, true, Prompt, "");
+    return directCallerOf(Instance).chat("auto", Prompt, 8, true, Prompt, "");
   }
 
   /// Sends a streaming chat and returns its socket without reading the answer.
