Replace a peer's loads by upstream; keep the estimate of the occupancy

Cause: from the profile of 60 instances among 295. Each digest removed the peer from the entries of all upstreams, expired reports were walked at every look at a load, and each choice of a model summed the loads of all upstreams.

--- a/include/bluebellkeel/Gateway/GatewayContext.h
+++ b/include/bluebellkeel/Gateway/GatewayContext.h
@@ -45,6 +45,7 @@
   upstream_registry Registry;
   registry_updater Updater;
   load_tracker Loads;
+  occupancy_estimator Occupancy;
   cold_start_limiter Cold;
   closed_data_centres Centres;
   live_instances Instances;
--- a/include/bluebellkeel/Relay/ForwardCandidates.h
+++ b/include/bluebellkeel/Relay/ForwardCandidates.h
@@ -28,9 +28,6 @@
   /// none. A cold upstream that is returned has been counted against its rate
   /// limit.
   std::optional<placement_candidate> choose(const query &Query) const;
-  /// Returns the fraction of the service's slots in use, from 0 to 1; above 1
-  /// if more requests run than there are slots. 0 if no upstream has slots.
-  double occupancy(const service_id &Service) const;
 
 private:
   using entry_list = std::vector<std::shared_ptr<const registry_entry>>;
--- a/include/bluebellkeel/Relay/ForwardDependencies.h
+++ b/include/bluebellkeel/Relay/ForwardDependencies.h
@@ -17,6 +17,7 @@
 #include "bluebellkeel/Routing/RouteTableHolder.h"
 #include "bluebellkeel/Upstream/ColdStartLimiter.h"
 #include "bluebellkeel/Upstream/LoadTracker.h"
+#include "bluebellkeel/Upstream/OccupancyEstimator.h"
 #include "bluebellkeel/Upstream/UpstreamRegistry.h"
 
 namespace bluebellkeel {
@@ -30,6 +31,7 @@
   const route_table_holder &Tables;
   upstream_registry &Registry;
   load_tracker &Loads;
+  occupancy_estimator &Occupancy;
   cold_start_limiter &Cold;
   closed_data_centres &Centres;
   live_instances &Instances;
--- a/include/bluebellkeel/Upstream.h
+++ b/include/bluebellkeel/Upstream.h
@@ -13,6 +13,7 @@
 #include "bluebellkeel/Upstream/LoadAmount.h"
 #include "bluebellkeel/Upstream/LoadReport.h"
 #include "bluebellkeel/Upstream/LoadTracker.h"
+#include "bluebellkeel/Upstream/OccupancyEstimator.h"
 #include "bluebellkeel/Upstream/PoolId.h"
 #include "bluebellkeel/Upstream/QueueReport.h"
 #include "bluebellkeel/Upstream/RegistryEntry.h"
--- a/include/bluebellkeel/Upstream/LoadTracker.h
+++ b/include/bluebellkeel/Upstream/LoadTracker.h
@@ -8,6 +8,7 @@
 #include "bluebellkeel/Upstream/QueueReport.h"
 #include "bluebellkeel/Upstream/UpstreamLoad.h"
 #include <map>
+#include <set>
 #include <vector>
 
 namespace bluebellkeel {
@@ -38,6 +39,7 @@
   void notePeerReport(const instance_id &Peer,
                       const std::vector<instance_load> &Loads);
 
+  /// Returns the load on \p Upstream; forgets the expired reports on it.
   upstream_load loadOf(const upstream_id &Upstream);
   /// Returns this instance's load on each upstream where it has requests
   /// running.
@@ -67,6 +69,8 @@
 
   const time_source &Clock;
   sharded<entry_map> Entries;
+  /// The upstreams in the latest report of each peer.
+  sharded<std::map<instance_id, std::set<upstream_id>>> ReportedUpstreams;
 };
 
 } // namespace bluebellkeel
--- a/lib/Gateway/GatewayContext.cpp
+++ b/lib/Gateway/GatewayContext.cpp
@@ -14,7 +14,8 @@
     : Settings(Settings), Reloadable(Settings.Reloadable),
       Log(Settings.Instance.text(), Clock), State(SettingsAge, Clock),
       Registry(Clock), Updater(Registry, Clock), Loads(Clock),
-      Cold(Settings.Instance, Clock), Centres(Clock), Instances(Clock),
+      Occupancy(Registry, Loads, Clock), Cold(Settings.Instance, Clock),
+      Centres(Clock), Instances(Clock),
       RollOuts(rollOutLimitsOf(Settings.Reloadable), Clock), Prefixes(Clock),
       Crashes(Clock), Retries(retryRulesOf(Settings.Reloadable), Clock),
       HeavyLoad(Clock) {}
@@ -33,6 +34,7 @@
                               Tables,
                               Registry,
                               Loads,
+                              Occupancy,
                               Cold,
                               Centres,
                               Instances,
--- a/lib/Relay/ForwardCandidates.cpp
+++ b/lib/Relay/ForwardCandidates.cpp
@@ -109,13 +109,3 @@
   }
   return std::nullopt;
 }
-
-double forward_candidates::occupancy(const service_id &Service) const {
-  double Running = 0;
-  double Slots = 0;
-  for (const auto &Entry : Deps.Registry.serving(Service)) {
-    Running += Deps.Loads.loadOf(Entry->listing().id()).running();
-    Slots += Entry->listing().slots();
-  }
-  return Slots > 0 ? Running / Slots : 0;
-}
--- a/lib/Relay/ForwardRelay.cpp
+++ b/lib/Relay/ForwardRelay.cpp
@@ -327,7 +327,7 @@
   for (const auto &Name : route().sizes())
     Sizes.emplace_back(Name, Admission.serviceConfig().costOf(Name));
   return model_query(std::move(Sizes), Call->requestPrompt(),
-                     Candidates.occupancy(service()), route().objective(),
+                     Deps.Occupancy.occupancyOf(service()), route().objective(),
                      elapsed());
 }
 
--- a/lib/Upstream/LoadTracker.cpp
+++ b/lib/Upstream/LoadTracker.cpp
@@ -66,10 +66,19 @@
 void load_tracker::notePeerReport(const instance_id &Peer,
                                   const std::vector<instance_load> &Loads) {
   monotonic_time Now = Clock.monotonicNow();
-  Entries.forEachShard([&](entry_map &Shard) {
-    for (auto &[Upstream, Entry] : Shard)
-      Entry.Peers.erase(Peer);
-  });
+  std::set<upstream_id> Reported;
+  for (const auto &Load : Loads)
+    Reported.insert(Load.upstream());
+  std::set<upstream_id> Former = Reported;
+  ReportedUpstreams.withShard(
+      Peer.text(), [&](auto &Shard) { std::swap(Shard[Peer], Former); });
+  for (const auto &Upstream : Former) {
+    if (Reported.count(Upstream) > 0)
+      continue;
+    Entries.withShard(Upstream.text(), [&](entry_map &Shard) {
+      Shard[Upstream].Peers.erase(Peer);
+    });
+  }
   for (const auto &Load : Loads) {
     Entries.withShard(Load.upstream().text(), [&](entry_map &Shard) {
       Shard[Load.upstream()].Peers[Peer] = {Load.running(), Load.prefill(),
@@ -84,14 +93,18 @@
     auto Found = Shard.find(Upstream);
     if (Found == Shard.end())
       return upstream_load();
-    const entry &Entry = Found->second;
+    entry &Entry = Found->second;
     auto Running = static_cast<double>(Entry.Running);
     auto Prefill = static_cast<double>(Entry.Prefill);
-    for (const auto &[Peer, Share] : Entry.Peers) {
-      if (Now - Share.At > ReportLifetime)
+    for (auto It = Entry.Peers.begin(); It != Entry.Peers.end();) {
+      const peer_share &Share = It->second;
+      if (Now - Share.At > ReportLifetime) {
+        It = Entry.Peers.erase(It);
         continue;
+      }
       Running += static_cast<double>(Share.Running);
       Prefill += static_cast<double>(Share.Prefill);
+      ++It;
     }
     double Waiting = 0;
     if (Now - Entry.ReportedAt <= ReportLifetime) {
--- a/unittests/Support/ForwardFixture.h
+++ b/unittests/Support/ForwardFixture.h
@@ -251,6 +251,7 @@
   route_table_holder Tables;
   upstream_registry Registry{Clock};
   load_tracker Loads{Clock};
+  occupancy_estimator Occupancy{Registry, Loads, Clock};
   cold_start_limiter Cold{instance_id("self"), Clock};
   closed_data_centres Centres{Clock};
   live_instances Instances{Clock};
@@ -270,6 +271,7 @@
                             Tables,
                             Registry,
                             Loads,
+                            Occupancy,
                             Cold,
                             Centres,
                             Instances,
--- a/unittests/Upstream/LoadTrackerTest.cpp
+++ b/unittests/Upstream/LoadTrackerTest.cpp
@@ -38,6 +38,17 @@
   EXPECT_EQ(1, Tracker.loadOf(U).running());
 }
 
+TEST_F(load_tracker_test, peersReport_withoutAnUpstream_removesOnlyItsLoad) {
+  upstream_id V{"v"};
+  instance_id OtherPeer{"other"};
+  Tracker.notePeerReport(Peer,
+                         {instance_load(U, 3, 0), instance_load(V, 5, 0)});
+  Tracker.notePeerReport(OtherPeer, {instance_load(U, 2, 0)});
+  Tracker.notePeerReport(Peer, {instance_load(V, 4, 0)});
+  EXPECT_EQ(2, Tracker.loadOf(U).running());
+  EXPECT_EQ(4, Tracker.loadOf(V).running());
+}
+
 TEST_F(load_tracker_test, report_aboveTheKnownLoad_isUsed) {
   Tracker.noteSent(U, 0);
   Tracker.noteReport(U, queue_report(7, 2));
