Rely on peers' data for 5 s where a few instances read the log

Cause: with many instances a reader's settings are complete as of up to 3 s ago while its read waits, and reach the others after up to three digests. The limit of 3 s was passed all the time, so that each of the others read the settings itself every 4 s: 139 calls a second at 295 instances, found by logging the calls of one data centre. Each instance also read the registered instances again after 20 s.

Now the limit is 5 s, as it was for the upstreams; readers wait 1 s instead of 1.5 s; instances that are no readers read the registered ones every two minutes, since peers pass them on. Changes of the settings are passed on at once as before. A route or key that is missing from settings older than 3.5 s is refused with 503 as before, which now happens more often on instances that are no readers.

--- a/lib/Gateway/GatewayRuntime.cpp
+++ b/lib/Gateway/GatewayRuntime.cpp
@@ -20,7 +20,7 @@
 /// read the log. Peers count a reader's settings as complete only as of its
 /// last response, and a route missing from stale settings is not treated as
 /// unknown.
-static constexpr milliseconds SettingsLongPollTimeout{1500};
+static constexpr milliseconds SettingsLongPollTimeout{1000};
 
 /// Delay after a successful read, so that a burst of changes costs few calls.
 /// It is short against the time within which a change has to take effect.
@@ -44,12 +44,10 @@
 /// Maximum age of data from peers on which an instance relies instead of
 /// reading the log, and the interval at which it checks that age. With few
 /// instances the limit stays below the freshness that a waiting reader
-/// guarantees. With many it covers two digests plus a reader's long-poll
-/// timeout for the settings or, for the upstreams, the silence after which a
-/// reader gives up its read.
+/// guarantees. With many it covers the silence after which a reader gives up
+/// its read, and three digests.
 static constexpr milliseconds MaxPeerDataAge{2000};
-static constexpr milliseconds ManyPeersMaxSettingsAge{3000};
-static constexpr milliseconds ManyPeersMaxUpstreamsAge{5000};
+static constexpr milliseconds ManyPeersMaxDataAge{5000};
 static constexpr milliseconds PeerDataCheckInterval{400};
 
 static constexpr milliseconds DigestInterval{700};
@@ -58,9 +56,11 @@
 /// Timing of reads of the registered instances: once soon after startup, when
 /// all instances have registered, then rarely, since peers pass on the
 /// instances that they know. NoPeersInterval applies after a failed read and
-/// while no peer is alive.
+/// while no peer is alive. In a data centre with many instances only the
+/// readers of the log keep to InstancesInterval.
 static constexpr milliseconds FirstInstancesReadDelay{600};
 static constexpr milliseconds InstancesInterval{20000};
+static constexpr milliseconds RedundantInstancesInterval{120000};
 static constexpr milliseconds NoPeersInterval{2000};
 
 class gateway_runtime::impl : public std::enable_shared_from_this<impl> {
@@ -91,9 +91,11 @@
   void followInstances(asio::yield_context Yield);
   void exchangeDigests(asio::yield_context Yield);
   void runPeriodicTasks(asio::yield_context Yield);
-  bool peerDataSuffices(keyed_topic Topic, const log_freshness &Age);
+  bool peerDataSuffices(const log_freshness &Age) const;
   milliseconds longPollTimeout(keyed_topic Topic) const;
-  milliseconds maxPeerDataAge(keyed_topic Topic) const;
+  bool isRedundantReader() const;
+  milliseconds maxPeerDataAge() const;
+  milliseconds instancesDelay(bool ReadFailed) const;
   milliseconds pollDelay(keyed_topic Topic, bool Changes) const;
   void startServingWhenReady();
   void removeLapsedUpstreams();
@@ -145,16 +147,18 @@
   Context.Log.write(Line);
 }
 
-/// True if this instance need not read \p Topic itself. In a data centre with
-/// many instances a few read the log, and the others rely on their digests as
-/// long as these are fresh.
-bool gateway_runtime::impl::peerDataSuffices(keyed_topic Topic,
-                                             const log_freshness &Age) {
+/// True if this instance need not read the topic of \p Age itself. In a data
+/// centre with many instances a few read the log, and the others rely on their
+/// digests as long as these are fresh.
+bool gateway_runtime::impl::peerDataSuffices(const log_freshness &Age) const {
   monotonic_time Now = Context.Clock.monotonicNow();
   auto KnownAt = Age.completeAsOf(Now);
-  if (!KnownAt || Now - *KnownAt > maxPeerDataAge(Topic) ||
-      Context.State.phase() == serving_phase::Starting)
-    return false;
+  return KnownAt && Now - *KnownAt <= maxPeerDataAge() &&
+         Context.State.phase() != serving_phase::Starting &&
+         isRedundantReader();
+}
+
+bool gateway_runtime::impl::isRedundantReader() const {
   return reader_election::isRedundantReader(Context.Settings.Instance,
                                             Context.Settings.DataCentre,
                                             Context.Instances.alive());
@@ -168,7 +172,7 @@
   topic_availability_monitor Availability(Topic, Context.Clock, Context.Log);
   milliseconds Backoff = FailureBackoff;
   while (true) {
-    if (peerDataSuffices(Topic, Age)) {
+    if (peerDataSuffices(Age)) {
       awaitTime(Yield, PeerDataCheckInterval);
       continue;
     }
@@ -213,11 +217,14 @@
              : LongPollTimeout;
 }
 
-milliseconds gateway_runtime::impl::maxPeerDataAge(keyed_topic Topic) const {
-  if (Exchanger.reachesAllPeers())
-    return MaxPeerDataAge;
-  return Topic == keyed_topic::Settings ? ManyPeersMaxSettingsAge
-                                        : ManyPeersMaxUpstreamsAge;
+milliseconds gateway_runtime::impl::maxPeerDataAge() const {
+  return Exchanger.reachesAllPeers() ? MaxPeerDataAge : ManyPeersMaxDataAge;
+}
+
+milliseconds gateway_runtime::impl::instancesDelay(bool ReadFailed) const {
+  if (ReadFailed || Context.Instances.aliveUpTo(1).empty())
+    return NoPeersInterval;
+  return isRedundantReader() ? RedundantInstancesInterval : InstancesInterval;
 }
 
 void gateway_runtime::impl::followSettings(asio::yield_context Yield) {
@@ -258,8 +265,7 @@
       Availability.succeeded();
     else
       Availability.failed(Read.error());
-    bool NoPeers = !Read || Context.Instances.aliveUpTo(1).empty();
-    awaitTime(Yield, NoPeers ? NoPeersInterval : InstancesInterval);
+    awaitTime(Yield, instancesDelay(/*ReadFailed=*/!Read));
   }
 }
 
