End only one exchange when its handler throws

Cause: nothing caught an exception above the JSON parser. One in a task of a pool or in the handler of a peer's message ended the process. One in a coroutine ended it without a word: spawn with detached drops the exception, so the caller got no answer, the request counted as active for ever (a stop waited for it), and a loop of a gateway that reads the store would have ended for good. One way there: the reader of an engine's events threw on an id that is no string.

An exception in a handler is now reported and answered with 500, or cuts the response that has begun; the tasks of a pool and the messages of peers end alone; the loops of a gateway are logged (gateway/loop_failed) and begin again. The reader takes such an id as another request's.

A route that turns public between two attempts no longer passes on the account of the key.

Without the guards handlerThrows_onlyThatRequestFails fails and taskThrows_poolRunsOn aborts the test program; handlerThrowsInMidResponse_responseIsCut passes also without. The guards of the peer link and of the gateway's loops have no test.

--- a/include/bluebellkeel/Http/HttpHandler.h
+++ b/include/bluebellkeel/Http/HttpHandler.h
@@ -4,6 +4,7 @@
 #include "bluebellkeel/Http/HttpRequest.h"
 #include "bluebellkeel/Http/HttpResponder.h"
 #include <boost/asio/spawn.hpp>
+#include <string>
 
 namespace bluebellkeel {
 
@@ -14,6 +15,11 @@
 
   virtual void handle(const http_request &Request, http_responder &Responder,
                       boost::asio::yield_context Yield) = 0;
+
+  /// Reports that handle() ended with the exception \p What; the server has
+  /// ended only this exchange. Writes to standard error unless overridden.
+  virtual void reportFailure(const http_request &Request,
+                             const std::string &What);
 };
 
 } // namespace bluebellkeel
--- a/include/bluebellkeel/Http/ThreadPool.h
+++ b/include/bluebellkeel/Http/ThreadPool.h
@@ -20,6 +20,8 @@
   void stop();
 
 private:
+  void run();
+
   boost::asio::io_context Context;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> Work;
   std::vector<std::thread> Threads;
--- a/lib/Backend/ResponseReader.cpp
+++ b/lib/Backend/ResponseReader.cpp
@@ -41,7 +41,8 @@
     return attempt_error::Malformed;
   if (Event->contains("error"))
     return attempt_error::Failed;
-  if (Event->value("id", "") != IdPrefix + Attempt.id())
+  auto Id = Event->find("id");
+  if (Id == Event->end() || *Id != IdPrefix + Attempt.id())
     return attempt_error::Crossed;
   if (Event->contains("usage"))
     readUsage((*Event)["usage"]);
--- a/lib/Frontend/BufferedSink.cpp
+++ b/lib/Frontend/BufferedSink.cpp
@@ -22,9 +22,9 @@
   if (Last.contains("choices") && !Last["choices"].empty())
     Reason = Last["choices"][0].value("finish_reason", json("stop"));
   json Message = {{"role", "assistant"}, {"content", Content}};
-  json Completion = {{"id", Last.value("id", "")},
+  json Completion = {{"id", Last.value("id", json(""))},
                      {"object", "chat.completion"},
-                     {"model", Last.value("model", "")},
+                     {"model", Last.value("model", json(""))},
                      {"choices",
                       {{{"index", 0},
                         {"message", std::move(Message)},
--- a/lib/Gateway/GatewayRuntime.cpp
+++ b/lib/Gateway/GatewayRuntime.cpp
@@ -83,6 +83,8 @@
 
 private:
   template <typename loop_t> void spawn(loop_t Loop);
+  template <typename loop_t>
+  bool runOnce(loop_t Loop, asio::yield_context Yield);
   void follow(keyed_topic Topic, keyed_view &View, log_freshness &Age,
               asio::yield_context Yield);
   void followSettings(asio::yield_context Yield);
@@ -117,11 +119,26 @@
   asio::spawn(
       asio::make_strand(Pool.context()),
       [Self = shared_from_this(), Loop](asio::yield_context Yield) {
-        (Self.get()->*Loop)(Yield);
+        while (!Self->runOnce(Loop, Yield))
+          awaitTime(Yield, MaxFailureBackoff);
       },
       asio::detached);
 }
 
+/// Runs \p Loop; returns false if an exception ended it.
+template <typename loop_t>
+bool gateway_runtime::impl::runOnce(loop_t Loop, asio::yield_context Yield) {
+  try {
+    (this->*Loop)(Yield);
+    return true;
+  } catch (const std::exception &Error) {
+    event_line Line("gateway", "loop_failed");
+    Line.add("what", Error.what());
+    Context.Log.write(Line);
+    return false;
+  }
+}
+
 tl::expected<void, std::string> gateway_runtime::impl::start() {
   auto Linked = Link.start(Context.Settings.PeerAddress, Exchanger);
   if (!Linked)
--- a/lib/Http/ServerConnection.cpp
+++ b/lib/Http/ServerConnection.cpp
@@ -126,7 +126,7 @@
   http_request Request(
       std::string(Message.method_string()), std::string(Message.target()),
       http_headers(std::move(Fields)), std::move(Message.body()));
-  Handler.handle(Request, *this, Yield);
+  handle(Request);
   Watcher->disarm();
   if (!Started)
     refuse(500, "no answer");
@@ -135,6 +135,16 @@
     abandon();
 }
 
+/// Calls the handler. An exception ends only this exchange.
+void server_connection::handle(const http_request &Request) {
+  try {
+    Handler.handle(Request, *this, Yield);
+  } catch (const std::exception &Error) {
+    KeepAlive = false;
+    Handler.reportFailure(Request, Error.what());
+  }
+}
+
 void server_connection::abandon() {
   Started = true;
   ResponseUnfinished = false;
--- a/lib/Http/ServerConnection.h
+++ b/lib/Http/ServerConnection.h
@@ -36,6 +36,7 @@
                 boost::system::error_code &Code);
   void refuseOversized(const boost::system::error_code &Code);
   void respond(message Message);
+  void handle(const http_request &Request);
   void refuse(int Status, const char *Text);
 
   bool send(const http_response &Response) override;
--- a/lib/Peer/WebsocketPeerLink.cpp
+++ b/lib/Peer/WebsocketPeerLink.cpp
@@ -41,6 +41,8 @@
   void sendOneWay(const instance_record &Peer, peer_body Message);
 
 private:
+  void run();
+
   using message_ptr = ws_client::message_ptr;
 
   template <typename endpoint_t> void setUp(endpoint_t &Endpoint);
@@ -110,10 +112,21 @@
   if (Code)
     return tl::unexpected(Address.text() + ": " + Code.message());
   scheduleSweep();
-  Thread = std::thread([this] { Io.run(); });
+  Thread = std::thread([this] { run(); });
   return {};
 }
 
+/// Runs the link until it stops. A message whose handler throws is dropped.
+void websocket_peer_link::impl::run() {
+  while (!Io.stopped()) {
+    try {
+      Io.run();
+    } catch (const std::exception &) {
+      Monitor.countPeerFault(peer_error::Malformed);
+    }
+  }
+}
+
 void websocket_peer_link::impl::stop() {
   Io.stop();
   if (Thread.joinable())
--- a/lib/Relay/ForwardAdmission.cpp
+++ b/lib/Relay/ForwardAdmission.cpp
@@ -47,6 +47,7 @@
   if (!Route)
     return Stale ? refusal_reason::SettingsStale : refusal_reason::UnknownRoute;
   Priority = Route->priority();
+  Account = account_id();
   if (Table->requiresApiKeys() && !Route->isPublic()) {
     const api_key_account *Holder = Table->accountOf(Call.accountKey());
     if (!Holder)
--- a/unittests/Http/HttpServerTest.cpp
+++ b/unittests/Http/HttpServerTest.cpp
@@ -5,18 +5,28 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
+#include <future>
 #include <gtest/gtest.h>
+#include <stdexcept>
 
 using namespace bluebellkeel;
 
 namespace {
 
 /// Echoes requests. `/half` returns before its response is complete; `/silent`
-/// stalls in the middle of its response.
+/// stalls in the middle of its response; `/throw` throws before its response
+/// and `/half-throw` in the middle of it.
 class echo_handler final : public http_handler {
 public:
   void handle(const http_request &Request, http_responder &Responder,
               boost::asio::yield_context Yield) override {
+    if (Request.path() == "/throw")
+      throw std::runtime_error("unexpected");
+    if (Request.path() == "/half-throw") {
+      Responder.begin(200, {});
+      Responder.write("half");
+      throw std::runtime_error("unexpected");
+    }
     if (Request.path() == "/half" || Request.path() == "/silent") {
       Responder.begin(200, {});
       Responder.write("half");
@@ -26,6 +36,13 @@
     }
     Responder.send(http_response(200, Request.headers(), Request.body()));
   }
+
+  void reportFailure(const http_request & /*Request*/,
+                     const std::string &What) override {
+    Failures.push_back(What);
+  }
+
+  std::vector<std::string> Failures;
 };
 
 class http_server_test : public testing::Test {
@@ -53,6 +70,30 @@
 
 } // namespace
 
+TEST_F(http_server_test, handlerThrows_onlyThatRequestFails) {
+  auto Failed = send("/throw");
+  ASSERT_TRUE(Failed);
+  EXPECT_EQ(500, Failed->status());
+  EXPECT_EQ(std::vector<std::string>{"unexpected"}, Handler.Failures);
+  EXPECT_TRUE(send("/x", "body"));
+  EXPECT_TRUE(Server.awaitIdle(milliseconds(1000)));
+}
+
+TEST_F(http_server_test, handlerThrowsInMidResponse_responseIsCut) {
+  EXPECT_FALSE(send("/half-throw"));
+  EXPECT_TRUE(send("/x", "body"));
+}
+
+TEST_F(http_server_test, taskThrows_poolRunsOn) {
+  std::promise<void> Ran;
+  boost::asio::post(Pool.context(),
+                    [] { throw std::runtime_error("unexpected"); });
+  boost::asio::post(Pool.context(),
+                    [] { throw std::runtime_error("unexpected"); });
+  boost::asio::post(Pool.context(), [&Ran] { Ran.set_value(); });
+  EXPECT_EQ(std::future_status::ready, Ran.get_future().wait_for(seconds(5)));
+}
+
 TEST_F(http_server_test, request_withBodyAndHeader_deliversBoth) {
   auto Response = send("/x", "body");
   ASSERT_TRUE(Response);
--- a/unittests/Relay/ForwardRelayTest.cpp
+++ b/unittests/Relay/ForwardRelayTest.cpp
@@ -178,6 +178,21 @@
   EXPECT_EQ(1U, Upstreams.Attempts.size());
 }
 
+TEST_F(forward_relay_test, routeTurnedPublicBetweenAttempts_hasNoAccount) {
+  upstream_script Failed;
+  Failed.Status = 500;
+  Failed.Before = [this] {
+    auto Public = routeOf("/again/", route_kind::Idempotent, 2);
+    Public.Public = true;
+    configure(9, {forward_route(Public)});
+  };
+  script({Failed});
+  EXPECT_EQ(200, run("/again/x").Status);
+  ASSERT_EQ(2U, Upstreams.Attempts.size());
+  EXPECT_EQ("mill", Upstreams.Attempts[0].account().text());
+  EXPECT_EQ("", Upstreams.Attempts[1].account().text());
+}
+
 TEST_F(forward_relay_test, shorterTimeout_appliesToRunningRequest) {
   upstream_script Slow = failing(attempt_error::FirstByteTimeout);
   Slow.Before = [this] {
