Bound what a client skips before a response

A server in trouble may send bytes without end. Heads, bytes that are no response and bodies that are read whole were bounded; interim responses and the body of a response to another request were read until the time limit of the request, 10 to 20 s at the speed of the link.

Now 8 interim responses and 1 MB of skipped body end the attempt. The tests interimResponsesWithoutEnd_failAsMalformed and skippedBodyWithoutEnd_failsAsTooLarge fail without the bounds (10 s each) and pass with them.

--- a/lib/Http/ClientStream.cpp
+++ b/lib/Http/ClientStream.cpp
@@ -17,6 +17,12 @@
 static constexpr std::size_t MaxHeaderBytes = 16UL * 1024;
 static constexpr std::size_t ReadBufferBytes = 16UL * 1024;
 
+/// Limits on what is skipped before the response: interim responses, and the
+/// bytes of a response to another request. A server in trouble may send either
+/// without end.
+static constexpr int MaxInterimResponses = 8;
+static constexpr std::size_t MaxSkippedBytes = 1024UL * 1024;
+
 class client_stream::impl : public std::enable_shared_from_this<impl> {
 public:
   impl(asio::yield_context Yield, http_timeouts Timeouts)
@@ -147,7 +153,10 @@
 
 tl::expected<http_response, http_error> client_stream::impl::readHead() {
   constexpr unsigned FirstFinalStatus = 200;
+  int InterimResponses = 0;
   do {
+    if (InterimResponses++ > MaxInterimResponses)
+      return tl::unexpected(http_error::Malformed);
     Parser.emplace();
     Parser->header_limit(MaxHeaderBytes);
     Parser->body_limit(boost::none);
@@ -165,12 +174,16 @@
 }
 
 tl::expected<http_response, http_error> client_stream::impl::nextResponse() {
+  std::size_t SkippedBytes = 0;
   while (true) {
     auto Piece = readSome();
     if (!Piece)
       return tl::unexpected(Piece.error());
     if (Piece->empty())
       break;
+    SkippedBytes += Piece->size();
+    if (SkippedBytes > MaxSkippedBytes)
+      return tl::unexpected(http_error::TooLarge);
   }
   Stream.expires_after(Timeouts.firstByte());
   return readHead();
--- a/test/Processes/BillingTest.cpp
+++ b/test/Processes/BillingTest.cpp
@@ -8,7 +8,8 @@
 protected:
   /// Sends a chat to one instance. \p Id is both the prompt and the request id.
   static request_result chat(int Instance, const std::string &Id) {
-    return directCallerOf(Instance).chat("auto", Id, 8, /*Stream=*/true, Id, "");
+    return directCallerOf(Instance).chat("auto", Id, 8, /*Stream=*/true, Id,
+                                         "");
   }
 };
 } // namespace
--- a/test/Processes/SettingsTest.cpp
+++ b/test/Processes/SettingsTest.cpp
@@ -134,7 +134,7 @@
   sleepFor(seconds(11));
   for (int Index = 0; Index < InstanceCount; ++Index) {
     auto Result = directCallerOf(Index).chat("auto", "hello", 8, true,
-                                       "r" + std::to_string(Index), "");
+                                             "r" + std::to_string(Index), "");
     EXPECT_EQ(request_outcome::Whole, Result.End) << Result.Reason;
   }
 }
@@ -164,12 +164,13 @@
         "auto", "more", 8, true, "k" + std::to_string(Index), First.Session);
     EXPECT_EQ("lace@1", Kept.Version) << Kept.Reason;
     auto Fresh = directCallerOf(Index).chat("auto", "new", 8, true,
-                                      "f" + std::to_string(Index), "");
+                                            "f" + std::to_string(Index), "");
     EXPECT_EQ("lace@2", Fresh.Version) << Fresh.Reason;
   }
   change(CatalogKey, 1, {{"/catalog/versions/lace@1/stage", "withdrawn"}});
   sleepFor(seconds(2));
-  auto Ended = directCallerOf(1).chat("auto", "more", 8, true, "e", First.Session);
+  auto Ended =
+      directCallerOf(1).chat("auto", "more", 8, true, "e", First.Session);
   EXPECT_EQ("session_version_withdrawn", Ended.Reason);
   EXPECT_EQ(request_outcome::NotRun, Ended.End);
 }
--- a/test/Processes/ShutdownTest.cpp
+++ b/test/Processes/ShutdownTest.cpp
@@ -12,7 +12,8 @@
     for (int Index = 0; Index < EngineCount; ++Index)
       set(engine(Index), {{"token_ms", 50}});
     return std::async(std::launch::async, [Instance, Tokens] {
-      return directCallerOf(Instance).chat("auto", "slow", Tokens, true, "slow", "");
+      return directCallerOf(Instance).chat("auto", "slow", Tokens, true, "slow",
+                                           "");
     });
   }
 };
--- /dev/null
+++ b/unittests/Http/ClientStreamTest.cpp
@@ -0,0 +1,124 @@
+#include "bluebellkeel/Http/ClientStream.h"
+#include "bluebellkeel/Core.h"
+#include "bluebellkeel/Http.h"
+#include <atomic>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/spawn.hpp>
+#include <boost/asio/write.hpp>
+#include <functional>
+#include <future>
+#include <gtest/gtest.h>
+
+using namespace bluebellkeel;
+
+namespace asio = boost::asio;
+
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+/// Sends scripted bytes to a client, the last of them again and again until the
+/// client closes.
+class client_stream_test : public testing::Test {
+protected:
+  using exchange = std::function<void(client_stream &)>;
+
+  client_stream_test()
+      : Acceptor(Pool.context(),
+                 tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)) {}
+  ~client_stream_test() override { Pool.stop(); }
+
+  /// Serves one connection with \p Start and then \p Repeated without end, and
+  /// runs \p Exchange against it.
+  void run(const std::string &Start, const std::string &Repeated,
+           const exchange &Exchange) {
+    asio::spawn(
+        Pool.context(),
+        [this, Start, Repeated](asio::yield_context Yield) {
+          tcp::socket Socket(Pool.context());
+          error_code Code;
+          Acceptor.async_accept(Socket, Yield[Code]);
+          asio::async_write(Socket, asio::buffer(Start), Yield[Code]);
+          while (!Code)
+            SentBytes +=
+                asio::async_write(Socket, asio::buffer(Repeated), Yield[Code]);
+        },
+        asio::detached);
+    std::promise<void> Done;
+    asio::spawn(
+        Pool.context(),
+        [&](asio::yield_context Yield) {
+          client_stream Stream(
+              Yield, http_timeouts(seconds(1), seconds(20), seconds(20)));
+          Exchange(Stream);
+          Done.set_value();
+        },
+        asio::detached);
+    // Well below the timeouts of the stream, which must not be what ends it.
+    ASSERT_EQ(std::future_status::ready,
+              Done.get_future().wait_for(seconds(10)));
+  }
+
+  tl::expected<http_response, http_error> open(client_stream &Stream) {
+    network_address Address("127.0.0.1", Acceptor.local_endpoint().port());
+    return Stream.open(Address, http_request("GET", "/", http_headers(), ""));
+  }
+
+  /// Bytes that may wait in the buffers of the two sockets.
+  static constexpr std::size_t MaxSocketBytes = 16UL * 1024 * 1024;
+
+  thread_pool Pool{2};
+  tcp::acceptor Acceptor;
+  std::atomic<std::size_t> SentBytes{0};
+};
+
+} // namespace
+
+TEST_F(client_stream_test, headWithoutEnd_failsAsTooLarge) {
+  run("HTTP/1.1 200 OK\r\n", "X-Name: value\r\n", [&](client_stream &Stream) {
+    auto Head = open(Stream);
+    ASSERT_FALSE(Head);
+    EXPECT_EQ(http_error::TooLarge, Head.error());
+  });
+  EXPECT_LT(SentBytes, MaxSocketBytes);
+}
+
+TEST_F(client_stream_test, bytesThatAreNoResponse_failAsMalformed) {
+  run("", "no response at all ", [&](client_stream &Stream) {
+    auto Head = open(Stream);
+    ASSERT_FALSE(Head);
+    EXPECT_EQ(http_error::Malformed, Head.error());
+  });
+}
+
+TEST_F(client_stream_test, interimResponsesWithoutEnd_failAsMalformed) {
+  run("", "HTTP/1.1 100 Continue\r\n\r\n", [&](client_stream &Stream) {
+    auto Head = open(Stream);
+    ASSERT_FALSE(Head);
+    EXPECT_EQ(http_error::Malformed, Head.error());
+  });
+  EXPECT_LT(SentBytes, MaxSocketBytes);
+}
+
+TEST_F(client_stream_test, bodyWithoutEnd_readWholeFailsAsTooLarge) {
+  run("HTTP/1.1 200 OK\r\n\r\n", "bytes", [&](client_stream &Stream) {
+    ASSERT_TRUE(open(Stream));
+    constexpr std::size_t MaxBytes = 100000;
+    auto Body = Stream.readAll(MaxBytes);
+    ASSERT_FALSE(Body);
+    EXPECT_EQ(http_error::TooLarge, Body.error());
+  });
+  EXPECT_LT(SentBytes, MaxSocketBytes);
+}
+
+TEST_F(client_stream_test, skippedBodyWithoutEnd_failsAsTooLarge) {
+  run("HTTP/1.1 200 OK\r\n\r\n", "bytes", [&](client_stream &Stream) {
+    ASSERT_TRUE(open(Stream));
+    auto Next = Stream.nextResponse();
+    ASSERT_FALSE(Next);
+    EXPECT_EQ(http_error::TooLarge, Next.error());
+  });
+  EXPECT_LT(SentBytes, MaxSocketBytes);
+}
