Soak: allow a stop that ends a gateway while it is being loaded

SIGTERM came before main, so the default action ended it; it had accepted nothing. The check now allows the end by the signal only where the log has no start line since the latest start.

--- a/test/Soak/GatewayExit.h
+++ b/test/Soak/GatewayExit.h
@@ -11,9 +11,9 @@
 class gateway_exit : public comparable<gateway_exit> {
 public:
   gateway_exit(int Gateway, milliseconds StopRequested, milliseconds Ended,
-               int Code)
+               int Code, bool HadStarted)
       : Gateway(Gateway), StopRequested(StopRequested), Ended(Ended),
-        Code(Code) {}
+        Code(Code), HadStarted(HadStarted) {}
 
   int gateway() const { return Gateway; }
   /// Time since the start of the run, as in ended().
@@ -21,13 +21,19 @@
   milliseconds ended() const { return Ended; }
   /// Returns the exit code, or -1 if a signal ended the process.
   int code() const { return Code; }
-  auto key() const { return std::tie(Gateway, StopRequested, Ended, Code); }
+  /// True if the gateway's log has its start line. A process that is stopped
+  /// while it is being loaded ends with the signal and has accepted nothing.
+  bool hadStarted() const { return HadStarted; }
+  auto key() const {
+    return std::tie(Gateway, StopRequested, Ended, Code, HadStarted);
+  }
 
 private:
   int Gateway;
   milliseconds StopRequested;
   milliseconds Ended;
   int Code;
+  bool HadStarted;
 };
 
 } // namespace bluebellkeel
--- a/test/Soak/ShutdownCheck.cpp
+++ b/test/Soak/ShutdownCheck.cpp
@@ -6,6 +6,8 @@
 static constexpr milliseconds Grace{8000};
 /// Time until the gateway has read a request that was sent.
 static constexpr milliseconds RequestReadTime{50};
+/// Exit code that stands for a signal that ended the process.
+static constexpr int EndedBySignal = -1;
 /// Allowance for delivering the signal and noticing the exit.
 static constexpr milliseconds Margin{500};
 
@@ -39,7 +41,8 @@
 static void checkExit(const gateway_exit &Exit, const soak_history &History,
                       std::vector<std::string> &Lines) {
   std::string GatewayName = "gateway " + std::to_string(Exit.gateway());
-  if (Exit.code() != 0)
+  bool StoppedWhileLoading = Exit.code() == EndedBySignal && !Exit.hadStarted();
+  if (Exit.code() != 0 && !StoppedWhileLoading)
     Lines.push_back(GatewayName + " exited with code " +
                     std::to_string(Exit.code()));
   if (Exit.ended() - Exit.stopRequestedAt() > Grace + Margin)
--- a/test/Soak/SoakEnvironment.cpp
+++ b/test/Soak/SoakEnvironment.cpp
@@ -1,7 +1,9 @@
 #include "SoakEnvironment.h"
 #include <chrono>
 #include <csignal>
+#include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <nlohmann/json.hpp>
 #include <thread>
 
@@ -147,7 +149,10 @@
 }
 
 void soak_environment::startGateway(int Index) {
-  std::string Log = Folder + "/g" + std::to_string(Index) + ".log";
+  std::string Log = gatewayLog(Index);
+  std::error_code NoLogYet;
+  auto Size = std::filesystem::file_size(Log, NoLogYet);
+  LogStarts.at(index(Index)) = NoLogYet ? 0 : Size;
   ++Incarnations.at(index(Index));
   GatewayProcesses.at(index(Index)) = std::make_unique<child_process>(
       std::vector<std::string>{Program},
@@ -171,6 +176,18 @@
   return GatewayProcesses.at(index(Index))->ended();
 }
 
+std::string soak_environment::gatewayLog(int Index) const {
+  return Folder + "/g" + std::to_string(Index) + ".log";
+}
+
+bool soak_environment::gatewayStarted(int Index) const {
+  constexpr std::string_view StartEvent = R"("part":"gateway","event":"start")";
+  std::ifstream File(gatewayLog(Index));
+  File.seekg(static_cast<std::streamoff>(LogStarts.at(index(Index))));
+  std::string Text{std::istreambuf_iterator<char>(File), {}};
+  return Text.find(StartEvent) != std::string::npos;
+}
+
 void soak_environment::startRunner(int Index) {
   RunnerProcesses.at(index(Index)) =
       std::make_unique<child_process>(std::vector<std::string>{
--- a/test/Soak/SoakEnvironment.h
+++ b/test/Soak/SoakEnvironment.h
@@ -8,6 +8,7 @@
 #include "bluebellkeel/Http/HttpClient.h"
 #include <array>
 #include <atomic>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
@@ -42,6 +43,8 @@
   /// ended it.
   int waitForGateway(int Index);
   bool gatewayEnded(int Index) const;
+  /// True if the log of the gateway's latest process has a start line.
+  bool gatewayStarted(int Index) const;
 
   void startRunner(int Index);
   void signalRunner(int Index, int Signal);
@@ -59,6 +62,7 @@
   std::map<std::string, int> runs() const;
 
 private:
+  std::string gatewayLog(int Index) const;
   static std::size_t index(int Index) {
     return static_cast<std::size_t>(Index);
   }
@@ -80,6 +84,8 @@
   std::array<std::unique_ptr<fault_proxy>, Gateways> StoreLinks;
   std::array<std::unique_ptr<fault_proxy>, Runners> RunnerLinks;
   std::array<std::atomic<int>, Gateways> Incarnations = {};
+  /// Size of each gateway's log at its latest start.
+  std::array<std::uintmax_t, Gateways> LogStarts = {};
   int LastListing = 0;
 };
 
--- a/test/Soak/SoakRun.cpp
+++ b/test/Soak/SoakRun.cpp
@@ -175,7 +175,7 @@
     if (StopRequested)
       History.Exits.emplace_back(
           Gateway, StopRequestedAt.at(static_cast<std::size_t>(Gateway)), now(),
-          Code);
+          Code, Environment.gatewayStarted(Gateway));
     else
       History.Crashed.push_back(Gateway);
     stateOf(Gateway) = process_state::Down;
