Judge a version by the intervals between its events, too

A version whose events are 4 to 7 times as slow starts its responses only about twice as late, so the times to the first byte (factor 3) gave no evidence; with sessions that join in the second half only, it was completed before failures showed.

Now the mean interval of the first three events of each stream is evidence, from a factor of 2.2 on; digests carry it, and those of earlier releases are read without it.

--- a/include/bluebellkeel/Policy.h
+++ b/include/bluebellkeel/Policy.h
@@ -14,6 +14,7 @@
 #include "bluebellkeel/Policy/LeastLoadedPlacement.h"
 #include "bluebellkeel/Policy/LeastRequestsChooser.h"
 #include "bluebellkeel/Policy/LikelihoodRatio.h"
+#include "bluebellkeel/Policy/LogTimeMean.h"
 #include "bluebellkeel/Policy/ModelQuery.h"
 #include "bluebellkeel/Policy/ModelSelector.h"
 #include "bluebellkeel/Policy/PlacementCandidate.h"
--- a/include/bluebellkeel/Policy/RollOutAnalyzer.h
+++ b/include/bluebellkeel/Policy/RollOutAnalyzer.h
@@ -8,8 +8,8 @@
 /// Detects a bad version from the statistics of all instances.
 class roll_out_analyzer {
 public:
-  /// True if \p Target fails more often, or starts its responses much later,
-  /// than the other versions.
+  /// True if \p Target fails more often, or is much slower to start or to
+  /// continue its responses, than the other versions.
   static bool isBad(const version_stats &Target, const version_stats &Others);
 };
 
--- a/include/bluebellkeel/Relay/ForwardProgress.h
+++ b/include/bluebellkeel/Relay/ForwardProgress.h
@@ -25,6 +25,9 @@
   /// longest pause between two events for the latest attempt.
   monotonic_time LastEventAt;
   milliseconds IdleLimit{0};
+  /// Number of complete events of the latest attempt, and time of the first.
+  std::size_t Events = 0;
+  monotonic_time FirstEventAt;
   /// Time from the call's arrival to the latest upstream response head that
   /// came before ResponseStarted.
   std::optional<milliseconds> FirstByte;
--- a/include/bluebellkeel/Relay/ForwardRelay.h
+++ b/include/bluebellkeel/Relay/ForwardRelay.h
@@ -47,6 +47,7 @@
   std::optional<next_action> forwardEvents(const upstream_listing &Upstream,
                                            const response_head &Head,
                                            std::string_view Piece);
+  void noteEvents(const upstream_listing &Upstream, std::size_t Count);
   std::optional<attempt_error> eventError() const;
   next_action endStream(const upstream_listing &Upstream);
   bool escalateModel(const upstream_response &Response);
--- a/lib/Peer/DigestJson.cpp
+++ b/lib/Peer/DigestJson.cpp
@@ -12,8 +12,10 @@
 static json toCompactJson(const version_stats &Stats) {
   return {{"g", Stats.good()},
           {"b", Stats.bad()},
-          {"t", Stats.timed()},
-          {"l", Stats.logTimeSum()}};
+          {"t", Stats.firstByte().count()},
+          {"l", Stats.firstByte().logSum()},
+          {"en", Stats.eventInterval().count()},
+          {"el", Stats.eventInterval().logSum()}};
 }
 
 static version_stats versionStatsFrom(const json &Json, field_reader &Outer) {
@@ -22,9 +24,16 @@
   std::uint64_t Bad = Fields.number("b");
   std::uint64_t Timed = Fields.number("t");
   double LogTimeSum = Fields.real("l");
+  log_time_mean EventInterval;
+  // Earlier releases do not send it.
+  if (!Fields.optional("en").is_null()) {
+    std::uint64_t Intervals = Fields.number("en");
+    EventInterval = log_time_mean(Intervals, Fields.real("el"));
+  }
   if (Fields.failed())
     Outer.fail(Fields.error().message());
-  return version_stats(Good, Bad, Timed, LogTimeSum);
+  return version_stats(Good, Bad, log_time_mean(Timed, LogTimeSum),
+                       EventInterval);
 }
 
 static json toCompactJson(const roll_out_evidence &Evidence) {
--- a/lib/Policy/RollOutTracker.cpp
+++ b/lib/Policy/RollOutTracker.cpp
@@ -3,7 +3,6 @@
 #include "bluebellkeel/Policy/RollOutAnalyzer.h"
 #include "bluebellkeel/Policy/RollOutSchedule.h"
 #include <algorithm>
-#include <cmath>
 
 using namespace bluebellkeel;
 
@@ -145,13 +144,24 @@
 void roll_out_tracker::noteFirstByte(const service_id &Service,
                                      const version_id &Version,
                                      milliseconds Time) {
-  double LogTime = std::log(std::max(1.0, static_cast<double>(Time.count())));
   Shards.withShard(Service.text(), [&](state &Shard) {
     auto Known = Shard.Entries.find(Service);
     if (Known == Shard.Entries.end())
       return;
     version_stats &Stats = Known->second.statsOf(Version);
-    Stats = Stats.withTime(LogTime);
+    Stats = Stats.withFirstByte(Time);
+  });
+}
+
+void roll_out_tracker::noteEventInterval(const service_id &Service,
+                                         const version_id &Version,
+                                         milliseconds Time) {
+  Shards.withShard(Service.text(), [&](state &Shard) {
+    auto Known = Shard.Entries.find(Service);
+    if (Known == Shard.Entries.end())
+      return;
+    version_stats &Stats = Known->second.statsOf(Version);
+    Stats = Stats.withEventInterval(Time);
   });
 }
 
--- a/lib/Relay/ForwardRelay.cpp
+++ b/lib/Relay/ForwardRelay.cpp
@@ -237,6 +237,7 @@
   }
   Splitter.clear();
   Progress.LastEventAt = Deps.Clock.monotonicNow();
+  Progress.Events = 0;
   while (true) {
     auto Piece = Response.read();
     if (!Piece)
@@ -253,6 +254,24 @@
   return endStream(Upstream);
 }
 
+/// Counts the events of the attempt. Records their mean interval once, early,
+/// since a slow version must be noticed before its streams end.
+void forward_relay::noteEvents(const upstream_listing &Upstream,
+                               std::size_t Count) {
+  constexpr std::size_t MeasuredEvents = 3;
+  if (Progress.Events == 0)
+    Progress.FirstEventAt = Deps.Clock.monotonicNow();
+  bool WasMeasured = Progress.Events >= MeasuredEvents;
+  Progress.Events += Count;
+  if (WasMeasured || Progress.Events < MeasuredEvents)
+    return;
+  auto Time = std::chrono::duration_cast<milliseconds>(
+      Deps.Clock.monotonicNow() - Progress.FirstEventAt);
+  Deps.RollOuts.noteEventInterval(
+      service(), Upstream.version(),
+      Time / static_cast<std::int64_t>(Progress.Events - 1));
+}
+
 /// Returns the error of a stream that sends bytes but no complete events: they
 /// are too many, or come for too long. The reads check only for bytes.
 std::optional<attempt_error> forward_relay::eventError() const {
@@ -271,6 +290,7 @@
   auto Events = Splitter.feed(Piece);
   if (Events.empty())
     return std::nullopt;
+  noteEvents(Upstream, Events.size());
   if (!StreamVersion)
     StreamVersion = Upstream.version();
   if (!beginResponse(Head))
--- a/unittests/Policy/RollOutTrackerTest.cpp
+++ b/unittests/Policy/RollOutTrackerTest.cpp
@@ -126,6 +126,22 @@
   EXPECT_EQ(0, countOnNewVersion());
 }
 
+TEST_F(roll_out_tracker_test, versionWithSlowEvents_isRolledBack) {
+  for (int I = 0; I < 10; ++I) {
+    Tracker.noteEventInterval(Service, V1, milliseconds(40));
+    Tracker.noteEventInterval(Service, V2, milliseconds(150));
+  }
+  EXPECT_EQ(0, countOnNewVersion());
+}
+
+TEST_F(roll_out_tracker_test, versionWithEventsAsUnderMoreLoad_isKept) {
+  for (int I = 0; I < 100; ++I) {
+    Tracker.noteEventInterval(Service, V1, milliseconds(35));
+    Tracker.noteEventInterval(Service, V2, milliseconds(60));
+  }
+  EXPECT_GT(countOnNewVersion(), 0);
+}
+
 TEST_F(roll_out_tracker_test, evidenceOfAPeer_isAddedToOwnEvidence) {
   roll_out_tracker Other(Limits, Clock);
   Other.noteOrder(roll_out_order(Service, V2, Duration, log_offset(1)));
--- a/unittests/Relay/ForwardStreamTest.cpp
+++ b/unittests/Relay/ForwardStreamTest.cpp
@@ -79,6 +79,19 @@
   EXPECT_LT(Reads, 100U);
 }
 
+TEST_F(forward_stream_test, slowEvents_areCountedAgainstTheirVersion) {
+  roll_out_order Order(service_id("engines"), version_id("v2"),
+                       milliseconds(24000), log_offset(1));
+  RollOuts.noteOrder(Order);
+  upstream_script Slow = events(1, 4);
+  Slow.BeforeRead = [&] { Clock.advance(milliseconds(300)); };
+  script({Slow});
+  run("/stream/x");
+  ASSERT_EQ(1U, RollOuts.evidence().size());
+  log_time_mean Expected = log_time_mean().with(milliseconds(300));
+  EXPECT_EQ(Expected, RollOuts.evidence()[0].others().eventInterval());
+}
+
 TEST_F(forward_stream_test, slowEvents_withinThePauseLimit_areNotCut) {
   upstream_script Slow;
   Slow.Pieces.clear();
