Retry the first body too where the server reserved for the second

Traced from its output: the server had reserved for the second body first, so the first connection was the one refused (503), and all retries of the second were served.

--- a/unittests/Http/HttpServerTest.cpp
+++ b/unittests/Http/HttpServerTest.cpp
@@ -227,10 +227,15 @@
   writeText(Slow, requestHead(100) + "begun");
   auto Refused = connect();
   // The server may reserve memory for the second body before the first, so the
-  // second request is retried.
+  // second request is retried. The first one is too if it was refused
+  // meanwhile.
   std::string RawResponse;
   for (int Try = 0; Try < 100 && RawResponse.substr(0, 12) != "HTTP/1.1 503";
        ++Try) {
+    if (Slow.available() > 0) {
+      Slow = connect();
+      writeText(Slow, requestHead(100) + "begun");
+    }
     Refused = connect();
     writeText(Refused, "POST /x HTTP/1.1\r\nConnection: close\r\n"
                        "Content-Length: 100\r\n\r\n" +
