Log how long a failed read of the log took and what was believed meanwhile

The lines of the partial outage do not tell whether a read was waiting, since when, and how old the settings were believed to be. dependency_lost now has waited_ms, offset and age_ms, dependency_regained has failed_reads and offset, and a gateway exports settings_age_seconds and settings_applied_offset, which only the daemon set.

--- a/lib/Gateway/GatewayRuntime.cpp
+++ b/lib/Gateway/GatewayRuntime.cpp
@@ -94,6 +94,8 @@
   void exchangeDigests(asio::yield_context Yield);
   void runPeriodicTasks(asio::yield_context Yield);
   bool peerDataSuffices(const log_freshness &Age) const;
+  std::optional<milliseconds> ageOf(const log_freshness &Age) const;
+  void updateMetrics();
   milliseconds longPollTimeout(keyed_topic Topic) const;
   bool isRedundantReader() const;
   milliseconds maxPeerDataAge() const;
@@ -175,6 +177,15 @@
          isRedundantReader();
 }
 
+std::optional<milliseconds>
+gateway_runtime::impl::ageOf(const log_freshness &Age) const {
+  monotonic_time Now = Context.Clock.monotonicNow();
+  auto KnownAt = Age.completeAsOf(Now);
+  if (!KnownAt)
+    return std::nullopt;
+  return std::chrono::duration_cast<milliseconds>(Now - *KnownAt);
+}
+
 bool gateway_runtime::impl::isRedundantReader() const {
   return reader_election::isRedundantReader(Context.Settings.Instance,
                                             Context.Settings.DataCentre,
@@ -194,6 +205,7 @@
       continue;
     }
     log_offset Before = View.end();
+    monotonic_time RequestedAt = Context.Clock.monotonicNow();
     std::uint64_t ChangesBefore = Context.Registry.changes();
     bool WasLost = Availability.lost();
     if (WasLost && Topic == keyed_topic::Upstreams)
@@ -205,13 +217,13 @@
     if (!Read) {
       if (WasLost && Topic == keyed_topic::Upstreams)
         Context.Updater.logUnavailable();
-      Availability.failed(Read.error());
+      Availability.failed(Read.error(), RequestedAt, Before, ageOf(Age));
       awaitTime(Yield, Backoff);
       Backoff = std::min(2 * Backoff, MaxFailureBackoff);
       continue;
     }
     Backoff = FailureBackoff;
-    if (Availability.succeeded() && Topic == keyed_topic::Upstreams)
+    if (Availability.succeeded(View.end()) && Topic == keyed_topic::Upstreams)
       Context.Updater.logReconnected();
     startServingWhenReady();
     if (View.end() > Before)
@@ -260,6 +272,16 @@
   }
 }
 
+void gateway_runtime::impl::updateMetrics() {
+  constexpr double Never = -1;
+  constexpr double MillisPerSecond = 1000;
+  auto Age = ageOf(Context.SettingsAge);
+  Context.Metrics.setSettingsAge(
+      Age ? static_cast<double>(Age->count()) / MillisPerSecond : Never);
+  Context.Metrics.setSettingsAppliedOffset(
+      static_cast<double>(SettingsView.end().value()));
+}
+
 void gateway_runtime::impl::registerSelf(asio::yield_context Yield) {
   auto Log = LogProvider.openLog(Yield);
   keyed_record Record = LogProvider.registration(Context.self());
@@ -277,11 +299,13 @@
   topic_availability_monitor Availability(keyed_topic::Instances, Context.Clock,
                                           Context.Log);
   while (true) {
+    monotonic_time RequestedAt = Context.Clock.monotonicNow();
     auto Read = Follower.poll(*Log, milliseconds(0));
     if (Read)
-      Availability.succeeded();
+      Availability.succeeded(InstancesView.end());
     else
-      Availability.failed(Read.error());
+      Availability.failed(Read.error(), RequestedAt, InstancesView.end(),
+                          ageOf(InstancesAge));
     awaitTime(Yield, instancesDelay(/*ReadFailed=*/!Read));
   }
 }
@@ -309,6 +333,7 @@
       }
     }
     removeLapsedUpstreams();
+    updateMetrics();
     awaitTime(Yield, PeriodicTaskInterval);
   }
 }
--- a/lib/Gateway/TopicAvailabilityMonitor.cpp
+++ b/lib/Gateway/TopicAvailabilityMonitor.cpp
@@ -2,24 +2,44 @@
 
 using namespace bluebellkeel;
 
-bool topic_availability_monitor::succeeded() {
+static std::int64_t toField(log_offset Offset) {
+  return static_cast<std::int64_t>(Offset.value());
+}
+
+std::int64_t
+topic_availability_monitor::millisSince(monotonic_time Then) const {
+  return std::chrono::duration_cast<milliseconds>(Clock.monotonicNow() - Then)
+      .count();
+}
+
+bool topic_availability_monitor::succeeded(log_offset End) {
   if (!LostAt)
     return false;
   event_line Line("log", "dependency_regained");
   Line.add("topic", toString(Topic))
-      .add("after_ms", std::chrono::duration_cast<milliseconds>(
-                           Clock.monotonicNow() - *LostAt)
-                           .count());
+      .add("after_ms", millisSince(*LostAt))
+      .add("failed_reads", FailedReads)
+      .add("offset", toField(End));
   Log.write(Line);
   LostAt.reset();
+  FailedReads = 0;
   return true;
 }
 
-void topic_availability_monitor::failed(journal_error Error) {
+void topic_availability_monitor::failed(journal_error Error,
+                                        monotonic_time RequestedAt,
+                                        log_offset End,
+                                        std::optional<milliseconds> Age) {
+  ++FailedReads;
   if (LostAt)
     return;
   LostAt = Clock.monotonicNow();
   event_line Line("log", "dependency_lost");
-  Line.add("topic", toString(Topic)).add("error", toString(Error));
+  Line.add("topic", toString(Topic))
+      .add("error", toString(Error))
+      .add("waited_ms", millisSince(RequestedAt))
+      .add("offset", toField(End));
+  if (Age)
+    Line.add("age_ms", Age->count());
   Log.write(Line);
 }
--- a/lib/Gateway/TopicAvailabilityMonitor.h
+++ b/lib/Gateway/TopicAvailabilityMonitor.h
@@ -2,6 +2,7 @@
 #define BLUEBELLKEEL_LIB_GATEWAY_TOPICAVAILABILITYMONITOR_H
 
 #include "bluebellkeel/Core/EventLog.h"
+#include "bluebellkeel/Core/LogOffset.h"
 #include "bluebellkeel/Core/TimeSource.h"
 #include "bluebellkeel/Journal/JournalError.h"
 #include "bluebellkeel/Journal/KeyedTopic.h"
@@ -17,16 +18,23 @@
                              event_log &Log)
       : Topic(Topic), Clock(Clock), Log(Log) {}
 
-  /// Records a successful read. Returns true if the topic was lost before.
-  bool succeeded();
-  void failed(journal_error Error);
+  /// Records a successful read, after which the view reaches \p End. Returns
+  /// true if the topic was lost before.
+  bool succeeded(log_offset End);
+  /// Records a failed read that was requested at \p RequestedAt. The view
+  /// reaches \p End and was believed to be complete \p Age ago; empty if never.
+  void failed(journal_error Error, monotonic_time RequestedAt, log_offset End,
+              std::optional<milliseconds> Age);
   bool lost() const { return LostAt.has_value(); }
 
 private:
+  std::int64_t millisSince(monotonic_time Then) const;
+
   keyed_topic Topic;
   const time_source &Clock;
   event_log &Log;
   std::optional<monotonic_time> LostAt;
+  std::int64_t FailedReads = 0;
 };
 
 } // namespace bluebellkeel
