Take a waiting read of the log for nothing until it is answered

Cause: the log drops the waiting reads of a partition that goes down and keeps their connections. Reads waited 20 s, a keep-alive probe that was answered counted as a sign that the read still waited, and log_freshness counted the view as complete 3 s ago for as long as it waited.

A read now waits for a third of the time within which a change must take effect (new settings settings_apply_ms and upstreams_apply_ms), a view counts as complete only as of the last answered read, and settings older than the apply time are stale, so that a missing route or key is refused with 503 and not with 404 or 401. The delay after a failed read counts from its start. The same for the upstreams' topic; statuses and instances are read without waiting.

The check freshness_whileReadWaits_isAtMostSilenceLimitOld stated the wrong belief; freshness_whileReadWaits_isThatOfTheLastResponse takes its place and allows no age but the true one. Both gateway_process_test.waitingReadNeverAnswered tests failed before (no effect within 5 s) and pass.

--- a/include/bluebellkeel/Gateway/GatewayContext.h
+++ b/include/bluebellkeel/Gateway/GatewayContext.h
@@ -4,7 +4,6 @@
 #include "bluebellkeel/Core.h"
 #include "bluebellkeel/Gateway/GatewayState.h"
 #include "bluebellkeel/Gateway/HeavyLoadNotifier.h"
-#include "bluebellkeel/Http/ClientStream.h"
 #include "bluebellkeel/Membership.h"
 #include "bluebellkeel/Policy.h"
 #include "bluebellkeel/Relay/ForwardDependencies.h"
@@ -38,8 +37,8 @@
   system_random Random;
   event_writer Log;
   metrics Metrics;
-  log_freshness SettingsAge{client_stream::SilenceLimit};
-  log_freshness UpstreamsAge{client_stream::SilenceLimit};
+  log_freshness SettingsAge;
+  log_freshness UpstreamsAge;
   gateway_state State;
   route_table_holder Tables;
   upstream_registry Registry;
--- a/include/bluebellkeel/Gateway/GatewayState.h
+++ b/include/bluebellkeel/Gateway/GatewayState.h
@@ -3,17 +3,21 @@
 
 #include "absl/base/thread_annotations.h"
 #include "absl/synchronization/mutex.h"
+#include "bluebellkeel/Core/GuardedValue.h"
 #include "bluebellkeel/Core/TimeSource.h"
 #include "bluebellkeel/Journal/LogFreshness.h"
 #include "bluebellkeel/Relay/ServingStatus.h"
+#include "bluebellkeel/Startup/ReloadableSettings.h"
 
 namespace bluebellkeel {
 
 /// The serving phase of this instance and the age of its settings. Thread-safe.
 class gateway_state final : public serving_status {
 public:
-  gateway_state(const log_freshness &SettingsAge, const time_source &Clock)
-      : Age(SettingsAge), Clock(Clock) {}
+  gateway_state(const log_freshness &SettingsAge,
+                const guarded_value<reloadable_settings> &Reloadable,
+                const time_source &Clock)
+      : Age(SettingsAge), Reloadable(Reloadable), Clock(Clock) {}
 
   serving_phase phase() const override {
     absl::MutexLock Lock(&Mutex);
@@ -26,14 +30,18 @@
       Phase = To;
   }
   milliseconds settingsAge() const override {
-    monotonic_time Now = Clock.monotonicNow();
-    auto Known = Age.completeAsOf(Now);
-    return Known ? std::chrono::duration_cast<milliseconds>(Now - *Known)
+    auto Known = Age.completeAsOf();
+    return Known ? std::chrono::duration_cast<milliseconds>(
+                       Clock.monotonicNow() - *Known)
                  : milliseconds::max();
   }
+  bool settingsStale() const override {
+    return settingsAge() > Reloadable.get().SettingsApplyTime;
+  }
 
 private:
   const log_freshness &Age;
+  const guarded_value<reloadable_settings> &Reloadable;
   const time_source &Clock;
   mutable absl::Mutex Mutex;
   serving_phase Phase ABSL_GUARDED_BY(Mutex) = serving_phase::Starting;
--- a/include/bluebellkeel/Journal.h
+++ b/include/bluebellkeel/Journal.h
@@ -13,6 +13,7 @@
 #include "bluebellkeel/Journal/ClaimGateway.h"
 #include "bluebellkeel/Journal/ClaimTable.h"
 #include "bluebellkeel/Journal/ClaimVerdict.h"
+#include "bluebellkeel/Journal/FollowTiming.h"
 #include "bluebellkeel/Journal/JournalError.h"
 #include "bluebellkeel/Journal/KeyedFollower.h"
 #include "bluebellkeel/Journal/KeyedListener.h"
--- a/include/bluebellkeel/Journal/KeyedFollower.h
+++ b/include/bluebellkeel/Journal/KeyedFollower.h
@@ -22,9 +22,6 @@
   tl::expected<void, journal_error> poll(keyed_log &Log, milliseconds Wait);
 
 private:
-  tl::expected<keyed_page, journal_error> readNext(keyed_log &Log,
-                                                   milliseconds Wait);
-
   keyed_topic Topic;
   keyed_view &View;
   log_freshness &Freshness;
--- a/include/bluebellkeel/Relay/ServingStatus.h
+++ b/include/bluebellkeel/Relay/ServingStatus.h
@@ -15,6 +15,8 @@
   virtual serving_phase phase() const = 0;
   /// Time since the configuration was last known to be the newest.
   virtual milliseconds settingsAge() const = 0;
+  /// True if the configuration may lack a change that must be in force by now.
+  virtual bool settingsStale() const = 0;
 };
 
 } // namespace bluebellkeel
--- a/include/bluebellkeel/Startup/ReloadableSettings.h
+++ b/include/bluebellkeel/Startup/ReloadableSettings.h
@@ -22,12 +22,17 @@
   double TrialShare = 0;
   /// Time from the stop signal until the platform kills the process.
   milliseconds Grace{0};
+  /// Time within which an acknowledged change of the settings, and of the
+  /// registered upstreams, must take effect.
+  milliseconds SettingsApplyTime{2000};
+  milliseconds UpstreamsApplyTime{2000};
   /// Longest time for which callers may cache a response of the directory.
   milliseconds DirectoryTtl{0};
 
   auto key() const {
     return std::tie(Seeds, RetryRatio, RetrySlack, RetryWindow, TrialShare,
-                    Grace, DirectoryTtl);
+                    Grace, SettingsApplyTime, UpstreamsApplyTime,
+                    DirectoryTtl);
   }
 };
 
--- a/lib/Gateway/DigestExchanger.cpp
+++ b/lib/Gateway/DigestExchanger.cpp
@@ -25,11 +25,11 @@
 
 std::optional<milliseconds>
 digest_exchanger::ageOf(const log_freshness &Age) const {
-  monotonic_time Now = Context.Clock.monotonicNow();
-  auto KnownAt = Age.completeAsOf(Now);
+  auto KnownAt = Age.completeAsOf();
   if (!KnownAt)
     return std::nullopt;
-  return std::chrono::duration_cast<milliseconds>(Now - *KnownAt);
+  return std::chrono::duration_cast<milliseconds>(Context.Clock.monotonicNow() -
+                                                  *KnownAt);
 }
 
 instance_digest digest_exchanger::digestFor(const data_centre_id &Centre) {
@@ -75,7 +75,7 @@
 }
 
 static bool isLogSilent(const log_freshness &Age, monotonic_time Now) {
-  auto ReadAt = Age.localReadAsOf(Now);
+  auto ReadAt = Age.localReadAsOf();
   return !ReadAt || Now - *ReadAt > LogSilenceLimit;
 }
 
--- a/lib/Gateway/GatewayContext.cpp
+++ b/lib/Gateway/GatewayContext.cpp
@@ -12,10 +12,10 @@
 
 gateway_context::gateway_context(const gateway_settings &Settings)
     : Settings(Settings), Reloadable(Settings.Reloadable),
-      Log(Settings.Instance.text(), Clock), State(SettingsAge, Clock),
-      Registry(Clock), Updater(Registry, Clock), Loads(Clock),
-      Occupancy(Registry, Loads, Clock), Cold(Settings.Instance, Clock),
-      Centres(Clock), Instances(Clock),
+      Log(Settings.Instance.text(), Clock),
+      State(SettingsAge, Reloadable, Clock), Registry(Clock),
+      Updater(Registry, Clock), Loads(Clock), Occupancy(Registry, Loads, Clock),
+      Cold(Settings.Instance, Clock), Centres(Clock), Instances(Clock),
       RollOuts(rollOutLimitsOf(Settings.Reloadable), Clock), Prefixes(Clock),
       Crashes(Clock), Retries(retryRulesOf(Settings.Reloadable), Clock),
       HeavyLoad(Clock) {}
--- a/lib/Gateway/GatewayRuntime.cpp
+++ b/lib/Gateway/GatewayRuntime.cpp
@@ -2,6 +2,7 @@
 #include "DigestExchanger.h"
 #include "TopicAvailabilityMonitor.h"
 #include "bluebellkeel/Http/Await.h"
+#include "bluebellkeel/Journal/FollowTiming.h"
 #include "bluebellkeel/Journal/KeyedFollower.h"
 #include "bluebellkeel/Peer/WebsocketPeerLink.h"
 #include "bluebellkeel/Telemetry/MetricsPeerMonitor.h"
@@ -12,16 +13,6 @@
 
 namespace asio = boost::asio;
 
-/// Longest time that a read waits for new records. Each call is billed, so
-/// the timeout is long; connection probes detect a dead connection sooner.
-static constexpr milliseconds LongPollTimeout{20000};
-
-/// Long-poll timeout for the settings with many instances, most of which do not
-/// read the log. Peers count a reader's settings as complete only as of its
-/// last response, and a route missing from stale settings is not treated as
-/// unknown.
-static constexpr milliseconds SettingsLongPollTimeout{1000};
-
 /// Delay after a successful read, so that a burst of changes costs few calls.
 /// It is short against the time within which a change has to take effect.
 static constexpr milliseconds PollDelay{100};
@@ -36,17 +27,14 @@
 /// upstreams, changes arrive continually.
 static constexpr milliseconds ChangedPollDelay{400};
 
-/// Delay after a failed read. It doubles with each further failure, up to
-/// MaxFailureBackoff.
+/// Minimum time from the start of a failed read to the next read. It doubles
+/// with each further failure, up to MaxFailureBackoff.
 static constexpr milliseconds FailureBackoff{250};
 static constexpr milliseconds MaxFailureBackoff{1000};
 
-/// Maximum age of data from peers on which an instance relies instead of
-/// reading the log, and the interval at which it checks that age. With few
-/// instances the limit stays below the freshness that a waiting reader
-/// guarantees. With many it covers the silence after which a reader gives up
-/// its read, and three digests.
-static constexpr milliseconds MaxPeerDataAge{2000};
+/// Maximum age of data from peers on which one of many instances relies instead
+/// of reading the log, and the interval at which it checks that age. The limit
+/// covers the detection of a reader's lost read, and three digests.
 static constexpr milliseconds ManyPeersMaxDataAge{5000};
 static constexpr milliseconds PeerDataCheckInterval{400};
 
@@ -93,12 +81,14 @@
   void followInstances(asio::yield_context Yield);
   void exchangeDigests(asio::yield_context Yield);
   void runPeriodicTasks(asio::yield_context Yield);
-  bool peerDataSuffices(const log_freshness &Age) const;
+  follow_timing timingOf(keyed_topic Topic) const;
+  bool peerDataSuffices(keyed_topic Topic, const log_freshness &Age) const;
   std::optional<milliseconds> ageOf(const log_freshness &Age) const;
   void updateMetrics();
-  milliseconds longPollTimeout(keyed_topic Topic) const;
   bool isRedundantReader() const;
-  milliseconds maxPeerDataAge() const;
+  milliseconds maxPeerDataAge(keyed_topic Topic) const;
+  void awaitBackoff(asio::yield_context Yield, monotonic_time RequestedAt,
+                    milliseconds Backoff) const;
   milliseconds instancesDelay(bool ReadFailed) const;
   milliseconds pollDelay(keyed_topic Topic, bool Changes) const;
   void startServingWhenReady();
@@ -110,7 +100,7 @@
   keyed_view SettingsView;
   keyed_view UpstreamsView;
   keyed_view InstancesView;
-  log_freshness InstancesAge{client_stream::SilenceLimit};
+  log_freshness InstancesAge;
   hmac_signer Signer;
   metrics_peer_monitor Counter;
   websocket_peer_link Link;
@@ -156,8 +146,7 @@
 
 void gateway_runtime::impl::startServingWhenReady() {
   if (Context.State.phase() != serving_phase::Starting ||
-      !Context.Tables.current() ||
-      !Context.UpstreamsAge.completeAsOf(Context.Clock.monotonicNow()))
+      !Context.Tables.current() || !Context.UpstreamsAge.completeAsOf())
     return;
   Context.State.advance(serving_phase::Serving);
   event_line Line("gateway", "serving");
@@ -169,21 +158,21 @@
 /// True if this instance need not read the topic of \p Age itself. In a data
 /// centre with many instances a few read the log, and the others rely on their
 /// digests as long as these are fresh.
-bool gateway_runtime::impl::peerDataSuffices(const log_freshness &Age) const {
-  monotonic_time Now = Context.Clock.monotonicNow();
-  auto KnownAt = Age.completeAsOf(Now);
-  return KnownAt && Now - *KnownAt <= maxPeerDataAge() &&
+bool gateway_runtime::impl::peerDataSuffices(keyed_topic Topic,
+                                             const log_freshness &Age) const {
+  auto Known = ageOf(Age);
+  return Known && *Known <= maxPeerDataAge(Topic) &&
          Context.State.phase() != serving_phase::Starting &&
          isRedundantReader();
 }
 
 std::optional<milliseconds>
 gateway_runtime::impl::ageOf(const log_freshness &Age) const {
-  monotonic_time Now = Context.Clock.monotonicNow();
-  auto KnownAt = Age.completeAsOf(Now);
+  auto KnownAt = Age.completeAsOf();
   if (!KnownAt)
     return std::nullopt;
-  return std::chrono::duration_cast<milliseconds>(Now - *KnownAt);
+  return std::chrono::duration_cast<milliseconds>(Context.Clock.monotonicNow() -
+                                                  *KnownAt);
 }
 
 bool gateway_runtime::impl::isRedundantReader() const {
@@ -200,7 +189,7 @@
   topic_availability_monitor Availability(Topic, Context.Clock, Context.Log);
   milliseconds Backoff = FailureBackoff;
   while (true) {
-    if (peerDataSuffices(Age)) {
+    if (peerDataSuffices(Topic, Age)) {
       awaitTime(Yield, PeerDataCheckInterval);
       continue;
     }
@@ -212,13 +201,13 @@
       Context.Updater.logReconnecting();
     // After an outage the first read returns at once instead of waiting for new
     // records.
-    auto Read =
-        Follower.poll(*Log, WasLost ? milliseconds(0) : longPollTimeout(Topic));
+    auto Read = Follower.poll(*Log, WasLost ? milliseconds(0)
+                                            : timingOf(Topic).longPoll());
     if (!Read) {
       if (WasLost && Topic == keyed_topic::Upstreams)
         Context.Updater.logUnavailable();
       Availability.failed(Read.error(), RequestedAt, Before, ageOf(Age));
-      awaitTime(Yield, Backoff);
+      awaitBackoff(Yield, RequestedAt, Backoff);
       Backoff = std::min(2 * Backoff, MaxFailureBackoff);
       continue;
     }
@@ -240,14 +229,24 @@
   return Changes ? ChangedPollDelay : UnchangedPollDelay;
 }
 
-milliseconds gateway_runtime::impl::longPollTimeout(keyed_topic Topic) const {
-  return Topic == keyed_topic::Settings && !Exchanger.reachesAllPeers()
-             ? SettingsLongPollTimeout
-             : LongPollTimeout;
+void gateway_runtime::impl::awaitBackoff(asio::yield_context Yield,
+                                         monotonic_time RequestedAt,
+                                         milliseconds Backoff) const {
+  auto Left = RequestedAt + Backoff - Context.Clock.monotonicNow();
+  if (Left.count() > 0)
+    awaitTime(Yield, std::chrono::ceil<milliseconds>(Left));
+}
+
+follow_timing gateway_runtime::impl::timingOf(keyed_topic Topic) const {
+  reloadable_settings Reloadable = Context.Reloadable.get();
+  return follow_timing(Topic == keyed_topic::Upstreams
+                           ? Reloadable.UpstreamsApplyTime
+                           : Reloadable.SettingsApplyTime);
 }
 
-milliseconds gateway_runtime::impl::maxPeerDataAge() const {
-  return Exchanger.reachesAllPeers() ? MaxPeerDataAge : ManyPeersMaxDataAge;
+milliseconds gateway_runtime::impl::maxPeerDataAge(keyed_topic Topic) const {
+  return Exchanger.reachesAllPeers() ? timingOf(Topic).maxPeerDataAge()
+                                     : ManyPeersMaxDataAge;
 }
 
 milliseconds gateway_runtime::impl::instancesDelay(bool ReadFailed) const {
--- a/lib/Relay/ForwardAdmission.cpp
+++ b/lib/Relay/ForwardAdmission.cpp
@@ -7,11 +7,6 @@
 /// sent again.
 static constexpr std::size_t CrashLimit = 3;
 
-/// Age above which the configuration may be outdated, so that a missing route
-/// or key is refused as SettingsStale. Longer than it takes to detect that the
-/// log is silent.
-static constexpr milliseconds StaleSettingsAge{3500};
-
 std::optional<refusal_reason> forward_admission::admit() {
   serving_phase Phase = Deps.ServingStatus.phase();
   Table = Deps.Tables.current();
@@ -42,7 +37,7 @@
 
 /// Looks up the route, the account and the service in the table.
 std::optional<refusal_reason> forward_admission::checkRoute() {
-  bool Stale = Deps.ServingStatus.settingsAge() > StaleSettingsAge;
+  bool Stale = Deps.ServingStatus.settingsStale();
   Route = Table->match(Call.host(), Call.path());
   if (!Route)
     return Stale ? refusal_reason::SettingsStale : refusal_reason::UnknownRoute;
--- a/lib/Startup/GatewaySettingsReader.cpp
+++ b/lib/Startup/GatewaySettingsReader.cpp
@@ -17,12 +17,22 @@
 static constexpr std::uint64_t MinMemoryMb = 16;
 static constexpr std::uint64_t MaxMemoryMb = 1UL << 20;
 
+/// Default, shortest and longest time in which a change takes effect.
+static constexpr std::uint64_t DefaultApplyMs = 2000;
+static constexpr std::uint64_t MinApplyMs = 500;
+static constexpr std::uint64_t MaxApplyMs = 3600000;
+
 static milliseconds secondsOf(object_reader &Reader, const char *Name) {
   constexpr double MillisPerSecond = 1000;
   double Seconds = Reader.real(Name, 0, HourInSeconds);
   return milliseconds(std::lround(Seconds * MillisPerSecond));
 }
 
+static milliseconds applyTimeOf(object_reader &Reader, const char *Name) {
+  return milliseconds(
+      Reader.numberOr(Name, DefaultApplyMs, MinApplyMs, MaxApplyMs));
+}
+
 static void readListen(object_reader &Root, gateway_settings &Settings) {
   object_reader Listen = Root.object("listen", /*Required=*/true);
   Settings.CallerAddress = Listen.address("callers");
@@ -47,6 +57,8 @@
   Settings.RetryWindow = secondsOf(Reloadable, "retry_window_s");
   Settings.TrialShare = Reloadable.real("trial_share", 0, 1);
   Settings.Grace = secondsOf(Reloadable, "grace_s");
+  Settings.SettingsApplyTime = applyTimeOf(Reloadable, "settings_apply_ms");
+  Settings.UpstreamsApplyTime = applyTimeOf(Reloadable, "upstreams_apply_ms");
   Settings.DirectoryTtl = secondsOf(Reloadable, "advice_life_s");
   Reloadable.ignore("session_life_s");
   Reloadable.finish();
--- a/unittests/Adapter/GatewayProcessTest.cpp
+++ b/unittests/Adapter/GatewayProcessTest.cpp
@@ -254,6 +254,30 @@
   EXPECT_EQ(200, call("idempotent", "other")->status());
 }
 
+TEST_F(gateway_process_test,
+       waitingReadNeverAnswered_newConfigurationTakesEffectWithinTwoSeconds) {
+  // Ensures that the read of the settings is waiting.
+  absl::Notification Never;
+  Never.WaitForNotificationWithTimeout(absl::Milliseconds(300));
+  Store.dropWaitingReads("keyed.op");
+  putConfiguration(3, 10000, {"other"});
+  auto Start = std::chrono::steady_clock::now();
+  EXPECT_TRUE(waitFor([this] { return call("idempotent")->status() == 401; }));
+  EXPECT_LT(std::chrono::steady_clock::now() - Start, milliseconds(2000));
+}
+
+TEST_F(gateway_process_test,
+       waitingReadNeverAnswered_leavingUpstreamsGetNoRequestsAfterTwoSeconds) {
+  absl::Notification Never;
+  Never.WaitForNotificationWithTimeout(absl::Milliseconds(300));
+  Store.dropWaitingReads("keyed.servers");
+  Store.put("keyed.servers", "u1", registration(1, "draining", 2));
+  Store.put("keyed.servers", "u2", registration(2, "draining", 2));
+  auto Start = std::chrono::steady_clock::now();
+  EXPECT_TRUE(waitFor([this] { return call("idempotent")->status() == 503; }));
+  EXPECT_LT(std::chrono::steady_clock::now() - Start, milliseconds(2000));
+}
+
 TEST_F(gateway_process_test, topicCompactedWhileStoreIsBusy_changeTakesEffect) {
   Store.setFault(store_standin::fault::Busy);
   putConfiguration(3, 10000, {"other"});
--- a/unittests/Journal/KeyedViewTest.cpp
+++ b/unittests/Journal/KeyedViewTest.cpp
@@ -1,6 +1,7 @@
 #include "Support/ManualClock.h"
 #include "bluebellkeel/Journal.h"
 #include <deque>
+#include <functional>
 #include <gtest/gtest.h>
 
 using namespace bluebellkeel;
@@ -28,6 +29,8 @@
   result read(keyed_topic /*Topic*/, log_offset After,
               milliseconds /*Wait*/) override {
     ReadAfter = After;
+    if (WhileWaiting)
+      WhileWaiting();
     result Result = Reads.front();
     Reads.pop_front();
     return Result;
@@ -43,6 +46,8 @@
   result LatestResult;
   std::deque<result> Reads;
   log_offset ReadAfter;
+  /// Called before read() returns.
+  std::function<void()> WhileWaiting;
 };
 
 class keyed_view_test : public testing::Test {
@@ -58,7 +63,7 @@
   manual_clock Clock;
   recording_listener Listener;
   keyed_view View{Listener};
-  log_freshness Freshness{milliseconds(3000)};
+  log_freshness Freshness;
   scripted_log Log;
   keyed_follower Follower{keyed_topic::Settings, View, Freshness, Clock};
 };
@@ -122,20 +127,26 @@
 
 TEST_F(keyed_view_test, poll_onFailure_keepsFreshness) {
   Follower.poll(Log, milliseconds(0));
-  auto Before = Freshness.completeAsOf(Clock.monotonicNow());
+  auto Before = Freshness.completeAsOf();
   Clock.advance(milliseconds(5000));
   Log.Reads = {tl::unexpected(journal_error::Unavailable)};
   EXPECT_FALSE(Follower.poll(Log, milliseconds(0)));
-  EXPECT_EQ(Before, Freshness.completeAsOf(Clock.monotonicNow()));
+  EXPECT_EQ(Before, Freshness.completeAsOf());
 }
 
-TEST_F(keyed_view_test, freshness_whileReadWaits_isAtMostSilenceLimitOld) {
-  Freshness.noteLogRead(Clock.monotonicNow());
-  Freshness.beginWait();
-  Clock.advance(milliseconds(60000));
-  EXPECT_EQ(Clock.monotonicNow() - milliseconds(3000),
-            *Freshness.completeAsOf(Clock.monotonicNow()));
-  Freshness.endWait();
-  EXPECT_EQ(Clock.monotonicNow() - milliseconds(60000),
-            *Freshness.completeAsOf(Clock.monotonicNow()));
+TEST_F(keyed_view_test, freshness_whileReadWaits_isThatOfTheLastResponse) {
+  Follower.poll(Log, milliseconds(0));
+  auto LastResponse = Freshness.completeAsOf();
+  ASSERT_EQ(Clock.monotonicNow(), LastResponse);
+  int Waits = 0;
+  Log.WhileWaiting = [&] {
+    ++Waits;
+    Clock.advance(milliseconds(60000));
+    EXPECT_EQ(LastResponse, Freshness.completeAsOf());
+    EXPECT_EQ(LastResponse, Freshness.localReadAsOf());
+  };
+  Log.Reads = {tl::unexpected(journal_error::InDoubt)};
+  EXPECT_FALSE(Follower.poll(Log, milliseconds(60000)));
+  EXPECT_EQ(1, Waits);
+  EXPECT_EQ(LastResponse, Freshness.completeAsOf());
 }
--- a/unittests/Startup/GatewaySettingsTest.cpp
+++ b/unittests/Startup/GatewaySettingsTest.cpp
@@ -36,6 +36,20 @@
   EXPECT_EQ("info", Settings->LogLevel);
 }
 
+TEST_F(gateway_settings_test, applyTimes_areOptionalAndChecked) {
+  auto Settings = readGatewaySettings(ValidSettings);
+  ASSERT_TRUE(Settings.has_value());
+  EXPECT_EQ(milliseconds(2000), Settings->Reloadable.SettingsApplyTime);
+  auto Changed = readGatewaySettings(withReplacement(
+      "\"grace_s\": 8", "\"grace_s\": 8, \"settings_apply_ms\": 3000, "
+                        "\"upstreams_apply_ms\": 4000"));
+  ASSERT_TRUE(Changed.has_value());
+  EXPECT_EQ(milliseconds(3000), Changed->Reloadable.SettingsApplyTime);
+  EXPECT_EQ(milliseconds(4000), Changed->Reloadable.UpstreamsApplyTime);
+  EXPECT_FALSE(readGatewaySettings(withReplacement(
+      "\"grace_s\": 8", "\"grace_s\": 8, \"settings_apply_ms\": 0")));
+}
+
 TEST_F(gateway_settings_test, fieldOfAnEarlierRelease_isIgnored) {
   EXPECT_TRUE(readGatewaySettings(
                   withReplacement("\"grace_s\": 8",
--- a/unittests/Support/ForwardFixture.h
+++ b/unittests/Support/ForwardFixture.h
@@ -137,9 +137,11 @@
 public:
   serving_phase phase() const override { return Phase; }
   milliseconds settingsAge() const override { return Age; }
+  bool settingsStale() const override { return Age > MaxAge; }
 
   serving_phase Phase = serving_phase::Serving;
   milliseconds Age{0};
+  milliseconds MaxAge{2000};
 };
 
 /// Keeps the log lines in memory.
--- a/utils/Platform/StoreStandin.cpp
+++ b/utils/Platform/StoreStandin.cpp
@@ -8,6 +8,8 @@
 
 static constexpr milliseconds PollInterval{5};
 static constexpr milliseconds SilentTime{5000};
+/// Time for which the connection of a dropped read stays open.
+static constexpr milliseconds DroppedReadTime{60000};
 
 void store_standin::put(const std::string &Topic, const std::string &Key,
                         const std::string &Value) {
@@ -25,6 +27,17 @@
   Fault = NewFault;
 }
 
+void store_standin::dropWaitingReads(const std::string &Topic) {
+  absl::MutexLock Lock(&Mutex);
+  ++Topics[Topic].Drops;
+}
+
+std::uint64_t store_standin::dropsOf(const std::string &Topic) const {
+  absl::MutexLock Lock(&Mutex);
+  auto Found = Topics.find(Topic);
+  return Found == Topics.end() ? 0 : Found->second.Drops;
+}
+
 std::string store_standin::newest(const std::string &Topic,
                                   const std::string &Key) const {
   absl::MutexLock Lock(&Mutex);
@@ -129,9 +142,15 @@
   }
   std::string Wait = Request.query("wait_timeout_ms");
   milliseconds Left(Wait.empty() ? 0 : std::stol(Wait));
+  std::uint64_t Drops = dropsOf(Topic);
   std::string Body = recordsFrom(Topic, From);
   for (; Body.empty() && Left.count() > 0; Left -= PollInterval) {
     awaitTime(Yield, PollInterval);
+    if (dropsOf(Topic) != Drops) {
+      awaitTime(Yield, DroppedReadTime);
+      Responder.abandon();
+      return;
+    }
     Body = recordsFrom(Topic, From);
   }
   Responder.send(http_response(200, http_headers(),
--- a/utils/Platform/StoreStandin.h
+++ b/utils/Platform/StoreStandin.h
@@ -4,6 +4,7 @@
 #include "absl/base/thread_annotations.h"
 #include "absl/synchronization/mutex.h"
 #include "bluebellkeel/Http/HttpHandler.h"
+#include <cstdint>
 #include <map>
 #include <string>
 #include <vector>
@@ -26,6 +27,9 @@
   /// newest value of each key is kept.
   void compact(const std::string &Topic);
   void setFault(fault NewFault);
+  /// Never answers the reads of \p Topic that are waiting now; their
+  /// connections stay open.
+  void dropWaitingReads(const std::string &Topic);
   /// Returns the newest value of \p Key, or an empty string if there is none.
   std::string newest(const std::string &Topic, const std::string &Key) const;
   /// Returns the number of HTTP requests received so far.
@@ -39,12 +43,16 @@
     std::vector<std::pair<std::string, std::string>> Records;
     /// Lowest offset that can be read.
     std::size_t First = 0;
+    /// Number of calls of dropWaitingReads(); a read that began before the
+    /// latest one is not answered.
+    std::uint64_t Drops = 0;
   };
 
   void append(const http_request &Request, http_responder &Responder);
   void read(const http_request &Request, http_responder &Responder,
             boost::asio::yield_context Yield);
   void listNewest(const http_request &Request, http_responder &Responder);
+  std::uint64_t dropsOf(const std::string &Topic) const;
   /// Returns the body of a read from offset \p From; empty if there are no
   /// records yet.
   std::string recordsFrom(const std::string &Topic, std::size_t From) const;
