Soak: drop the waiting reads of the store, and expect the next version in force

Why tests and soak missed the partial outage: every fault of the store ended its connections or paused it whole, and any restarted gateway brought the missing version to its peers. Two drops per run, from a generator of their own so that the other faults of a seed stay as they were, and one after all faults with a version written behind it, which must be in force 2.3 s later.

--- a/test/Soak/FaultKind.h
+++ b/test/Soak/FaultKind.h
@@ -14,6 +14,8 @@
   RunnerLink,
   /// The store is paused for all gateways at once.
   PauseStore,
+  /// The store never answers the reads that are waiting.
+  DropReads,
 };
 
 } // namespace bluebellkeel
--- a/test/Soak/FaultSchedule.cpp
+++ b/test/Soak/FaultSchedule.cpp
@@ -8,6 +8,7 @@
 static constexpr milliseconds MeanFaultInterval{700};
 static constexpr int MinFaultMs = 300;
 static constexpr int MaxFaultMs = 4000;
+static constexpr int ReadDrops = 2;
 
 fault_schedule::fault_schedule(std::uint64_t Seed, milliseconds Length,
                                int Gateways, int Runners) {
@@ -29,5 +30,14 @@
     Faults.emplace_back(Start, Duration, Kind,
                         UniformBelow(AtRunner ? Runners : Gateways), Mode);
   }
+  // Drawn by a generator of their own, so that a seed's other faults stay as
+  // they were before this kind existed.
+  std::mt19937_64 DropRandom(~Seed);
+  for (int I = 0; I < ReadDrops; ++I) {
+    milliseconds Start(static_cast<int>(
+        DropRandom() % static_cast<std::uint64_t>(Length.count())));
+    Faults.emplace_back(Start, milliseconds(0), fault_kind::DropReads, 0,
+                        link_mode::Pass);
+  }
   std::sort(Faults.begin(), Faults.end());
 }
--- a/test/Soak/SoakEnvironment.cpp
+++ b/test/Soak/SoakEnvironment.cpp
@@ -46,6 +46,13 @@
   return Response && Response->status() == 200;
 }
 
+void soak_environment::dropReads() {
+  for (const char *Topic : {"keyed.op", "keyed.servers"})
+    Client.send(address(StorePort),
+                http_request("POST", std::string("/drop-reads?topic=") + Topic,
+                             {}, ""));
+}
+
 static json routeOf(const std::string &Path, const std::string &Kind,
                     int Attempts) {
   return {{"name", Path},
--- a/test/Soak/SoakEnvironment.h
+++ b/test/Soak/SoakEnvironment.h
@@ -51,6 +51,8 @@
   void killRunner(int Index);
 
   void signalStore(int Signal) { Store->signal(Signal); }
+  /// Makes the store drop the waiting reads of the settings and the upstreams.
+  void dropReads();
 
   void setStoreLink(int Gateway, link_mode Mode);
   void setRunnerLink(int Runner, link_mode Mode);
--- a/test/Soak/SoakRun.cpp
+++ b/test/Soak/SoakRun.cpp
@@ -16,6 +16,9 @@
 /// out within three seconds, and upstream health and retry budgets recover
 /// within the next few.
 static constexpr milliseconds RecoveryTime{6000};
+/// Time within which a configuration must be in force, and an allowance for its
+/// transmission.
+static constexpr milliseconds ApplyTime{2300};
 /// Maximum time after FaultTime until all faults have ended and all gateways
 /// run again.
 static constexpr milliseconds RestartTimeout{20000};
@@ -57,6 +60,11 @@
   if (Cancelled)
     return {"cancelled"};
   awaitTime(RecoveryTime);
+  // With no other fault, nothing but the gateways' own reads brings this
+  // version; the requests after the faults expect it to be in force.
+  Environment.dropReads();
+  configure();
+  awaitTime(ApplyTime);
   Stop = true;
   sendAfterFaults();
   while (ActiveCallers > 0)
@@ -118,6 +126,8 @@
     return Environment.setRunnerLink(Fault.target(), Fault.mode());
   case fault_kind::PauseStore:
     return Environment.signalStore(SIGSTOP);
+  case fault_kind::DropReads:
+    return Environment.dropReads();
   }
 }
 
@@ -142,6 +152,8 @@
     return Environment.setRunnerLink(Fault.target(), link_mode::Pass);
   case fault_kind::PauseStore:
     return Environment.signalStore(SIGCONT);
+  case fault_kind::DropReads:
+    return;
   }
 }
 
--- a/utils/Platform/StoreStandin.cpp
+++ b/utils/Platform/StoreStandin.cpp
@@ -78,6 +78,9 @@
   if (Request.path() == "/put") {
     put(Request.query("topic"), Request.query("key"), Request.body());
     Responder.send(http_response(200, http_headers(), ""));
+  } else if (Request.path() == "/drop-reads") {
+    dropWaitingReads(Request.query("topic"));
+    Responder.send(http_response(200, http_headers(), ""));
   } else if (Request.path() == "/newest-value") {
     std::string Value = newest(Request.query("topic"), Request.query("key"));
     Responder.send(http_response(200, http_headers(), Value));
