Log the prompt parts of a broken response and how far it had come

A crash breaks all requests of an upstream; nothing in the log told which of them could have caused it. attempt_failed now has head, events and, for a broken response, the shared parts.

--- a/include/bluebellkeel/Policy/Prompt.h
+++ b/include/bluebellkeel/Policy/Prompt.h
@@ -27,6 +27,13 @@
   /// Parts in the order of the prompt; the last part belongs to this request
   /// alone.
   const std::vector<prompt_part> &parts() const { return Parts; }
+  /// Returns the ids of the parts that other requests may share.
+  std::vector<std::string> sharedPartIds() const {
+    std::vector<std::string> Ids;
+    for (std::size_t I = 0; I + 1 < Parts.size(); ++I)
+      Ids.push_back(Parts[I].id());
+    return Ids;
+  }
   auto key() const {
     return std::tie(TokensIn, MaxTokensOut, LengthHint, Parts);
   }
--- a/include/bluebellkeel/Relay/ForwardProgress.h
+++ b/include/bluebellkeel/Relay/ForwardProgress.h
@@ -21,6 +21,8 @@
   bool ResponseStarted = false;
   /// Start of the latest attempt.
   monotonic_time SentAt;
+  /// True if the latest attempt received a response head.
+  bool HeadReceived = false;
   /// Time of the latest complete event of a stream, or of its start, and the
   /// longest pause between two events for the latest attempt.
   monotonic_time LastEventAt;
--- a/lib/Relay/ForwardLog.cpp
+++ b/lib/Relay/ForwardLog.cpp
@@ -1,4 +1,5 @@
 #include "bluebellkeel/Relay/ForwardLog.h"
+#include "absl/strings/str_join.h"
 
 using namespace bluebellkeel;
 
@@ -37,7 +38,11 @@
   Line.add("id", Call.id().text())
       .add("upstream", Upstream.text())
       .add("error", toString(Error))
-      .add("after_ms", since(Progress.SentAt).count());
+      .add("after_ms", since(Progress.SentAt).count())
+      .add("head", Progress.HeadReceived)
+      .add("events", static_cast<std::int64_t>(Progress.Events));
+  if (Error == attempt_error::Truncated)
+    Line.add("parts", absl::StrJoin(Call.requestPrompt().sharedPartIds(), ","));
   Deps.Log.write(Line);
 }
 
--- a/lib/Relay/ForwardRelay.cpp
+++ b/lib/Relay/ForwardRelay.cpp
@@ -114,6 +114,8 @@
   if (Prefill >= HeavyPrefillTokens)
     Deps.HeavyLoad.onHeavyPrefill();
   Progress.SentAt = Deps.Clock.monotonicNow();
+  Progress.HeadReceived = false;
+  Progress.Events = 0;
   forward_attempt Attempt = attemptAt(Upstream);
   Progress.IdleLimit = Attempt.idleLimit();
   auto Response = Upstreams.open(Attempt, Limit);
@@ -146,6 +148,7 @@
   if (Head.notRun())
     return handleAttemptError(Upstream, attempt_error::TurnedAway);
   ++Progress.Runs;
+  Progress.HeadReceived = true;
   RequestLoad.prefillDone();
   if (!Progress.ResponseStarted)
     Progress.FirstByte = elapsed();
@@ -237,7 +240,6 @@
   }
   Splitter.clear();
   Progress.LastEventAt = Deps.Clock.monotonicNow();
-  Progress.Events = 0;
   while (true) {
     auto Piece = Response.read();
     if (!Piece)
