--- a/include/bluebellkeel/Startup/ReloadableSettings.h
+++ b/include/bluebellkeel/Startup/ReloadableSettings.h
@@ -31,8 +31,7 @@
 
   auto key() const {
     return std::tie(Seeds, RetryRatio, RetrySlack, RetryWindow, TrialShare,
-                    Grace, SettingsApplyTime, UpstreamsApplyTime,
-                    DirectoryTtl);
+                    Grace, SettingsApplyTime, UpstreamsApplyTime, DirectoryTtl);
   }
 };
 
--- a/lib/Journal/KeyedFollower.cpp
+++ b/lib/Journal/KeyedFollower.cpp
@@ -5,7 +5,8 @@
 tl::expected<void, journal_error> keyed_follower::poll(keyed_log &Log,
                                                        milliseconds Wait) {
   monotonic_time RequestedAt = Clock.monotonicNow();
-  auto Page = Synced ? Log.read(Topic, View.end(), Wait) : Log.readLatest(Topic);
+  auto Page =
+      Synced ? Log.read(Topic, View.end(), Wait) : Log.readLatest(Topic);
   if (!Page && Page.error() == journal_error::Trimmed) {
     Synced = false;
     Page = Log.readLatest(Topic);
