Reject requests with a part of a prompt that crashes upstreams

part_crash_tracker counts only requests that were beginning. A part is sound if a request with it was answered in the minute before the crash or after it; crashes of three different requests at three upstreams block the part that explains most of them, and the crashes that it explains speak against no other. Two crashes of one request block that request, and a suspected one is not repeated. Digests carry crashes without the parts that are sound at the sender, and successes that clear a part, so that instances which see one crash each reach the same result; the size of both is bounded.

--- a/include/bluebellkeel/Gateway/GatewayContext.h
+++ b/include/bluebellkeel/Gateway/GatewayContext.h
@@ -51,6 +51,7 @@
   roll_out_tracker RollOuts;
   prefix_tracker Prefixes;
   crash_tracker Crashes;
+  part_crash_tracker PartCrashes;
   retry_window Retries;
   cheapest_placement Placement;
   confidence_model_selector ModelSelector;
--- a/include/bluebellkeel/Peer/InstanceDigest.h
+++ b/include/bluebellkeel/Peer/InstanceDigest.h
@@ -5,6 +5,7 @@
 #include "bluebellkeel/Membership/InstanceRecord.h"
 #include "bluebellkeel/Membership/LivenessReport.h"
 #include "bluebellkeel/Peer/CrashNotice.h"
+#include "bluebellkeel/Policy/PartCrashReport.h"
 #include "bluebellkeel/Policy/RollOutEvidence.h"
 #include "bluebellkeel/Upstream/InstanceLoad.h"
 #include <optional>
@@ -30,6 +31,7 @@
     std::vector<instance_load> Loads;
     std::vector<roll_out_evidence> RollOuts;
     std::vector<crash_notice> Crashes;
+    part_crash_report PartCrashes;
     std::vector<instance_record> KnownInstances;
     std::vector<liveness_report> LivenessReports;
   };
@@ -51,6 +53,7 @@
     return Content.RollOuts;
   }
   const std::vector<crash_notice> &crashes() const { return Content.Crashes; }
+  const part_crash_report &partCrashes() const { return Content.PartCrashes; }
   /// Returns some of the instances that the sender considers alive.
   const std::vector<instance_record> &knownInstances() const {
     return Content.KnownInstances;
@@ -63,8 +66,8 @@
   auto key() const {
     return std::tie(Content.Sender, Content.SettingsEnd, Content.UpstreamsEnd,
                     Content.SettingsAge, Content.UpstreamsAge, Content.Loads,
-                    Content.RollOuts, Content.Crashes, Content.KnownInstances,
-                    Content.LivenessReports);
+                    Content.RollOuts, Content.Crashes, Content.PartCrashes,
+                    Content.KnownInstances, Content.LivenessReports);
   }
 
 private:
--- /dev/null
+++ b/include/bluebellkeel/Policy/PartBlame.h
@@ -0,0 +1,58 @@
+#ifndef BLUEBELLKEEL_POLICY_PARTBLAME_H
+#define BLUEBELLKEEL_POLICY_PARTBLAME_H
+
+#include "bluebellkeel/Policy/PartCrash.h"
+#include "bluebellkeel/Policy/Prompt.h"
+#include <map>
+#include <optional>
+#include <set>
+
+namespace bluebellkeel {
+
+/// The parts of prompts that explain a list of crashes. A part is blocked if
+/// enough different requests with it crashed enough different upstreams; the
+/// crashes that it explains then speak against no other part.
+class part_blame : public comparable<part_blame> {
+public:
+  /// Number of different requests, and of different upstreams, whose crashes
+  /// block a part. Fewer may be a coincidence when several upstreams are lost
+  /// at once.
+  static constexpr std::size_t BlockingRequests = 3;
+  static constexpr std::size_t BlockingUpstreams = 3;
+  /// Number of different requests from which a part is suspected.
+  static constexpr std::size_t SuspectRequests = 2;
+  /// Number of different upstreams whose crashes block a single request.
+  static constexpr std::size_t UpstreamsOfOneRequest = 2;
+
+  part_blame() = default;
+  /// \param Crashes without the parts that are known to be sound; a crash
+  /// without parts counts against nothing.
+  explicit part_blame(const std::vector<part_crash> &Crashes);
+
+  /// Returns the blocked part of \p Prompt; empty if it has none.
+  std::optional<std::string> blockedPart(const prompt &Prompt) const;
+  /// True if \p Request itself is blocked.
+  bool blocksRequest(const fingerprint &Request) const;
+  /// True if a request with \p Prompt should not be sent again after a failed
+  /// attempt.
+  bool suspects(const prompt &Prompt) const;
+  /// True if the part was in a request of any crash.
+  bool mentions(const std::string &Part) const {
+    return Mentioned.count(Part) > 0;
+  }
+  const std::set<std::string> &blockedParts() const { return Blocked; }
+  auto key() const {
+    return std::tie(Mentioned, Blocked, RequestsOfPart, UpstreamsOfRequest);
+  }
+
+private:
+  std::set<std::string> Mentioned;
+  std::set<std::string> Blocked;
+  /// For each part, the requests of the crashes that no blocked part explains.
+  std::map<std::string, std::set<fingerprint>> RequestsOfPart;
+  std::map<fingerprint, std::set<upstream_id>> UpstreamsOfRequest;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_POLICY_PARTBLAME_H
--- a/include/bluebellkeel/Relay/ForwardAdmission.h
+++ b/include/bluebellkeel/Relay/ForwardAdmission.h
@@ -39,6 +39,7 @@
 
 private:
   std::optional<refusal_reason> checkRoute();
+  std::optional<refusal_reason> checkParts(unsigned Runs) const;
   std::optional<refusal_reason> checkTime(unsigned Runs) const;
 
   const forward_dependencies &Deps;
--- a/include/bluebellkeel/Relay/ForwardDependencies.h
+++ b/include/bluebellkeel/Relay/ForwardDependencies.h
@@ -7,6 +7,7 @@
 #include "bluebellkeel/Membership/LiveInstances.h"
 #include "bluebellkeel/Policy/CrashTracker.h"
 #include "bluebellkeel/Policy/ModelSelector.h"
+#include "bluebellkeel/Policy/PartCrashTracker.h"
 #include "bluebellkeel/Policy/PlacementPolicy.h"
 #include "bluebellkeel/Policy/PrefixTracker.h"
 #include "bluebellkeel/Policy/RetryWindow.h"
@@ -38,6 +39,7 @@
   roll_out_tracker &RollOuts;
   prefix_tracker &Prefixes;
   crash_tracker &Crashes;
+  part_crash_tracker &PartCrashes;
   retry_window &Retries;
   const placement_policy &Placement;
   const model_selector &ModelSelector;
--- a/include/bluebellkeel/Relay/ForwardRelay.h
+++ b/include/bluebellkeel/Relay/ForwardRelay.h
@@ -60,9 +60,11 @@
   double relativeTokenTime() const;
   bool runsLeft() const { return Progress.Runs < route().attempts(); }
   bool repeatable() const { return route().repeatable(); }
+  void noteDroppedResponse(const upstream_listing &Upstream);
   void noteAttemptSuccess(const upstream_listing &Upstream);
   void noteAttemptFailure(const upstream_listing &Upstream,
                           attempt_error Error);
+  void noteCrash(const upstream_id &Upstream);
   void refuse(refusal_reason Reason);
   int refusalStatus(refusal_reason Reason) const;
   void logEnd(std::string_view Outcome, int Status) const;
--- a/lib/Gateway/DigestExchanger.cpp
+++ b/lib/Gateway/DigestExchanger.cpp
@@ -43,6 +43,7 @@
   Fields.RollOuts = Context.RollOuts.evidence();
   for (const auto &[Request, Upstream] : Context.Crashes.recent(CrashAge))
     Fields.Crashes.emplace_back(Request, Upstream);
+  Fields.PartCrashes = Context.PartCrashes.report();
   // A few instances are enough for a peer that knows no others, since it
   // contacts these next.
   Fields.KnownInstances = Context.Instances.aliveUpTo(MaxKnownPeersInDigest);
@@ -68,6 +69,7 @@
   Context.RollOuts.merge(Peer, Digest.rollOuts());
   for (const auto &Crash : Digest.crashes())
     Context.Crashes.notePeerCrash(Crash.request(), Crash.upstream());
+  Context.PartCrashes.merge(Digest.partCrashes());
   syncTopic(keyed_topic::Settings, Digest.sender(), Digest.settingsEnd(),
             Digest.settingsAge());
   syncTopic(keyed_topic::Upstreams, Digest.sender(), Digest.upstreamsEnd(),
--- a/lib/Gateway/GatewayContext.cpp
+++ b/lib/Gateway/GatewayContext.cpp
@@ -17,8 +17,8 @@
       Updater(Registry, Clock), Loads(Clock), Occupancy(Registry, Loads, Clock),
       Cold(Settings.Instance, Clock), Centres(Clock), Instances(Clock),
       RollOuts(rollOutLimitsOf(Settings.Reloadable), Clock), Prefixes(Clock),
-      Crashes(Clock), Retries(retryRulesOf(Settings.Reloadable), Clock),
-      HeavyLoad(Clock) {}
+      Crashes(Clock), PartCrashes(Clock),
+      Retries(retryRulesOf(Settings.Reloadable), Clock), HeavyLoad(Clock) {}
 
 void gateway_context::reconfigure(const reloadable_settings &Newer) {
   Reloadable.set(Newer);
@@ -41,6 +41,7 @@
                               RollOuts,
                               Prefixes,
                               Crashes,
+                              PartCrashes,
                               Retries,
                               Placement,
                               ModelSelector,
--- a/lib/Peer/DigestJson.cpp
+++ b/lib/Peer/DigestJson.cpp
@@ -1,6 +1,7 @@
 #include "DigestJson.h"
 #include "bluebellkeel/Codec.h"
 #include "bluebellkeel/Codec/FieldReader.h"
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 using namespace bluebellkeel;
@@ -71,6 +72,25 @@
   return roll_out_evidence(std::move(Evidence));
 }
 
+static json crashesToJson(const part_crash_report &Report) {
+  json Crashes = json::array();
+  for (const auto &Crash : Report.crashes())
+    Crashes.push_back({{"f", Crash.request().text()},
+                       {"u", Crash.upstream().text()},
+                       {"p", Crash.parts()},
+                       {"a", static_cast<std::uint64_t>(Crash.age().count())}});
+  return Crashes;
+}
+
+static json successesToJson(const part_crash_report &Report) {
+  json Successes = json::array();
+  for (const auto &Success : Report.successes())
+    Successes.push_back(
+        {{"p", Success.part()},
+         {"a", static_cast<std::uint64_t>(Success.age().count())}});
+  return Successes;
+}
+
 json bluebellkeel::digestToJson(const instance_digest &Body) {
   json Loads = json::array();
   for (const auto &Load : Body.loads())
@@ -98,6 +118,10 @@
       {"uo", Body.upstreamsEnd().value()}, {"l", std::move(Loads)},
       {"r", std::move(RollOuts)},          {"c", std::move(Crashes)},
       {"k", std::move(KnownInstances)},    {"h", std::move(LivenessReports)}};
+  if (!Body.partCrashes().crashes().empty())
+    Json["pc"] = crashesToJson(Body.partCrashes());
+  if (!Body.partCrashes().successes().empty())
+    Json["ps"] = successesToJson(Body.partCrashes());
   if (Body.settingsAge())
     Json["a"] = static_cast<std::uint64_t>(Body.settingsAge()->count());
   if (Body.upstreamsAge())
@@ -132,6 +156,54 @@
   return Crashes;
 }
 
+/// Returns the array \p Name, or an empty array if it is missing.
+static const json &optionalArray(field_reader &Fields, const char *Name) {
+  static const json Empty = json::array();
+  return Fields.optional(Name).is_null() ? Empty : Fields.array(Name);
+}
+
+static milliseconds ageFrom(field_reader &Fields) {
+  constexpr std::uint64_t MaxAgeMs = 86400000;
+  std::uint64_t Age = Fields.number("a");
+  if (Age > MaxAgeMs)
+    Fields.fail("an age is over a day");
+  return milliseconds(std::min(Age, MaxAgeMs));
+}
+
+static std::vector<std::string> partsFrom(field_reader &Crash) {
+  std::vector<std::string> Parts;
+  for (const auto &Part : Crash.array("p")) {
+    if (!Part.is_string()) {
+      Crash.fail("a part is no string");
+      break;
+    }
+    Parts.push_back(Part.get<std::string>());
+  }
+  return Parts;
+}
+
+/// Reads the fields that earlier releases do not send.
+static part_crash_report partCrashesFrom(field_reader &Fields) {
+  std::vector<part_crash> Crashes;
+  std::vector<part_success> Successes;
+  for (const auto &Item : optionalArray(Fields, "pc")) {
+    field_reader Crash(Item);
+    fingerprint Request(Crash.text("f"));
+    upstream_id Upstream(Crash.text("u"));
+    Crashes.emplace_back(Request, Upstream, partsFrom(Crash), ageFrom(Crash));
+    if (Crash.failed())
+      Fields.fail(Crash.error().message());
+  }
+  for (const auto &Item : optionalArray(Fields, "ps")) {
+    field_reader Success(Item);
+    std::string Part = Success.text("p");
+    Successes.emplace_back(Part, ageFrom(Success));
+    if (Success.failed())
+      Fields.fail(Success.error().message());
+  }
+  return part_crash_report(std::move(Crashes), std::move(Successes));
+}
+
 static std::vector<liveness_report> livenessReportsFrom(field_reader &Fields) {
   std::vector<liveness_report> LivenessReports;
   for (const auto &Item : Fields.array("h")) {
@@ -170,6 +242,7 @@
   for (const auto &Item : Fields.array("r"))
     Digest.RollOuts.push_back(evidenceFrom(Item, Fields));
   Digest.Crashes = crashesFrom(Fields);
+  Digest.PartCrashes = partCrashesFrom(Fields);
   for (const auto &Item : Fields.array("k"))
     Digest.KnownInstances.push_back(recordFrom(Item, Fields));
   Digest.LivenessReports = livenessReportsFrom(Fields);
--- a/lib/Relay/ForwardAdmission.cpp
+++ b/lib/Relay/ForwardAdmission.cpp
@@ -22,6 +22,8 @@
       stableHash(Call.path() + "|" + Account.text() + "|" + Call.body())));
   if (Deps.Crashes.crashesOf(RequestFingerprint) >= CrashLimit)
     return refusal_reason::CrashingRequest;
+  if (auto Reason = checkParts(0))
+    return Reason;
   return checkTime(0);
 }
 
@@ -32,9 +34,28 @@
     if (auto Reason = checkRoute())
       return Reason;
   }
+  if (auto Reason = checkParts(Runs))
+    return Reason;
   return checkTime(Runs);
 }
 
+/// Refuses a request that would probably crash another upstream.
+std::optional<refusal_reason>
+forward_admission::checkParts(unsigned Runs) const {
+  const prompt &Prompt = Call.requestPrompt();
+  auto Blame = Deps.PartCrashes.blame();
+  auto Blocked = Blame->blockedPart(Prompt);
+  bool Suspected = Runs > 0 && Blame->suspects(Prompt);
+  if (!Blocked && !Suspected && !Blame->blocksRequest(RequestFingerprint))
+    return std::nullopt;
+  event_line Line("relay", "crashing_prompt");
+  Line.add("id", Call.id().text())
+      .add("runs", static_cast<std::int64_t>(Runs))
+      .add("blocked_part", Blocked.value_or(""));
+  Deps.Log.write(Line);
+  return refusal_reason::CrashingRequest;
+}
+
 /// Looks up the route, the account and the service in the table.
 std::optional<refusal_reason> forward_admission::checkRoute() {
   bool Stale = Deps.ServingStatus.settingsStale();
--- a/lib/Relay/ForwardRelay.cpp
+++ b/lib/Relay/ForwardRelay.cpp
@@ -235,7 +235,7 @@
   Deps.Prefixes.notePromptRead(modelName(), Call->requestPrompt(),
                                Upstream.id());
   if (escalateModel(Response)) {
-    noteAttemptSuccess(Upstream);
+    noteDroppedResponse(Upstream);
     return next_action::Retry;
   }
   Splitter.clear();
@@ -386,11 +386,18 @@
   return Smallest > 0 && Chosen > 0 ? Chosen / Smallest : 1;
 }
 
-void forward_relay::noteAttemptSuccess(const upstream_listing &Upstream) {
+/// Records a good response of which only the head was read. It does not show
+/// that the upstream can answer the request.
+void forward_relay::noteDroppedResponse(const upstream_listing &Upstream) {
   Deps.Loads.noteSuccess(Upstream.id());
   Deps.RollOuts.noteResponse(service(), Upstream.version(),
                              /*Good=*/true);
+}
+
+void forward_relay::noteAttemptSuccess(const upstream_listing &Upstream) {
+  noteDroppedResponse(Upstream);
   Deps.Crashes.noteSuccess(Admission.requestFingerprint());
+  Deps.PartCrashes.noteSuccess(Call->requestPrompt());
 }
 
 void forward_relay::noteAttemptFailure(const upstream_listing &Upstream,
@@ -403,8 +410,19 @@
     Deps.RollOuts.noteResponse(service(), Upstream.version(),
                                /*Good=*/false);
   if (Error == attempt_error::Truncated)
-    Deps.Crashes.noteCrash(Admission.requestFingerprint(), Upstream.id(),
-                           Progress.SentAt);
+    noteCrash(Upstream.id());
+}
+
+void forward_relay::noteCrash(const upstream_id &Upstream) {
+  Deps.Crashes.noteCrash(Admission.requestFingerprint(), Upstream,
+                         Progress.SentAt);
+  // Only a request that was beginning can have caused the crash by what its
+  // prompt holds; the others merely ran beside it.
+  bool WasBeginning =
+      Progress.HeadReceived && !StreamVersion && !Sequence.last();
+  if (WasBeginning)
+    Deps.PartCrashes.noteCrash(Admission.requestFingerprint(), Upstream,
+                               Call->requestPrompt());
 }
 
 /// Ends the call with a refusal, or aborts the response if it has started.
--- /dev/null
+++ b/unittests/Policy/PartCrashTrackerTest.cpp
@@ -0,0 +1,247 @@
+#include "Support/ManualClock.h"
+#include "bluebellkeel/Policy.h"
+#include <deque>
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+using namespace bluebellkeel;
+
+namespace {
+
+/// Several instances that see crashes and exchange reports.
+class part_crash_tracker_test : public testing::Test {
+protected:
+  static prompt promptWith(const std::vector<std::string> &Shared) {
+    std::vector<prompt_part> Parts;
+    for (const auto &Part : Shared)
+      Parts.emplace_back(Part, 100);
+    Parts.emplace_back("own", 10);
+    return prompt(100, 10, 0, std::move(Parts));
+  }
+  part_crash_tracker &instance(std::size_t Index) {
+    while (Instances.size() <= Index)
+      Instances.emplace_back(Clock);
+    return Instances[Index];
+  }
+  /// A new request with \p Shared crashes a new upstream, seen by \p Index.
+  void crash(std::size_t Index, const std::vector<std::string> &Shared) {
+    ++Crashes;
+    instance(Index).noteCrash(fingerprint("r" + std::to_string(Crashes)),
+                              upstream_id("u" + std::to_string(Crashes)),
+                              promptWith(Shared));
+  }
+  bool blocks(std::size_t Index, const std::vector<std::string> &Shared) {
+    return instance(Index).blame()->blockedPart(promptWith(Shared)).has_value();
+  }
+  /// Each instance sends its report to the next \p Peers instances.
+  void exchangeReports(std::size_t Peers) {
+    for (std::size_t From = 0; From < Instances.size(); ++From) {
+      auto Report = instance(From).report();
+      for (std::size_t Step = 1; Step <= Peers; ++Step)
+        instance((From + Step * Step) % Instances.size()).merge(Report);
+    }
+  }
+
+  manual_clock Clock;
+  std::deque<part_crash_tracker> Instances;
+  int Crashes = 0;
+};
+
+} // namespace
+
+TEST_F(part_crash_tracker_test, part_afterCrashesOfThreeRequests_isBlocked) {
+  crash(0, {"a", "d"});
+  crash(0, {"b", "d"});
+  EXPECT_FALSE(blocks(0, {"d"}));
+  EXPECT_TRUE(instance(0).blame()->suspects(promptWith({"d"})));
+  crash(0, {"c", "d"});
+  EXPECT_TRUE(blocks(0, {"z", "d"}));
+  for (const char *Other : {"a", "b", "c"})
+    EXPECT_FALSE(blocks(0, {Other}));
+}
+
+TEST_F(part_crash_tracker_test, lastPart_isNeverBlamed) {
+  for (int I = 0; I < 9; ++I)
+    crash(0, {});
+  EXPECT_FALSE(instance(0).blame()->mentions("own"));
+}
+
+TEST_F(part_crash_tracker_test, crashesOfOneUpstreamOnly_blockNothing) {
+  for (int I = 0; I < 9; ++I)
+    instance(0).noteCrash(fingerprint("r" + std::to_string(I)),
+                          upstream_id("u"), promptWith({"d"}));
+  EXPECT_FALSE(blocks(0, {"d"}));
+}
+
+TEST_F(part_crash_tracker_test, oneRequest_afterTwoUpstreams_isBlocked) {
+  fingerprint Request("r");
+  instance(0).noteCrash(Request, upstream_id("u1"), promptWith({"d"}));
+  EXPECT_FALSE(instance(0).blame()->blocksRequest(Request));
+  instance(0).noteCrash(Request, upstream_id("u2"), promptWith({"d"}));
+  EXPECT_TRUE(instance(0).blame()->blocksRequest(Request));
+  EXPECT_FALSE(blocks(0, {"d"}));
+}
+
+TEST_F(part_crash_tracker_test, partOfEqualEvidence_laterPartIsBlocked) {
+  for (int I = 0; I < 3; ++I)
+    crash(0, {"a", "d"});
+  EXPECT_TRUE(blocks(0, {"d"}));
+  EXPECT_FALSE(blocks(0, {"a"}));
+}
+
+TEST_F(part_crash_tracker_test, deadlyPartBeforeOthers_isBlockedInItsTurn) {
+  for (int I = 0; I < 3; ++I)
+    crash(0, {"d", "a"});
+  for (const char *Other : {"b", "c", "e"})
+    crash(0, {"d", Other});
+  EXPECT_TRUE(blocks(0, {"d", "f"}));
+  EXPECT_FALSE(blocks(0, {"b"}));
+}
+
+TEST_F(part_crash_tracker_test, partWithASuccessBefore_isNotBlocked) {
+  instance(0).noteSuccess(promptWith({"a"}));
+  for (int I = 0; I < 9; ++I)
+    crash(0, {"a"});
+  EXPECT_FALSE(blocks(0, {"a"}));
+}
+
+TEST_F(part_crash_tracker_test, blockedPart_thatSucceedsAfterAll_isUnblocked) {
+  for (int I = 0; I < 3; ++I)
+    crash(0, {"a"});
+  ASSERT_TRUE(blocks(0, {"a"}));
+  instance(0).noteSuccess(promptWith({"a"}));
+  EXPECT_FALSE(blocks(0, {"a"}));
+  Clock.advance(2 * part_crash_tracker::SuccessLifetime);
+  instance(0).noteSuccess(promptWith({"z"}));
+  crash(0, {"z"});
+  EXPECT_FALSE(blocks(0, {"a"}));
+}
+
+TEST_F(part_crash_tracker_test, partThatOnceSucceeded_butNoLonger_isBlocked) {
+  instance(0).noteSuccess(promptWith({"a"}));
+  Clock.advance(2 * part_crash_tracker::SuccessLifetime);
+  for (int I = 0; I < 3; ++I)
+    crash(0, {"a"});
+  EXPECT_TRUE(blocks(0, {"a"}));
+}
+
+TEST_F(part_crash_tracker_test, block_afterTheLifetimeOfCrashes_isLifted) {
+  for (int I = 0; I < 3; ++I)
+    crash(0, {"a"});
+  Clock.advance(part_crash_tracker::CrashLifetime + seconds(1));
+  EXPECT_FALSE(blocks(0, {"a"}));
+}
+
+TEST_F(part_crash_tracker_test, instancesThatSawOneCrashEach_allBlockThePart) {
+  for (std::size_t I = 0; I < 100; ++I)
+    instance(I);
+  for (std::size_t I = 0; I < 5; ++I)
+    crash(20 * I, {"a" + std::to_string(I), "d"});
+  // Rounds of digests among many instances within the shortest contact time.
+  for (int Round = 0; Round < 4; ++Round) {
+    exchangeReports(8);
+    Clock.advance(milliseconds(700));
+  }
+  for (std::size_t I = 0; I < 100; ++I)
+    EXPECT_TRUE(blocks(I, {"x", "d"})) << I;
+}
+
+TEST_F(part_crash_tracker_test, successAtOneInstance_clearsThePartAtAll) {
+  for (std::size_t I = 0; I < 9; ++I)
+    instance(I);
+  instance(4).noteSuccess(promptWith({"a"}));
+  for (std::size_t I = 0; I < 3; ++I)
+    crash(I, {"a", "d"});
+  for (int Round = 0; Round < 2; ++Round)
+    exchangeReports(8);
+  for (std::size_t I = 0; I < 9; ++I) {
+    EXPECT_FALSE(blocks(I, {"a"})) << I;
+    EXPECT_TRUE(blocks(I, {"a", "d"})) << I;
+  }
+}
+
+TEST_F(part_crash_tracker_test, partSoundWhereTheCrashWasSeen_isSoundAtPeers) {
+  instance(0).noteSuccess(promptWith({"a"}));
+  for (int I = 0; I < 3; ++I)
+    crash(0, {"d", "a"});
+  instance(1).merge(instance(0).report());
+  Clock.advance(seconds(120));
+  instance(2).merge(instance(0).report());
+  for (std::size_t I : {1, 2}) {
+    EXPECT_TRUE(blocks(I, {"d"})) << I;
+    EXPECT_FALSE(blocks(I, {"a"})) << I;
+  }
+}
+
+TEST_F(part_crash_tracker_test, instanceStartedLater_learnsTheBlock) {
+  for (int I = 0; I < 3; ++I)
+    crash(0, {"d"});
+  Clock.advance(seconds(120));
+  instance(1).merge(instance(0).report());
+  EXPECT_TRUE(blocks(1, {"d"}));
+}
+
+TEST_F(part_crash_tracker_test, crashesKnownToPeers_areNotKeptAliveByThem) {
+  for (int I = 0; I < 3; ++I)
+    crash(0, {"d"});
+  for (int Minute = 0; Minute < 11; ++Minute) {
+    Clock.advance(seconds(60));
+    instance(1).merge(instance(0).report());
+    instance(0).merge(instance(1).report());
+  }
+  EXPECT_FALSE(blocks(0, {"d"}));
+  EXPECT_FALSE(blocks(1, {"d"}));
+}
+
+TEST_F(part_crash_tracker_test, report_afterManyCrashes_isBounded) {
+  for (int I = 0; I < 1000; ++I)
+    crash(0, {"a" + std::to_string(I), "d"});
+  for (int I = 0; I < 1000; ++I)
+    instance(0).noteSuccess(promptWith({"a" + std::to_string(I)}));
+  EXPECT_LE(instance(0).report().crashes().size(),
+            part_crash_tracker::MaxReported);
+  EXPECT_LE(instance(0).report().successes().size(),
+            part_crash_tracker::MaxReported);
+  EXPECT_TRUE(blocks(0, {"d"}));
+}
+
+RC_GTEST_FIXTURE_PROP(part_crash_tracker_test,
+                      anyMixOfCrashes_onlyThePartWithoutSuccess_isBlocked, ()) {
+  auto Order = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 60));
+  std::deque<part_crash_tracker> Trackers;
+  for (int I = 0; I < 5; ++I)
+    Trackers.emplace_back(Clock);
+  int Deadly = 0;
+  int Number = 0;
+  for (int Draw : Order) {
+    ++Number;
+    auto &Tracker = Trackers[static_cast<std::size_t>(Draw % 5)];
+    std::vector<std::string> Shared{"common", "s" + std::to_string(Draw % 3)};
+    // An upstream that crashes for reasons of its own interrupts one request,
+    // which succeeds elsewhere.
+    bool IsDeadly = Draw < 30;
+    if (IsDeadly) {
+      Shared.emplace_back("d");
+      ++Deadly;
+    }
+    Tracker.noteCrash(fingerprint("r" + std::to_string(Number)),
+                      upstream_id("u" + std::to_string(Number)),
+                      promptWith(Shared));
+    if (!IsDeadly)
+      Tracker.noteSuccess(promptWith(Shared));
+    Tracker.noteSuccess(promptWith({"common", "s" + std::to_string(Draw % 3)}));
+    Clock.advance(milliseconds(100));
+    for (auto &From : Trackers) {
+      for (auto &To : Trackers)
+        To.merge(From.report());
+    }
+  }
+  for (auto &Tracker : Trackers) {
+    auto Blame = Tracker.blame();
+    RC_ASSERT(Blame->blockedPart(promptWith({"d"})).has_value() ==
+              (Deadly >= 3));
+    for (const char *Sound : {"common", "s0", "s1", "s2"})
+      RC_ASSERT(!Blame->blockedPart(promptWith({Sound})));
+  }
+}
--- a/unittests/Support/ForwardFixture.h
+++ b/unittests/Support/ForwardFixture.h
@@ -264,6 +264,7 @@
   roll_out_tracker RollOuts{roll_out_limits(0.15), Clock};
   prefix_tracker Prefixes{Clock};
   crash_tracker Crashes{Clock};
+  part_crash_tracker PartCrashes{Clock};
   retry_window Retries{retry_rules(0.9, 56, milliseconds(10000)), Clock};
   cheapest_placement Placement;
   confidence_model_selector ModelSelector;
@@ -284,6 +285,7 @@
                             RollOuts,
                             Prefixes,
                             Crashes,
+                            PartCrashes,
                             Retries,
                             Placement,
                             ModelSelector,
