Take a stream that ends inside an event for broken off

A response without length and chunks ends with its connection. If the upstream broke off, the caller got the half event and a regular end: endStream passed on what was left of it and noted a success. The same for a connection that closes before the first event, which also cleared the parts of its prompt.

Such a stream is now truncated: resumed elsewhere where that is allowed, and otherwise broken off towards the caller. Empty lines after the last event are no event and are passed on unchanged.

streamEndingInsideAnEvent_isResumedElsewhere and nonResumableStreamEndingInside- AnEvent_isAbandoned failed before and pass. Whether the client reports a reset, and an end inside chunks, as errors had no test; the three new tests of client_stream pass without a change.

--- a/include/bluebellkeel/Relay/EventSplitter.h
+++ b/include/bluebellkeel/Relay/EventSplitter.h
@@ -21,6 +21,11 @@
   std::vector<stream_event> feed(std::string_view Bytes);
   /// Bytes after the last complete event.
   const std::string &remainder() const { return Remainder; }
+  /// True if the bytes so far end in the middle of an event. Empty lines alone
+  /// are no event.
+  bool insideEvent() const {
+    return Remainder.find_first_not_of("\r\n") != std::string::npos;
+  }
   /// True if the incomplete event is larger than MaxEventBytes.
   bool overflowed() const { return Remainder.size() > MaxEventBytes; }
   void clear() {
--- a/include/bluebellkeel/Relay/ResponseHead.h
+++ b/include/bluebellkeel/Relay/ResponseHead.h
@@ -19,6 +19,7 @@
     bool Verified = false;
     bool NotRun = false;
     bool FromOtherUpstream = false;
+    bool DelimitedByClose = false;
     std::optional<double> Confidence;
     std::optional<queue_report> Queue;
   };
@@ -41,6 +42,9 @@
   bool notRun() const { return Content.NotRun; }
   /// True if another upstream than the addressed one responded.
   bool fromOtherUpstream() const { return Content.FromOtherUpstream; }
+  /// True if the body has no framing of its own and ends with the connection,
+  /// so that a body cut short between two writes looks whole.
+  bool delimitedByClose() const { return Content.DelimitedByClose; }
   /// The model's confidence in its response, from 0 to 100. Empty if not
   /// reported.
   const std::optional<double> &confidence() const { return Content.Confidence; }
@@ -49,7 +53,8 @@
   auto key() const {
     return std::tie(Content.Status, Content.Headers, Content.Verified,
                     Content.NotRun, Content.FromOtherUpstream,
-                    Content.Confidence, Content.Queue);
+                    Content.DelimitedByClose, Content.Confidence,
+                    Content.Queue);
   }
 
 private:
--- a/lib/Relay/ForwardRelay.cpp
+++ b/lib/Relay/ForwardRelay.cpp
@@ -251,6 +251,10 @@
     if (auto Error = eventError())
       return handleAttemptError(Upstream, *Error);
   }
+  // An upstream that breaks off may end its response without an error.
+  bool BeforeFirstEvent = !StreamVersion && Response.head().delimitedByClose();
+  if (Splitter.insideEvent() || BeforeFirstEvent)
+    return handleAttemptError(Upstream, attempt_error::Truncated);
   if (!beginResponse(Response.head()))
     return handleCallerGone();
   return endStream(Upstream);
--- a/unittests/Adapter/RequestReaderTest.cpp
+++ b/unittests/Adapter/RequestReaderTest.cpp
@@ -138,6 +138,15 @@
   EXPECT_FALSE(Head.verified());
 }
 
+TEST_F(request_reader_test, responseHead_withoutFraming_endsWithConnection) {
+  auto Delimited = [](const http_headers &Headers) {
+    return readResponseHead(http_response(200, Headers, "")).delimitedByClose();
+  };
+  EXPECT_TRUE(Delimited(http_headers()));
+  EXPECT_FALSE(Delimited(http_headers().with("Content-Length", "0")));
+  EXPECT_FALSE(Delimited(http_headers().with("Transfer-Encoding", "chunked")));
+}
+
 TEST_F(request_reader_test, responseHead_ofRefusal_reportsRequestNotRun) {
   EXPECT_TRUE(
       readResponseHead(
--- a/unittests/Http/ClientStreamTest.cpp
+++ b/unittests/Http/ClientStreamTest.cpp
@@ -4,7 +4,9 @@
 #include <atomic>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/spawn.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <functional>
 #include <future>
@@ -61,6 +63,41 @@
               Done.get_future().wait_for(seconds(10)));
   }
 
+  /// Serves one connection with \p Response and ends it, with a reset if
+  /// \p Reset, and returns the body as read by the client.
+  tl::expected<std::string, http_error> readBody(const std::string &Response,
+                                                 bool Reset) {
+    asio::spawn(
+        Pool.context(),
+        [this, Response, Reset](asio::yield_context Yield) {
+          tcp::socket Socket(Pool.context());
+          error_code Code;
+          Acceptor.async_accept(Socket, Yield[Code]);
+          asio::async_write(Socket, asio::buffer(Response), Yield[Code]);
+          std::string Request;
+          asio::async_read_until(Socket, asio::dynamic_buffer(Request),
+                                 "\r\n\r\n", Yield[Code]);
+          // The client has the bytes sent so far before the connection ends.
+          asio::steady_timer Timer(Pool.context(), milliseconds(100));
+          Timer.async_wait(Yield[Code]);
+          if (Reset)
+            Socket.set_option(asio::socket_base::linger(true, 0), Code);
+          Socket.close(Code);
+        },
+        asio::detached);
+    std::promise<tl::expected<std::string, http_error>> Body;
+    asio::spawn(
+        Pool.context(),
+        [&](asio::yield_context Yield) {
+          client_stream Stream(
+              Yield, http_timeouts(seconds(1), seconds(20), seconds(20)));
+          EXPECT_TRUE(open(Stream));
+          Body.set_value(Stream.readAll(MaxSocketBytes));
+        },
+        asio::detached);
+    return Body.get_future().get();
+  }
+
   tl::expected<http_response, http_error> open(client_stream &Stream) {
     network_address Address("127.0.0.1", Acceptor.local_endpoint().port());
     return Stream.open(Address, http_request("GET", "/", http_headers(), ""));
@@ -76,6 +113,26 @@
 
 } // namespace
 
+TEST_F(client_stream_test, bodyWithoutLength_endedByClose_isComplete) {
+  auto Body = readBody("HTTP/1.1 200 OK\r\n\r\nbytes", /*Reset=*/false);
+  ASSERT_TRUE(Body);
+  EXPECT_EQ("bytes", *Body);
+}
+
+TEST_F(client_stream_test, bodyWithoutLength_endedByReset_failsAsClosed) {
+  auto Body = readBody("HTTP/1.1 200 OK\r\n\r\nbytes", /*Reset=*/true);
+  ASSERT_FALSE(Body);
+  EXPECT_EQ(http_error::Closed, Body.error());
+}
+
+TEST_F(client_stream_test, chunkedBody_endedByClose_failsAsClosed) {
+  auto Body = readBody(
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nbytes\r\n",
+      /*Reset=*/false);
+  ASSERT_FALSE(Body);
+  EXPECT_EQ(http_error::Closed, Body.error());
+}
+
 TEST_F(client_stream_test, headWithoutEnd_failsAsTooLarge) {
   run("HTTP/1.1 200 OK\r\n", "X-Name: value\r\n", [&](client_stream &Stream) {
     auto Head = open(Stream);
--- a/unittests/Relay/ForwardStreamTest.cpp
+++ b/unittests/Relay/ForwardStreamTest.cpp
@@ -21,6 +21,12 @@
     Script.ReadError = attempt_error::Truncated;
     return Script;
   }
+  /// A stream that ends without an error, but in the middle of an event.
+  static upstream_script endingInsideEventAfter(int First, int Last) {
+    upstream_script Script = brokenAfter(First, Last);
+    Script.ReadError = std::nullopt;
+    return Script;
+  }
   static upstream_script withConfidence(upstream_script Script,
                                         double Confidence) {
     Script.Confidence = Confidence;
@@ -124,6 +130,38 @@
   EXPECT_EQ(1U, Upstreams.Attempts.size());
 }
 
+TEST_F(forward_stream_test, streamEndingInsideAnEvent_isResumedElsewhere) {
+  script({endingInsideEventAfter(1, 3), events(4, 6)});
+  auto Caller = run("/stream/x");
+  EXPECT_EQ(stream(1, 6), Caller.Body);
+  EXPECT_TRUE(Caller.Ended);
+}
+
+TEST_F(forward_stream_test, nonResumableStreamEndingInsideAnEvent_isAbandoned) {
+  script({endingInsideEventAfter(1, 3)});
+  auto Caller = run("/fixed/x");
+  EXPECT_TRUE(Caller.Abandoned);
+  EXPECT_FALSE(Caller.Ended);
+  EXPECT_EQ(stream(1, 3), Caller.Body);
+}
+
+TEST_F(forward_stream_test, connectionClosedBeforeFirstEvent_isRestarted) {
+  upstream_script Closed;
+  Closed.Pieces = {};
+  Closed.DelimitedByClose = true;
+  script({Closed, events(1, 2)});
+  EXPECT_EQ(stream(1, 2), run("/stream/x").Body);
+}
+
+TEST_F(forward_stream_test, streamEndingWithEmptyLines_isForwardedUnchanged) {
+  upstream_script Padded = events(1, 2);
+  Padded.Pieces.emplace_back("\r\n");
+  script({Padded});
+  auto Caller = run("/fixed/x");
+  EXPECT_EQ(stream(1, 2) + "\r\n", Caller.Body);
+  EXPECT_TRUE(Caller.Ended);
+}
+
 TEST_F(forward_stream_test, streamBrokenBeforeFirstEvent_isRestartedElsewhere) {
   upstream_script Broken;
   Broken.Pieces = {};
--- a/unittests/Support/ForwardFixture.h
+++ b/unittests/Support/ForwardFixture.h
@@ -19,6 +19,7 @@
   bool Verified = true;
   bool NotRun = false;
   bool FromOtherUpstream = false;
+  bool DelimitedByClose = false;
   std::optional<double> Confidence;
   std::vector<std::string> Pieces = {"whole"};
   /// Returned by read() after the pieces instead of the end of the body.
@@ -39,6 +40,7 @@
     Fields.Verified = Script.Verified;
     Fields.NotRun = Script.NotRun;
     Fields.FromOtherUpstream = Script.FromOtherUpstream;
+    Fields.DelimitedByClose = Script.DelimitedByClose;
     Fields.Confidence = Script.Confidence;
     Head = response_head(Fields);
     ++Open;
