Keep the small model's response to a request with a suspected part

A response to a request with a suspected part is no longer dropped, and one crash makes a part suspected; a repeat is refused from two, as before (blocksRepeat). suspectedPart_crashesOfSmallModels_areCounted failed before (25 attempts) and passes.

--- a/include/bluebellkeel/Policy/PartBlame.h
+++ b/include/bluebellkeel/Policy/PartBlame.h
@@ -19,8 +19,10 @@
   /// at once.
   static constexpr std::size_t BlockingRequests = 3;
   static constexpr std::size_t BlockingUpstreams = 3;
-  /// Number of different requests from which a part is suspected.
-  static constexpr std::size_t SuspectRequests = 2;
+  /// Number of different requests whose crashes make a part suspected, and from
+  /// which a request with it is not repeated.
+  static constexpr std::size_t SuspectRequests = 1;
+  static constexpr std::size_t RepeatBlockingRequests = 2;
   /// Number of different upstreams whose crashes block a single request.
   static constexpr std::size_t UpstreamsOfOneRequest = 2;
 
@@ -33,9 +35,14 @@
   std::optional<std::string> blockedPart(const prompt &Prompt) const;
   /// True if \p Request itself is blocked.
   bool blocksRequest(const fingerprint &Request) const;
-  /// True if a request with \p Prompt should not be sent again after a failed
-  /// attempt.
-  bool suspects(const prompt &Prompt) const;
+  /// True if a part of \p Prompt may be the cause of a crash.
+  bool suspects(const prompt &Prompt) const {
+    return maxRequestsOf(Prompt) >= SuspectRequests;
+  }
+  /// True if a request with \p Prompt should not be sent again after it ran.
+  bool blocksRepeat(const prompt &Prompt) const {
+    return maxRequestsOf(Prompt) >= RepeatBlockingRequests;
+  }
   /// True if the part was in a request of any crash.
   bool mentions(const std::string &Part) const {
     return Mentioned.count(Part) > 0;
@@ -46,6 +53,9 @@
   }
 
 private:
+  /// Returns the number of requests of the part of \p Prompt that has most.
+  std::size_t maxRequestsOf(const prompt &Prompt) const;
+
   std::set<std::string> Mentioned;
   std::set<std::string> Blocked;
   /// For each part, the requests of the crashes that no blocked part explains.
--- a/lib/Policy/PartBlame.cpp
+++ b/lib/Policy/PartBlame.cpp
@@ -95,12 +95,14 @@
          Found->second.size() >= UpstreamsOfOneRequest;
 }
 
-bool part_blame::suspects(const prompt &Prompt) const {
+std::size_t part_blame::maxRequestsOf(const prompt &Prompt) const {
+  std::size_t Most = 0;
+  if (RequestsOfPart.empty())
+    return Most;
   for (const auto &Part : Prompt.sharedPartIds()) {
     auto Found = RequestsOfPart.find(Part);
-    if (Found != RequestsOfPart.end() &&
-        Found->second.size() >= SuspectRequests)
-      return true;
+    if (Found != RequestsOfPart.end())
+      Most = std::max(Most, Found->second.size());
   }
-  return false;
+  return Most;
 }
--- a/lib/Relay/ForwardAdmission.cpp
+++ b/lib/Relay/ForwardAdmission.cpp
@@ -45,8 +45,8 @@
   const prompt &Prompt = Call.requestPrompt();
   auto Blame = Deps.PartCrashes.blame();
   auto Blocked = Blame->blockedPart(Prompt);
-  bool Suspected = Runs > 0 && Blame->suspects(Prompt);
-  if (!Blocked && !Suspected && !Blame->blocksRequest(RequestFingerprint))
+  bool RepeatBlocked = Runs > 0 && Blame->blocksRepeat(Prompt);
+  if (!Blocked && !RepeatBlocked && !Blame->blocksRequest(RequestFingerprint))
     return std::nullopt;
   event_line Line("relay", "crashing_prompt");
   Line.add("id", Call.id().text())
--- a/lib/Relay/ForwardRelay.cpp
+++ b/lib/Relay/ForwardRelay.cpp
@@ -331,6 +331,9 @@
       !Response.head().confidence() || !repeatable() || !runsLeft() ||
       Sequence.last())
     return false;
+  // A crash after the response was dropped would go unnoticed.
+  if (Deps.PartCrashes.blame()->suspects(Call->requestPrompt()))
+    return false;
   std::size_t Next = Deps.ModelSelector.next(modelQuery(), ModelIndex,
                                              *Response.head().confidence());
   if (Next == ModelIndex || !reserveRetry())
--- a/unittests/Policy/PartCrashTrackerTest.cpp
+++ b/unittests/Policy/PartCrashTrackerTest.cpp
@@ -52,9 +52,11 @@
 
 TEST_F(part_crash_tracker_test, part_afterCrashesOfThreeRequests_isBlocked) {
   crash(0, {"a", "d"});
+  EXPECT_TRUE(instance(0).blame()->suspects(promptWith({"d"})));
+  EXPECT_FALSE(instance(0).blame()->blocksRepeat(promptWith({"d"})));
   crash(0, {"b", "d"});
+  EXPECT_TRUE(instance(0).blame()->blocksRepeat(promptWith({"d"})));
   EXPECT_FALSE(blocks(0, {"d"}));
-  EXPECT_TRUE(instance(0).blame()->suspects(promptWith({"d"})));
   crash(0, {"c", "d"});
   EXPECT_TRUE(blocks(0, {"z", "d"}));
   for (const char *Other : {"a", "b", "c"})
--- a/unittests/Relay/CrashingPartTest.cpp
+++ b/unittests/Relay/CrashingPartTest.cpp
@@ -87,6 +87,19 @@
   EXPECT_EQ(Sent, Upstreams.Attempts.size());
 }
 
+TEST_F(crashing_part_test, suspectedPart_crashesOfSmallModels_areCounted) {
+  upstream_script Unsure = crashingAfter(0);
+  Unsure.Confidence = 1;
+  for (int Request = 0; Request < 4; ++Request) {
+    script({Unsure, crashingAfter(0), crashingAfter(0)});
+    run(callWith({"common", "deadly"}, "/sized/x"));
+  }
+  std::size_t Sent = Upstreams.Attempts.size();
+  script({Unsure, crashingAfter(0), crashingAfter(0)});
+  run(callWith({"common", "deadly"}, "/sized/x"));
+  EXPECT_EQ(Sent, Upstreams.Attempts.size());
+}
+
 TEST_F(crashing_part_test, soundRequests_withTheOtherParts_areSent) {
   for (int Request = 0; Request < 20; ++Request) {
     EXPECT_EQ(200, runSound({"common", "subject"}).Status);
