Refuse apply times in which a lost read of the log cannot be repeated

A read that the log dropped is noticed after a third of the apply time and the 700 ms of the response timeout. The settings accepted 500 ms, for which that is already too late; the shortest is now 1,500 ms. applyTimes_areOptionalAndChecked failed for 1,499 before.

--- a/lib/Startup/GatewaySettingsReader.cpp
+++ b/lib/Startup/GatewaySettingsReader.cpp
@@ -17,9 +17,11 @@
 static constexpr std::uint64_t MinMemoryMb = 16;
 static constexpr std::uint64_t MaxMemoryMb = 1UL << 20;
 
-/// Default, shortest and longest time in which a change takes effect.
+/// Default, shortest and longest time in which a change takes effect. Within it
+/// a read that the log dropped has to be detected, which takes the response
+/// timeout and a third of the apply time, and repeated.
 static constexpr std::uint64_t DefaultApplyMs = 2000;
-static constexpr std::uint64_t MinApplyMs = 500;
+static constexpr std::uint64_t MinApplyMs = 1500;
 static constexpr std::uint64_t MaxApplyMs = 3600000;
 
 static milliseconds secondsOf(object_reader &Reader, const char *Name) {
--- a/unittests/Startup/GatewaySettingsTest.cpp
+++ b/unittests/Startup/GatewaySettingsTest.cpp
@@ -46,8 +46,10 @@
   ASSERT_TRUE(Changed.has_value());
   EXPECT_EQ(milliseconds(3000), Changed->Reloadable.SettingsApplyTime);
   EXPECT_EQ(milliseconds(4000), Changed->Reloadable.UpstreamsApplyTime);
-  EXPECT_FALSE(readGatewaySettings(withReplacement(
-      "\"grace_s\": 8", "\"grace_s\": 8, \"settings_apply_ms\": 0")));
+  for (const char *TooShort : {"0", "1499"})
+    EXPECT_FALSE(readGatewaySettings(withReplacement(
+        "\"grace_s\": 8",
+        "\"grace_s\": 8, \"settings_apply_ms\": " + std::string(TooShort))));
 }
 
 TEST_F(gateway_settings_test, fieldOfAnEarlierRelease_isIgnored) {
