--- a/unittests/Policy/PartCrashTrackerTest.cpp
+++ b/unittests/Policy/PartCrashTrackerTest.cpp
@@ -14,6 +14,7 @@
 protected:
   static prompt promptWith(const std::vector<std::string> &Shared) {
     std::vector<prompt_part> Parts;
+    Parts.reserve(Shared.size() + 1);
     for (const auto &Part : Shared)
       Parts.emplace_back(Part, 100);
     Parts.emplace_back("own", 10);
--- a/unittests/Relay/CrashingPartTest.cpp
+++ b/unittests/Relay/CrashingPartTest.cpp
@@ -19,10 +19,12 @@
     forward_call::fields Call = callOf(Path);
     Call.Body = "body of " + Call.Id.text();
     std::vector<prompt_part> All;
+    All.reserve(Parts.size() + 1);
     for (const auto &Part : Parts)
       All.emplace_back(Part, 100);
     All.emplace_back("own of " + Call.Id.text(), 10);
-    Call.Prompt = prompt(110 * All.size(), 20, 0, std::move(All));
+    std::size_t TokensIn = 110 * All.size();
+    Call.Prompt = prompt(TokensIn, 20, 0, std::move(All));
     return Call;
   }
   /// An upstream that crashes after \p Events events.
