--- a/include/bluebellkeel/Relay.h
+++ b/include/bluebellkeel/Relay.h
@@ -46,6 +46,7 @@
 #include "bluebellkeel/Relay/ServingStatus.h"
 #include "bluebellkeel/Relay/SlotGateway.h"
 #include "bluebellkeel/Relay/StreamEvent.h"
+#include "bluebellkeel/Relay/StreamForwarder.h"
 #include "bluebellkeel/Relay/TimeLimit.h"
 #include "bluebellkeel/Relay/TokenUsage.h"
 #include "bluebellkeel/Relay/UpstreamResponse.h"
--- a/include/bluebellkeel/Relay/ForwardRelay.h
+++ b/include/bluebellkeel/Relay/ForwardRelay.h
@@ -1,8 +1,6 @@
 #ifndef BLUEBELLKEEL_RELAY_FORWARDRELAY_H
 #define BLUEBELLKEEL_RELAY_FORWARDRELAY_H
 
-#include "bluebellkeel/Relay/EventSequence.h"
-#include "bluebellkeel/Relay/EventSplitter.h"
 #include "bluebellkeel/Relay/ForwardAdmission.h"
 #include "bluebellkeel/Relay/ForwardCaller.h"
 #include "bluebellkeel/Relay/ForwardCandidates.h"
@@ -10,6 +8,7 @@
 #include "bluebellkeel/Relay/ForwardProgress.h"
 #include "bluebellkeel/Relay/ForwardUpstream.h"
 #include "bluebellkeel/Relay/ScopedRequestLoad.h"
+#include "bluebellkeel/Relay/StreamForwarder.h"
 #include <memory>
 
 namespace bluebellkeel {
@@ -44,14 +43,7 @@
                           upstream_response &Response);
   next_action forwardStream(const upstream_listing &Upstream,
                             upstream_response &Response);
-  std::optional<next_action> forwardEvents(const upstream_listing &Upstream,
-                                           const response_head &Head,
-                                           std::string_view Piece);
-  void noteEvents(const upstream_listing &Upstream, std::size_t Count);
-  std::optional<attempt_error> eventError() const;
-  next_action endStream(const upstream_listing &Upstream);
   bool escalateModel(const upstream_response &Response);
-  bool beginResponse(const response_head &Head);
   next_action handleCallerGone();
 
   forward_attempt attemptAt(const upstream_listing &Upstream) const;
@@ -87,11 +79,7 @@
   bool RetryReserved = false;
   /// Index of the chosen model in forward_route::sizes().
   std::size_t ModelIndex = 0;
-  /// Version that produced the events sent to the caller; empty before the
-  /// first event.
-  std::optional<version_id> StreamVersion;
-  event_sequence Sequence;
-  event_splitter Splitter;
+  stream_forwarder Stream;
 };
 
 } // namespace bluebellkeel
--- a/lib/Relay/ForwardRelay.cpp
+++ b/lib/Relay/ForwardRelay.cpp
@@ -1,4 +1,5 @@
 #include "bluebellkeel/Relay/ForwardRelay.h"
+#include "BeginResponse.h"
 #include "bluebellkeel/Relay/AttemptTimeouts.h"
 #include <algorithm>
 
@@ -27,7 +28,7 @@
     : Deps(Deps), Upstreams(Upstreams), Caller(Caller), Call(std::move(Call)),
       Limit(*this->Call, Deps.Tables), Admission(Deps, *this->Call, Limit),
       Candidates(Deps), Log(Deps, *this->Call, Admission, Progress),
-      Sequence(this->Call->lastEvent()) {}
+      Stream(Deps, Caller, Progress, this->Call->lastEvent()) {}
 
 void forward_relay::run() {
   if (auto Reason = Admission.admit()) {
@@ -77,8 +78,8 @@
   using kind = version_rule::kind;
   const std::string Model = modelName();
   version_rule Rule =
-      StreamVersion
-          ? version_rule(kind::Only, *StreamVersion)
+      Stream.version()
+          ? version_rule(kind::Only, *Stream.version())
           : Deps.RollOuts.ruleFor(service(), Admission.assignmentKey());
   auto Find = [&](const version_rule &VersionRule) {
     return Candidates.choose({Admission.serviceConfig(), VersionRule,
@@ -208,7 +209,8 @@
     Body += *Piece;
     if (Body.size() <= MaxBufferedBytes)
       continue;
-    if (!beginResponse(Response.head()) || !Caller.write(Body))
+    if (!beginResponse(Caller, Progress, Response.head()) ||
+        !Caller.write(Body))
       return handleCallerGone();
     Body.clear();
   }
@@ -238,89 +240,11 @@
     noteDroppedResponse(Upstream);
     return next_action::Retry;
   }
-  Splitter.clear();
-  Progress.LastEventAt = Deps.Clock.monotonicNow();
-  while (true) {
-    auto Piece = Response.read();
-    if (!Piece)
-      return handleAttemptError(Upstream, Piece.error());
-    if (Piece->empty())
-      break;
-    if (auto Next = forwardEvents(Upstream, Response.head(), *Piece))
-      return *Next;
-    if (auto Error = eventError())
-      return handleAttemptError(Upstream, *Error);
-  }
-  // An upstream that breaks off may end its response without an error.
-  bool BeforeFirstEvent = !StreamVersion && Response.head().delimitedByClose();
-  if (Splitter.insideEvent() || BeforeFirstEvent)
-    return handleAttemptError(Upstream, attempt_error::Truncated);
-  if (!beginResponse(Response.head()))
-    return handleCallerGone();
-  return endStream(Upstream);
-}
-
-/// Counts the events of the attempt. Records their mean interval once, early,
-/// since a slow version must be noticed before its streams end.
-void forward_relay::noteEvents(const upstream_listing &Upstream,
-                               std::size_t Count) {
-  constexpr std::size_t MeasuredEvents = 3;
-  if (Progress.Events == 0)
-    Progress.FirstEventAt = Deps.Clock.monotonicNow();
-  bool WasMeasured = Progress.Events >= MeasuredEvents;
-  Progress.Events += Count;
-  if (WasMeasured || Progress.Events < MeasuredEvents)
-    return;
-  auto Time = std::chrono::duration_cast<milliseconds>(
-      Deps.Clock.monotonicNow() - Progress.FirstEventAt);
-  Deps.RollOuts.noteEventInterval(
-      service(), Upstream.version(),
-      Time / static_cast<std::int64_t>(Progress.Events - 1));
-}
-
-/// Returns the error of a stream that sends bytes but no complete events: they
-/// are too many, or come for too long. The reads check only for bytes.
-std::optional<attempt_error> forward_relay::eventError() const {
-  if (Splitter.overflowed())
-    return attempt_error::Malformed;
-  if (Deps.Clock.monotonicNow() - Progress.LastEventAt > Progress.IdleLimit)
-    return attempt_error::Silent;
-  return std::nullopt;
-}
-
-/// Returns the action that ends this attempt; empty while the stream continues.
-std::optional<forward_relay::next_action>
-forward_relay::forwardEvents(const upstream_listing &Upstream,
-                             const response_head &Head,
-                             std::string_view Piece) {
-  auto Events = Splitter.feed(Piece);
-  if (Events.empty())
-    return std::nullopt;
-  noteEvents(Upstream, Events.size());
-  if (!StreamVersion)
-    StreamVersion = Upstream.version();
-  if (!beginResponse(Head))
-    return handleCallerGone();
-  auto Contiguous = Sequence.takeContiguous(Events);
-  if (!Contiguous.bytes().empty() && !Caller.write(Contiguous.bytes()))
-    return handleCallerGone();
-  // After the write, since a slow caller is no silence of the upstream.
-  Progress.LastEventAt = Deps.Clock.monotonicNow();
-  // A gap cannot be reported to the caller; the missing events are fetched from
-  // another upstream.
-  if (Contiguous.gap())
-    return handleAttemptError(Upstream, attempt_error::Malformed);
-  return std::nullopt;
-}
-
-forward_relay::next_action
-forward_relay::endStream(const upstream_listing &Upstream) {
-  constexpr int Success = 200;
-  bool Reached =
-      (Splitter.remainder().empty() || Caller.write(Splitter.remainder())) &&
-      Caller.end();
+  auto Reached = Stream.forward(service(), Upstream, Response);
+  if (!Reached)
+    return handleAttemptError(Upstream, Reached.error());
   noteAttemptSuccess(Upstream);
-  logEnd(Reached ? "answered" : "caller_gone", Success);
+  logEnd(*Reached ? "answered" : "caller_gone", Response.head().status());
   return next_action::Done;
 }
 
@@ -329,7 +253,7 @@
 bool forward_relay::escalateModel(const upstream_response &Response) {
   if (Progress.ResponseStarted || route().sizes().empty() ||
       !Response.head().confidence() || !repeatable() || !runsLeft() ||
-      Sequence.last())
+      Stream.lastEvent())
     return false;
   // A crash after the response was dropped would go unnoticed.
   if (Deps.PartCrashes.blame()->suspects(Call->requestPrompt()))
@@ -344,13 +268,6 @@
   return true;
 }
 
-bool forward_relay::beginResponse(const response_head &Head) {
-  if (Progress.ResponseStarted)
-    return true;
-  Progress.ResponseStarted = true;
-  return Caller.begin(Head);
-}
-
 forward_attempt
 forward_relay::attemptAt(const upstream_listing &Upstream) const {
   forward_attempt::fields Fields;
@@ -359,7 +276,7 @@
   Fields.Account = Admission.account();
   Fields.Model = route().sizes().empty() ? "" : modelName();
   Fields.Priority = Admission.priority();
-  Fields.LastEvent = Sequence.last();
+  Fields.LastEvent = Stream.lastEvent();
   Fields.TimeLeft = timeLeft();
   bool MoreRuns = repeatable() && Progress.Runs + 1 < route().attempts();
   attempt_timeouts Timeouts(route(), Fields.TimeLeft, MoreRuns);
@@ -425,9 +342,7 @@
                          Progress.SentAt);
   // Only a request that was beginning can have caused the crash by what its
   // prompt holds; the others merely ran beside it.
-  bool WasBeginning =
-      Progress.HeadReceived && !StreamVersion && !Sequence.last();
-  if (WasBeginning)
+  if (Progress.HeadReceived && !Stream.started())
     Deps.PartCrashes.noteCrash(Admission.requestFingerprint(), Upstream,
                                Call->requestPrompt());
 }
@@ -469,7 +384,7 @@
 
 void forward_relay::logEnd(std::string_view Outcome, int Status) const {
   Log.finished(Outcome, Status, Admission.hasRoute() ? modelName() : "",
-               Sequence.last());
+               Stream.lastEvent());
 }
 
 milliseconds forward_relay::elapsed() const {
