Count successes of the last 10 s for a part, not of the last minute

A part that answers well and then begins to crash upstreams, as after a change of an upstream's software, was taken for sound for a minute: every crash in that minute counted against nothing. partThatTurnsDeadly_isBlockedWithin15Seconds failed before and passes. Parts that many share are answered far more often than every 10 s; a rare sound part needs three different requests, broken at three upstreams between head and first event without one success, to be blocked.

--- a/include/bluebellkeel/Policy/PartCrashTracker.h
+++ b/include/bluebellkeel/Policy/PartCrashTracker.h
@@ -20,7 +20,7 @@
   /// How long crashes count, and thus how long a part stays blocked after its
   /// latest one.
   static constexpr seconds CrashLifetime{600};
-  static constexpr seconds SuccessLifetime{60};
+  static constexpr seconds SuccessLifetime{10};
   /// Reports to peers leave out crashes older than this, except those that
   /// explain why a part is blocked.
   static constexpr seconds ReportAge{6};
--- a/unittests/Policy/PartCrashTrackerTest.cpp
+++ b/unittests/Policy/PartCrashTrackerTest.cpp
@@ -129,6 +129,15 @@
   EXPECT_TRUE(blocks(0, {"a"}));
 }
 
+TEST_F(part_crash_tracker_test, partThatTurnsDeadly_isBlockedWithin15Seconds) {
+  instance(0).noteSuccess(promptWith({"a"}));
+  for (int Second = 1; Second <= 15; ++Second) {
+    Clock.advance(seconds(1));
+    crash(0, {"a"});
+  }
+  EXPECT_TRUE(blocks(0, {"a"}));
+}
+
 TEST_F(part_crash_tracker_test, block_afterTheLifetimeOfCrashes_isLifted) {
   for (int I = 0; I < 3; ++I)
     crash(0, {"a"});
