Delay no removal of upstreams by a read that failed while the log was up

A runner whose entry is removed goes on serving for the apply time only. After a failed read of the registrations an instance gave every missing entry 2 s to return, even where the log had been available all along: one lost read of 1.4 s delayed the removal to 3.3 s (apply time 2 s), although peers knew it at once.

Registrations expire after three intervals, so an outage of less than two (new setting upstreams_renew_ms, from the platform's heartbeat_ms) cannot be why one is missing; the age of the view, from own reads or from peers, bounds the outage.

waitingReadNeverAnswered_removedUpstreamsGetNoRequestsAfterTwoSeconds failed before (3.3 s) and passes; an outage of the store gives the grace as before (upstream_registry_test.unlisted_*).

--- a/include/bluebellkeel/Startup/ReloadableSettings.h
+++ b/include/bluebellkeel/Startup/ReloadableSettings.h
@@ -26,12 +26,15 @@
   /// registered upstreams, must take effect.
   milliseconds SettingsApplyTime{2000};
   milliseconds UpstreamsApplyTime{2000};
+  /// Interval at which upstreams renew their registrations.
+  milliseconds UpstreamsRenewInterval{1200};
   /// Longest time for which callers may cache a response of the directory.
   milliseconds DirectoryTtl{0};
 
   auto key() const {
     return std::tie(Seeds, RetryRatio, RetrySlack, RetryWindow, TrialShare,
-                    Grace, SettingsApplyTime, UpstreamsApplyTime, DirectoryTtl);
+                    Grace, SettingsApplyTime, UpstreamsApplyTime,
+                    UpstreamsRenewInterval, DirectoryTtl);
   }
 };
 
--- a/include/bluebellkeel/Upstream/RegistryUpdater.h
+++ b/include/bluebellkeel/Upstream/RegistryUpdater.h
@@ -19,6 +19,16 @@
   /// again.
   static constexpr milliseconds ReconnectGrace{2000};
 
+  /// True if registrations that are renewed every \p RenewInterval may have
+  /// expired only because the log did not respond. They expire after three
+  /// intervals, the first of which may lie before the outage.
+  /// \param OutageTime at least the time for which the log did not respond;
+  /// empty if it never has.
+  static bool mayHaveExpired(std::optional<milliseconds> OutageTime,
+                             milliseconds RenewInterval) {
+    return !OutageTime || *OutageTime >= 2 * RenewInterval;
+  }
+
   registry_updater(upstream_registry &Registry, const time_source &Clock)
       : Registry(Registry), Clock(Clock) {}
 
--- a/lib/Gateway/GatewayRuntime.cpp
+++ b/lib/Gateway/GatewayRuntime.cpp
@@ -197,14 +197,19 @@
     monotonic_time RequestedAt = Context.Clock.monotonicNow();
     std::uint64_t ChangesBefore = Context.Registry.changes();
     bool WasLost = Availability.lost();
-    if (WasLost && Topic == keyed_topic::Upstreams)
+    // A read that failed while the log was available delays no removal.
+    bool MayHaveExpired =
+        WasLost && Topic == keyed_topic::Upstreams &&
+        registry_updater::mayHaveExpired(
+            ageOf(Age), Context.Reloadable.get().UpstreamsRenewInterval);
+    if (MayHaveExpired)
       Context.Updater.logReconnecting();
     // After an outage the first read returns at once instead of waiting for new
     // records.
     auto Read = Follower.poll(*Log, WasLost ? milliseconds(0)
                                             : timingOf(Topic).longPoll());
     if (!Read) {
-      if (WasLost && Topic == keyed_topic::Upstreams)
+      if (MayHaveExpired)
         Context.Updater.logUnavailable();
       Availability.failed(Read.error(), RequestedAt, Before, ageOf(Age));
       awaitBackoff(Yield, RequestedAt, Backoff);
@@ -212,7 +217,7 @@
       continue;
     }
     Backoff = FailureBackoff;
-    if (Availability.succeeded(View.end()) && Topic == keyed_topic::Upstreams)
+    if (Availability.succeeded(View.end()) && MayHaveExpired)
       Context.Updater.logReconnected();
     startServingWhenReady();
     if (View.end() > Before)
--- a/lib/Startup/GatewaySettingsReader.cpp
+++ b/lib/Startup/GatewaySettingsReader.cpp
@@ -24,6 +24,12 @@
 static constexpr std::uint64_t MinApplyMs = 1500;
 static constexpr std::uint64_t MaxApplyMs = 3600000;
 
+/// Default, shortest and longest interval between two renewals of a
+/// registration.
+static constexpr std::uint64_t DefaultRenewMs = 1200;
+static constexpr std::uint64_t MinRenewMs = 10;
+static constexpr std::uint64_t MaxRenewMs = 3600000;
+
 static milliseconds secondsOf(object_reader &Reader, const char *Name) {
   constexpr double MillisPerSecond = 1000;
   double Seconds = Reader.real(Name, 0, HourInSeconds);
@@ -61,6 +67,8 @@
   Settings.Grace = secondsOf(Reloadable, "grace_s");
   Settings.SettingsApplyTime = applyTimeOf(Reloadable, "settings_apply_ms");
   Settings.UpstreamsApplyTime = applyTimeOf(Reloadable, "upstreams_apply_ms");
+  Settings.UpstreamsRenewInterval = milliseconds(Reloadable.numberOr(
+      "upstreams_renew_ms", DefaultRenewMs, MinRenewMs, MaxRenewMs));
   Settings.DirectoryTtl = secondsOf(Reloadable, "advice_life_s");
   Reloadable.ignore("session_life_s");
   Reloadable.finish();
--- a/unittests/Adapter/GatewayProcessTest.cpp
+++ b/unittests/Adapter/GatewayProcessTest.cpp
@@ -278,6 +278,18 @@
   EXPECT_LT(std::chrono::steady_clock::now() - Start, milliseconds(2000));
 }
 
+TEST_F(gateway_process_test,
+       waitingReadNeverAnswered_removedUpstreamsGetNoRequestsAfterTwoSeconds) {
+  absl::Notification Never;
+  Never.WaitForNotificationWithTimeout(absl::Milliseconds(300));
+  Store.dropWaitingReads("keyed.servers");
+  Store.put("keyed.servers", "u1", "");
+  Store.put("keyed.servers", "u2", "");
+  auto Start = std::chrono::steady_clock::now();
+  EXPECT_TRUE(waitFor([this] { return call("idempotent")->status() == 503; }));
+  EXPECT_LT(std::chrono::steady_clock::now() - Start, milliseconds(2000));
+}
+
 TEST_F(gateway_process_test, topicCompactedWhileStoreIsBusy_changeTakesEffect) {
   Store.setFault(store_standin::fault::Busy);
   putConfiguration(3, 10000, {"other"});
--- a/unittests/Startup/GatewaySettingsTest.cpp
+++ b/unittests/Startup/GatewaySettingsTest.cpp
@@ -52,6 +52,20 @@
         "\"grace_s\": 8, \"settings_apply_ms\": " + std::string(TooShort))));
 }
 
+TEST_F(gateway_settings_test, renewInterval_isOptionalAndChecked) {
+  auto WithInterval = [this](const std::string &Value) {
+    return readGatewaySettings(withReplacement(
+        "\"grace_s\": 8", "\"grace_s\": 8, \"upstreams_renew_ms\": " + Value));
+  };
+  auto Settings = readGatewaySettings(ValidSettings);
+  ASSERT_TRUE(Settings.has_value());
+  EXPECT_EQ(milliseconds(1200), Settings->Reloadable.UpstreamsRenewInterval);
+  Settings = WithInterval("500");
+  ASSERT_TRUE(Settings.has_value());
+  EXPECT_EQ(milliseconds(500), Settings->Reloadable.UpstreamsRenewInterval);
+  EXPECT_FALSE(WithInterval("0"));
+}
+
 TEST_F(gateway_settings_test, fieldOfAnEarlierRelease_isIgnored) {
   EXPECT_TRUE(readGatewaySettings(
                   withReplacement("\"grace_s\": 8",
--- a/unittests/Upstream/UpstreamRegistryTest.cpp
+++ b/unittests/Upstream/UpstreamRegistryTest.cpp
@@ -141,6 +141,13 @@
   EXPECT_EQ(0U, serving());
 }
 
+TEST_F(upstream_registry_test, outageOfTwoRenewals_mayHaveExpiredListings) {
+  milliseconds Interval(1200);
+  EXPECT_FALSE(registry_updater::mayHaveExpired(milliseconds(2399), Interval));
+  EXPECT_TRUE(registry_updater::mayHaveExpired(milliseconds(2400), Interval));
+  EXPECT_TRUE(registry_updater::mayHaveExpired(std::nullopt, Interval));
+}
+
 RC_GTEST_FIXTURE_PROP(upstream_registry_test, listings_inAnyOrder_newestIsKept,
                       ()) {
   using listing = std::pair<std::uint8_t, std::uint8_t>;
