--- a/unittests/Startup/GatewaySettingsTest.cpp
+++ b/unittests/Startup/GatewaySettingsTest.cpp
@@ -53,7 +53,7 @@
 }
 
 TEST_F(gateway_settings_test, renewInterval_isOptionalAndChecked) {
-  auto WithInterval = [this](const std::string &Value) {
+  auto WithInterval = [](const std::string &Value) {
     return readGatewaySettings(withReplacement(
         "\"grace_s\": 8", "\"grace_s\": 8, \"upstreams_renew_ms\": " + Value));
   };
