Compute the age of a view in one place

digest_exchanger and gateway_runtime each had an ageOf(), and gateway_state a third copy; log_freshness::age() replaces them. The outage that mayHaveExpired() judges now counts up to the start of the read, since a read that waits for new records cannot lengthen it. 517 of 517 tests pass.

--- a/include/bluebellkeel/Gateway/GatewayState.h
+++ b/include/bluebellkeel/Gateway/GatewayState.h
@@ -30,10 +30,7 @@
       Phase = To;
   }
   milliseconds settingsAge() const override {
-    auto Known = Age.completeAsOf();
-    return Known ? std::chrono::duration_cast<milliseconds>(
-                       Clock.monotonicNow() - *Known)
-                 : milliseconds::max();
+    return Age.age(Clock.monotonicNow()).value_or(milliseconds::max());
   }
   bool settingsStale() const override {
     return settingsAge() > Reloadable.get().SettingsApplyTime;
--- a/include/bluebellkeel/Journal/LogFreshness.h
+++ b/include/bluebellkeel/Journal/LogFreshness.h
@@ -32,6 +32,14 @@
     absl::MutexLock Lock(&Mutex);
     return CompleteAsOf;
   }
+  /// Returns the time since the view was last known to be complete, at \p Now;
+  /// empty when it never was.
+  std::optional<milliseconds> age(monotonic_time Now) const {
+    auto Known = completeAsOf();
+    if (!Known)
+      return std::nullopt;
+    return std::chrono::duration_cast<milliseconds>(Now - *Known);
+  }
   /// Like completeAsOf(), but from this instance's own reads only.
   std::optional<monotonic_time> localReadAsOf() const {
     absl::MutexLock Lock(&Mutex);
--- a/include/bluebellkeel/Upstream/RegistryUpdater.h
+++ b/include/bluebellkeel/Upstream/RegistryUpdater.h
@@ -20,10 +20,10 @@
   static constexpr milliseconds ReconnectGrace{2000};
 
   /// True if registrations that are renewed every \p RenewInterval may have
-  /// expired only because the log did not respond. They expire after three
-  /// intervals, the first of which may lie before the outage.
-  /// \param OutageTime at least the time for which the log did not respond;
-  /// empty if it never has.
+  /// expired while the log did not respond. They expire after three intervals
+  /// without a renewal, at most one of which lies before the outage.
+  /// \param OutageTime longest time that the log may have been unavailable;
+  /// empty if it never responded.
   static bool mayHaveExpired(std::optional<milliseconds> OutageTime,
                              milliseconds RenewInterval) {
     return !OutageTime || *OutageTime >= 2 * RenewInterval;
--- a/lib/Gateway/DigestExchanger.cpp
+++ b/lib/Gateway/DigestExchanger.cpp
@@ -23,22 +23,14 @@
 /// peer.
 static constexpr milliseconds FetchTimeout{300};
 
-std::optional<milliseconds>
-digest_exchanger::ageOf(const log_freshness &Age) const {
-  auto KnownAt = Age.completeAsOf();
-  if (!KnownAt)
-    return std::nullopt;
-  return std::chrono::duration_cast<milliseconds>(Context.Clock.monotonicNow() -
-                                                  *KnownAt);
-}
-
 instance_digest digest_exchanger::digestFor(const data_centre_id &Centre) {
   instance_digest::fields Fields;
   Fields.Sender = Context.self();
   Fields.SettingsEnd = Settings.end();
   Fields.UpstreamsEnd = Upstreams.end();
-  Fields.SettingsAge = ageOf(Context.SettingsAge);
-  Fields.UpstreamsAge = ageOf(Context.UpstreamsAge);
+  monotonic_time Now = Context.Clock.monotonicNow();
+  Fields.SettingsAge = Context.SettingsAge.age(Now);
+  Fields.UpstreamsAge = Context.UpstreamsAge.age(Now);
   Fields.Loads = Context.Loads.localLoads();
   Fields.RollOuts = Context.RollOuts.evidence();
   for (const auto &[Request, Upstream] : Context.Crashes.recent(CrashAge))
--- a/lib/Gateway/DigestExchanger.h
+++ b/lib/Gateway/DigestExchanger.h
@@ -36,7 +36,6 @@
   void announceLoad();
 
 private:
-  std::optional<milliseconds> ageOf(const log_freshness &Age) const;
   /// Returns this instance's digest for a peer in \p Centre.
   instance_digest digestFor(const data_centre_id &Centre);
   void sendQuery(const instance_record &Peer);
--- a/lib/Gateway/GatewayRuntime.cpp
+++ b/lib/Gateway/GatewayRuntime.cpp
@@ -83,7 +83,6 @@
   void runPeriodicTasks(asio::yield_context Yield);
   follow_timing timingOf(keyed_topic Topic) const;
   bool peerDataSuffices(keyed_topic Topic, const log_freshness &Age) const;
-  std::optional<milliseconds> ageOf(const log_freshness &Age) const;
   void updateMetrics();
   bool isRedundantReader() const;
   milliseconds maxPeerDataAge(keyed_topic Topic) const;
@@ -160,21 +159,12 @@
 /// digests as long as these are fresh.
 bool gateway_runtime::impl::peerDataSuffices(keyed_topic Topic,
                                              const log_freshness &Age) const {
-  auto Known = ageOf(Age);
+  auto Known = Age.age(Context.Clock.monotonicNow());
   return Known && *Known <= maxPeerDataAge(Topic) &&
          Context.State.phase() != serving_phase::Starting &&
          isRedundantReader();
 }
 
-std::optional<milliseconds>
-gateway_runtime::impl::ageOf(const log_freshness &Age) const {
-  auto KnownAt = Age.completeAsOf();
-  if (!KnownAt)
-    return std::nullopt;
-  return std::chrono::duration_cast<milliseconds>(Context.Clock.monotonicNow() -
-                                                  *KnownAt);
-}
-
 bool gateway_runtime::impl::isRedundantReader() const {
   return reader_election::isRedundantReader(Context.Settings.Instance,
                                             Context.Settings.DataCentre,
@@ -198,10 +188,10 @@
     std::uint64_t ChangesBefore = Context.Registry.changes();
     bool WasLost = Availability.lost();
     // A read that failed while the log was available delays no removal.
-    bool MayHaveExpired =
-        WasLost && Topic == keyed_topic::Upstreams &&
-        registry_updater::mayHaveExpired(
-            ageOf(Age), Context.Reloadable.get().UpstreamsRenewInterval);
+    bool MayHaveExpired = WasLost && Topic == keyed_topic::Upstreams &&
+                          registry_updater::mayHaveExpired(
+                              Age.age(RequestedAt),
+                              Context.Reloadable.get().UpstreamsRenewInterval);
     if (MayHaveExpired)
       Context.Updater.logReconnecting();
     // After an outage the first read returns at once instead of waiting for new
@@ -211,7 +201,8 @@
     if (!Read) {
       if (MayHaveExpired)
         Context.Updater.logUnavailable();
-      Availability.failed(Read.error(), RequestedAt, Before, ageOf(Age));
+      Availability.failed(Read.error(), RequestedAt, Before,
+                          Age.age(Context.Clock.monotonicNow()));
       awaitBackoff(Yield, RequestedAt, Backoff);
       Backoff = std::min(2 * Backoff, MaxFailureBackoff);
       continue;
@@ -279,7 +270,7 @@
 void gateway_runtime::impl::updateMetrics() {
   constexpr double Never = -1;
   constexpr double MillisPerSecond = 1000;
-  auto Age = ageOf(Context.SettingsAge);
+  auto Age = Context.SettingsAge.age(Context.Clock.monotonicNow());
   Context.Metrics.setSettingsAge(
       Age ? static_cast<double>(Age->count()) / MillisPerSecond : Never);
   Context.Metrics.setSettingsAppliedOffset(
@@ -309,7 +300,7 @@
       Availability.succeeded(InstancesView.end());
     else
       Availability.failed(Read.error(), RequestedAt, InstancesView.end(),
-                          ageOf(InstancesAge));
+                          InstancesAge.age(Context.Clock.monotonicNow()));
     awaitTime(Yield, instancesDelay(/*ReadFailed=*/!Read));
   }
 }
