Tell peers of deletions that a view was read after

Cause: an instance that starts reads the newest record of each key, which lacks the deleted ones. keyed_view::since() answered a peer with the records that this view held, so the peer's view reached the end of the log without the deletion, and nothing brought it later. Among many instances two of each data centre read the log and all others depend on such answers.

A view now knows from which offset on it knows every deletion; for an older one it answers with all its records, and the peer deletes what they lack. The answer of an earlier release lacks the mark and is applied as before. since_ofViewReadAfterADeletion_deletesAtThePeer and since_acrossTwoViews_deletesAtTheLast fail on the code before.

--- a/include/bluebellkeel/Journal/KeyedView.h
+++ b/include/bluebellkeel/Journal/KeyedView.h
@@ -17,7 +17,8 @@
   explicit keyed_view(keyed_listener &Listener) : Listener(Listener) {}
 
   /// Applies the records of \p Page that are newer than the known ones and
-  /// advances end() to the end of the page.
+  /// advances end() to the end of the page. A page with all keys replaces the
+  /// view.
   void apply(const keyed_page &Page);
   /// Applies the newest record of every key and deletes known keys that \p Page
   /// lacks, unless their record is newer than the page.
@@ -26,13 +27,14 @@
   /// Returns the offset up to which the view is complete.
   log_offset end() const;
   /// Returns the records newer than \p After, ordered by offset, including
-  /// those of deleted keys.
+  /// those of deleted keys; all records if some of these deletions are unknown.
   keyed_page since(log_offset After) const;
   /// Returns the newest record of \p Key, which may be a deletion; empty if
   /// there is none.
   std::optional<keyed_record> find(const std::string &Key) const;
 
 private:
+  void applyRecords(const keyed_page &Page);
   bool insertIfNewer(const keyed_record &Record)
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex);
 
@@ -42,6 +44,9 @@
   mutable absl::Mutex Mutex;
   std::map<std::string, keyed_record> Records ABSL_GUARDED_BY(Mutex);
   log_offset End ABSL_GUARDED_BY(Mutex);
+  /// Offset after which every deletion is known. A page with all keys does not
+  /// tell which keys were deleted before its end.
+  log_offset DeletionsKnownAfter ABSL_GUARDED_BY(Mutex);
 };
 
 } // namespace bluebellkeel
--- a/lib/Journal/KeyedView.cpp
+++ b/lib/Journal/KeyedView.cpp
@@ -16,6 +16,13 @@
 }
 
 void keyed_view::apply(const keyed_page &Page) {
+  if (Page.holdsAllKeys())
+    replace(Page);
+  else
+    applyRecords(Page);
+}
+
+void keyed_view::applyRecords(const keyed_page &Page) {
   absl::MutexLock NotifyLock(&NotifyMutex);
   for (const auto &Record : Page.records()) {
     bool Newer = false;
@@ -44,8 +51,10 @@
       if (Record.offset() <= Page.end())
         All.emplace_back(Key, "", Page.end());
     }
+    if (Page.end() > End)
+      DeletionsKnownAfter = Page.end();
   }
-  apply(keyed_page(std::move(All), Page.end()));
+  applyRecords(keyed_page(std::move(All), Page.end()));
 }
 
 log_offset keyed_view::end() const {
@@ -55,16 +64,19 @@
 
 keyed_page keyed_view::since(log_offset After) const {
   absl::MutexLock Lock(&Mutex);
+  bool All = After < DeletionsKnownAfter;
   std::vector<keyed_record> Newer;
   for (const auto &[Key, Record] : Records) {
-    if (Record.offset() > After)
+    if (All || Record.offset() > After)
       Newer.push_back(Record);
   }
   std::sort(Newer.begin(), Newer.end(),
             [](const keyed_record &L, const keyed_record &R) {
               return L.offset() < R.offset();
             });
-  return keyed_page(std::move(Newer), End);
+  return keyed_page(std::move(Newer), End,
+                    All ? keyed_page::scope::AllKeys
+                        : keyed_page::scope::Changes);
 }
 
 std::optional<keyed_record> keyed_view::find(const std::string &Key) const {
--- a/lib/Peer/DigestJson.cpp
+++ b/lib/Peer/DigestJson.cpp
@@ -280,9 +280,12 @@
     Records.push_back({{"k", Record.name()},
                        {"v", Record.value()},
                        {"o", Record.offset().value()}});
-  return {{"t", static_cast<std::uint64_t>(Body.topic())},
-          {"e", Body.page().end().value()},
-          {"r", std::move(Records)}};
+  json Json = {{"t", static_cast<std::uint64_t>(Body.topic())},
+               {"e", Body.page().end().value()},
+               {"r", std::move(Records)}};
+  if (Body.page().holdsAllKeys())
+    Json["all"] = true;
+  return Json;
 }
 
 body_result bluebellkeel::viewAnswerFromJson(const json &Json) {
@@ -299,7 +302,11 @@
       Fields.fail(Record.error().message());
     Records.emplace_back(Key, Value, Offset);
   }
+  // Earlier releases do not send this field.
+  bool All = !Fields.optional("all").is_null() && Fields.flag("all");
   if (Fields.failed())
     return tl::unexpected(Fields.error());
-  return peer_body(view_answer(Topic, keyed_page(std::move(Records), End)));
+  auto Scope = All ? keyed_page::scope::AllKeys : keyed_page::scope::Changes;
+  return peer_body(
+      view_answer(Topic, keyed_page(std::move(Records), End, Scope)));
 }
--- a/unittests/Journal/KeyedViewTest.cpp
+++ b/unittests/Journal/KeyedViewTest.cpp
@@ -105,6 +105,34 @@
   EXPECT_EQ(View.end(), Peer.end());
 }
 
+TEST_F(keyed_view_test, since_ofViewReadAfterADeletion_deletesAtThePeer) {
+  recording_listener Other;
+  keyed_view Peer(Other);
+  Peer.apply(page({record("a", "1", 1), record("b", "2", 2)}, 2));
+  View.replace(page({record("b", "2", 2)}, 3));
+  Peer.apply(View.since(Peer.end()));
+  EXPECT_TRUE(Peer.find("a")->isDeleted());
+  EXPECT_EQ("2", Peer.find("b")->value());
+}
+
+TEST_F(keyed_view_test, since_acrossTwoViews_deletesAtTheLast) {
+  recording_listener Other;
+  keyed_view Middle(Other);
+  keyed_view Last(Other);
+  Middle.apply(page({record("b", "2", 2)}, 2));
+  Last.apply(page({record("a", "1", 1)}, 1));
+  View.replace(page({record("b", "2", 2)}, 3));
+  Middle.apply(View.since(Middle.end()));
+  Last.apply(Middle.since(Last.end()));
+  EXPECT_TRUE(Last.find("a")->isDeleted());
+}
+
+TEST_F(keyed_view_test, since_endAfterTheLastFullRead_holdsChangesOnly) {
+  View.replace(page({record("a", "1", 1), record("b", "2", 2)}, 3));
+  View.apply(page({record("a", "3", 4)}, 4));
+  EXPECT_EQ(page({record("a", "3", 4)}, 4), View.since(log_offset(3)));
+}
+
 TEST_F(keyed_view_test, poll_firstCall_readsAllKeysThenNewRecords) {
   Log.LatestResult = page({record("a", "1", 4)}, 6);
   EXPECT_TRUE(Follower.poll(Log, milliseconds(0)));
--- a/unittests/Peer/DigestTest.cpp
+++ b/unittests/Peer/DigestTest.cpp
@@ -69,6 +69,11 @@
                               keyed_record("gone", "", log_offset(6))},
                              log_offset(6)));
   EXPECT_EQ(Answer, encodeAndDecode(Answer, instance_id("b")));
+  peer_body Whole =
+      view_answer(keyed_topic::Upstreams,
+                  keyed_page({keyed_record("k", "{\"v\":1}", log_offset(5))},
+                             log_offset(6), keyed_page::scope::AllKeys));
+  EXPECT_EQ(Whole, encodeAndDecode(Whole, instance_id("b")));
 }
 
 TEST_F(digest_test, message_toOtherRecipient_isRejected) {
