Ignore a peer's records of keys that were deleted since

Cause: a new instance asks peers while it reads the log. The answer of a peer that is behind comes after the read, and keyed_view inserted its records of keys that it did not know, though it is complete up to a later offset, so that these keys must have been deleted. The same for an answer with all keys.

--- a/lib/Journal/KeyedView.cpp
+++ b/lib/Journal/KeyedView.cpp
@@ -6,6 +6,10 @@
 bool keyed_view::insertIfNewer(const keyed_record &Record) {
   auto Known = Records.find(Record.name());
   if (Known == Records.end()) {
+    // The view is complete up to End, so a key that it lacks was deleted before
+    // then. Only a peer that is behind still has its record.
+    if (Record.offset() <= End)
+      return false;
     Records.emplace(Record.name(), Record);
     return true;
   }
--- a/unittests/Journal/KeyedViewTest.cpp
+++ b/unittests/Journal/KeyedViewTest.cpp
@@ -3,6 +3,9 @@
 #include <deque>
 #include <functional>
 #include <gtest/gtest.h>
+#include <memory>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
 
 using namespace bluebellkeel;
 
@@ -77,6 +80,14 @@
   EXPECT_EQ("new", View.find("a")->value());
 }
 
+TEST_F(keyed_view_test, recordOfDeletedKey_fromPeerThatIsBehind_isIgnored) {
+  View.replace(page({record("b", "2", 2)}, 7));
+  View.apply(page({record("a", "1", 3)}, 5));
+  EXPECT_FALSE(View.find("a"));
+  View.apply(page({record("a", "2", 8)}, 8));
+  EXPECT_EQ("2", View.find("a")->value());
+}
+
 TEST_F(keyed_view_test, replace_withPageLackingKey_deletesKey) {
   View.apply(page({record("a", "1", 1), record("b", "2", 2)}, 2));
   View.replace(page({record("b", "2", 2)}, 7));
@@ -133,6 +144,74 @@
   EXPECT_EQ(page({record("a", "3", 4)}, 4), View.since(log_offset(3)));
 }
 
+RC_GTEST_FIXTURE_PROP(keyed_view_test,
+                      anyRestartsAndFetches_everyViewFollowsTheLog, ()) {
+  constexpr int ViewCount = 3;
+  auto Steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 1000));
+  std::vector<keyed_record> Written;
+  auto Newest = [&Written] {
+    std::map<std::string, keyed_record> Live;
+    for (const auto &Record : Written) {
+      Live.erase(Record.name());
+      if (!Record.isDeleted())
+        Live.emplace(Record.name(), Record);
+    }
+    return Live;
+  };
+  std::vector<std::unique_ptr<keyed_view>> Views(ViewCount);
+  // Answers of peers that a view has not yet received.
+  std::vector<std::optional<keyed_page>> Answers(ViewCount);
+  auto Restart = [&](std::size_t Index) {
+    std::vector<keyed_record> All;
+    for (const auto &[Key, Record] : Newest())
+      All.push_back(Record);
+    Views[Index] = std::make_unique<keyed_view>(Listener);
+    Views[Index]->replace(page(std::move(All), Written.size()));
+  };
+  auto Receive = [&](std::size_t Index) {
+    if (Answers[Index])
+      Views[Index]->apply(*Answers[Index]);
+    Answers[Index].reset();
+  };
+  for (std::size_t Index = 0; Index < Views.size(); ++Index)
+    Restart(Index);
+  for (int Step : Steps) {
+    auto First = static_cast<std::size_t>(Step % ViewCount);
+    auto Second = static_cast<std::size_t>(Step / 10 % ViewCount);
+    std::string Key = "k" + std::to_string(Step / 100 % 4);
+    switch (Step % 5) {
+    case 0:
+      Written.push_back(record(Key, "v", Written.size() + 1));
+      break;
+    case 1:
+      Written.push_back(record(Key, "", Written.size() + 1));
+      break;
+    case 2:
+      // A new instance asks a peer while it reads the log.
+      Answers[First] = Views[Second]->since(log_offset());
+      Restart(First);
+      break;
+    case 3:
+      Answers[First] = Views[Second]->since(Views[First]->end());
+      break;
+    default:
+      Receive(First);
+    }
+  }
+  Restart(0);
+  for (std::size_t Index = 1; Index < Views.size(); ++Index) {
+    Receive(Index);
+    Views[Index]->apply(Views[0]->since(Views[Index]->end()));
+    auto Live = Newest();
+    for (int Number = 0; Number < 4; ++Number) {
+      std::string Key = "k" + std::to_string(Number);
+      auto Found = Views[Index]->find(Key);
+      bool IsLive = Found && !Found->isDeleted();
+      RC_ASSERT(IsLive == (Live.count(Key) > 0));
+    }
+  }
+}
+
 TEST_F(keyed_view_test, poll_firstCall_readsAllKeysThenNewRecords) {
   Log.LatestResult = page({record("a", "1", 4)}, 6);
   EXPECT_TRUE(Follower.poll(Log, milliseconds(0)));
