Report no negative ages of crashes and successes

The report takes its time first; a crash or success that another thread notes meanwhile had an age below 0.

--- a/lib/Policy/PartCrashTracker.cpp
+++ b/lib/Policy/PartCrashTracker.cpp
@@ -20,8 +20,11 @@
                                }));
 }
 
+/// Returns the time from \p Then to \p Now; 0 if another thread noted \p Then
+/// after \p Now was taken.
 static milliseconds ageAt(monotonic_time Now, monotonic_time Then) {
-  return std::chrono::duration_cast<milliseconds>(Now - Then);
+  return std::max(std::chrono::duration_cast<milliseconds>(Now - Then),
+                  milliseconds(0));
 }
 
 bool part_crash_tracker::insert(const fingerprint &Request,
--- a/unittests/Policy/PartCrashTrackerTest.cpp
+++ b/unittests/Policy/PartCrashTrackerTest.cpp
@@ -218,6 +218,22 @@
   EXPECT_TRUE(blocks(0, {"d"}));
 }
 
+TEST_F(part_crash_tracker_test,
+       notesOfOtherThreadsDuringReport_haveNoNegativeAge) {
+  crash(0, {"a"});
+  instance(0).noteSuccess(promptWith({"a"}));
+  crash(0, {"b"});
+  // The time of the report is taken before the other threads note theirs.
+  Clock.advance(milliseconds(-5));
+  auto Report = instance(0).report();
+  ASSERT_FALSE(Report.crashes().empty());
+  ASSERT_FALSE(Report.successes().empty());
+  for (const auto &Crash : Report.crashes())
+    EXPECT_GE(Crash.age(), milliseconds(0));
+  for (const auto &Success : Report.successes())
+    EXPECT_GE(Success.age(), milliseconds(0));
+}
+
 RC_GTEST_FIXTURE_PROP(part_crash_tracker_test,
                       anyMixOfCrashes_onlyThePartWithoutSuccess_isBlocked, ()) {
   auto Order = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 60));
