Store stand-in: hold no lock while a response is sent

append() and read() sent 412 and 410 under the mutex. Sending suspends the coroutine, which may resume on another thread, and absl::Mutex then aborts the process.

--- a/utils/Platform/StoreStandin.cpp
+++ b/utils/Platform/StoreStandin.cpp
@@ -98,19 +98,23 @@
   auto Page = readRecordFrames(Body + Request.body(), log_offset());
   std::size_t Offset = 0;
   bool Lost = false;
+  bool Conflict = false;
   {
     absl::MutexLock Lock(&Mutex);
     topic &Topic = Topics[Request.query("topic")];
     Offset = Topic.Records.size();
     std::string At = Request.query("at");
-    if (!At.empty() && At != std::to_string(Offset)) {
-      Responder.send(http_response(412, http_headers(), "{}"));
-      return;
+    Conflict = !At.empty() && At != std::to_string(Offset);
+    if (!Conflict) {
+      for (const auto &Record : Page->records())
+        Topic.Records.emplace_back(Record.name(), Record.value());
     }
-    for (const auto &Record : Page->records())
-      Topic.Records.emplace_back(Record.name(), Record.value());
     Lost = Fault == fault::AnswersLost;
   }
+  if (Conflict) {
+    Responder.send(http_response(412, http_headers(), "{}"));
+    return;
+  }
   if (Lost) {
     Responder.abandon();
     return;
@@ -136,12 +140,14 @@
                          boost::asio::yield_context Yield) {
   std::string Topic = Request.query("topic");
   std::size_t From = std::stoul(Request.query("from"));
+  bool Trimmed = false;
   {
     absl::MutexLock Lock(&Mutex);
-    if (From < Topics[Topic].First) {
-      Responder.send(http_response(410, http_headers(), "{\"first\":0}"));
-      return;
-    }
+    Trimmed = From < Topics[Topic].First;
+  }
+  if (Trimmed) {
+    Responder.send(http_response(410, http_headers(), "{\"first\":0}"));
+    return;
   }
   std::string Wait = Request.query("wait_timeout_ms");
   milliseconds Left(Wait.empty() ? 0 : std::stol(Wait));
