--- a/test/Soak/SoakEnvironment.h
+++ b/test/Soak/SoakEnvironment.h
@@ -51,6 +51,8 @@
   void killRunner(int Index);
 
   void signalStore(int Signal) { Store->signal(Signal); }
+  /// True if the store has ended, which no fault brings about.
+  bool storeEnded() const { return Store->ended(); }
   /// Makes the store drop the waiting reads of the settings and the upstreams.
   void dropReads();
 
--- a/test/Soak/SoakRun.cpp
+++ b/test/Soak/SoakRun.cpp
@@ -220,6 +220,8 @@
     auto Found = Check->violations(History);
     Lines.insert(Lines.end(), Found.begin(), Found.end());
   }
+  if (Environment.storeEnded())
+    Lines.emplace_back("the store stand-in ended by itself");
   return Lines;
 }
 
