Count each run of an upstream when parts of prompts are blamed

A part is blocked after crashes of three upstreams, told apart by their ids. Three requests that break in one crash still count as one.

The check crashesOfOneUpstreamOnly_blockNothing is unchanged and now named for what it states, requestsOfOneCrash_blockNothing.

--- a/include/bluebellkeel/Policy/PartBlame.h
+++ b/include/bluebellkeel/Policy/PartBlame.h
@@ -14,16 +14,17 @@
 /// crashes that it explains then speak against no other part.
 class part_blame : public comparable<part_blame> {
 public:
-  /// Number of different requests, and of different upstreams, whose crashes
-  /// block a part. Fewer may be a coincidence when several upstreams are lost
-  /// at once.
+  /// Number of different requests, and of different runs of upstreams, whose
+  /// crashes block a part. Fewer may be a coincidence when several upstreams
+  /// are lost at once.
   static constexpr std::size_t BlockingRequests = 3;
   static constexpr std::size_t BlockingUpstreams = 3;
   /// Number of different requests whose crashes make a part suspected, and from
   /// which a request with it is not repeated.
   static constexpr std::size_t SuspectRequests = 1;
   static constexpr std::size_t RepeatBlockingRequests = 2;
-  /// Number of different upstreams whose crashes block a single request.
+  /// Number of different runs of upstreams whose crashes block a single
+  /// request.
   static constexpr std::size_t UpstreamsOfOneRequest = 2;
 
   part_blame() = default;
@@ -60,7 +61,7 @@
   std::set<std::string> Blocked;
   /// For each part, the requests of the crashes that no blocked part explains.
   std::map<std::string, std::set<fingerprint>> RequestsOfPart;
-  std::map<fingerprint, std::set<upstream_id>> UpstreamsOfRequest;
+  std::map<fingerprint, std::set<upstream_incarnation>> UpstreamsOfRequest;
 };
 
 } // namespace bluebellkeel
--- a/include/bluebellkeel/Policy/PartCrashTracker.h
+++ b/include/bluebellkeel/Policy/PartCrashTracker.h
@@ -35,8 +35,8 @@
   /// Records that \p Upstream crashed after it had begun \p Request and before
   /// it had produced anything of the answer. The same crash may be recorded
   /// repeatedly.
-  void noteCrash(const fingerprint &Request, const upstream_id &Upstream,
-                 const prompt &Prompt);
+  void noteCrash(const fingerprint &Request,
+                 const upstream_incarnation &Upstream, const prompt &Prompt);
   /// Records a complete answer.
   void noteSuccess(const prompt &Prompt);
   /// Returns what the known crashes say about parts and requests.
@@ -48,7 +48,7 @@
   void merge(const part_crash_report &Report);
 
 private:
-  using crash_key = std::pair<fingerprint, upstream_id>;
+  using crash_key = std::pair<fingerprint, upstream_incarnation>;
   struct crash_entry {
     std::vector<std::string> Parts;
     monotonic_time At;
@@ -57,7 +57,7 @@
   using success_map = std::map<std::string, monotonic_time>;
 
   /// Returns false if the crash is known.
-  bool insert(const fingerprint &Request, const upstream_id &Upstream,
+  bool insert(const fingerprint &Request, const upstream_incarnation &Upstream,
               std::vector<std::string> Parts, monotonic_time At);
   void noteSuccessAt(const std::string &Part, monotonic_time At);
   /// True if a request with \p Part was answered less than SuccessLifetime
--- a/include/bluebellkeel/Relay/ForwardRelay.h
+++ b/include/bluebellkeel/Relay/ForwardRelay.h
@@ -56,7 +56,7 @@
   void noteAttemptSuccess(const upstream_listing &Upstream);
   void noteAttemptFailure(const upstream_listing &Upstream,
                           attempt_error Error);
-  void noteCrash(const upstream_id &Upstream);
+  void noteCrash(const upstream_listing &Upstream);
   void refuse(refusal_reason Reason);
   int refusalStatus(refusal_reason Reason) const;
   void logEnd(std::string_view Outcome, int Status) const;
--- a/include/bluebellkeel/Upstream.h
+++ b/include/bluebellkeel/Upstream.h
@@ -19,6 +19,7 @@
 #include "bluebellkeel/Upstream/RegistryEntry.h"
 #include "bluebellkeel/Upstream/RegistryUpdater.h"
 #include "bluebellkeel/Upstream/UpstreamDirectory.h"
+#include "bluebellkeel/Upstream/UpstreamIncarnation.h"
 #include "bluebellkeel/Upstream/UpstreamKind.h"
 #include "bluebellkeel/Upstream/UpstreamLifecycle.h"
 #include "bluebellkeel/Upstream/UpstreamList.h"
--- a/lib/Peer/DigestJson.cpp
+++ b/lib/Peer/DigestJson.cpp
@@ -76,7 +76,8 @@
   json Crashes = json::array();
   for (const auto &Crash : Report.crashes())
     Crashes.push_back({{"f", Crash.request().text()},
-                       {"u", Crash.upstream().text()},
+                       {"u", Crash.upstream().upstream().text()},
+                       {"n", Crash.upstream().number()},
                        {"p", Crash.parts()},
                        {"a", static_cast<std::uint64_t>(Crash.age().count())}});
   return Crashes;
@@ -189,7 +190,8 @@
   for (const auto &Item : optionalArray(Fields, "pc")) {
     field_reader Crash(Item);
     fingerprint Request(Crash.text("f"));
-    upstream_id Upstream(Crash.text("u"));
+    upstream_id Id(Crash.text("u"));
+    upstream_incarnation Upstream(Id, Crash.number("n"));
     Crashes.emplace_back(Request, Upstream, partsFrom(Crash), ageFrom(Crash));
     if (Crash.failed())
       Fields.fail(Crash.error().message());
--- a/lib/Policy/PartBlame.cpp
+++ b/lib/Policy/PartBlame.cpp
@@ -8,7 +8,7 @@
 /// The crashes of requests with one part.
 struct part_evidence {
   std::set<fingerprint> Requests;
-  std::set<upstream_id> Upstreams;
+  std::set<upstream_incarnation> Upstreams;
   /// Highest position of the part in a prompt.
   std::size_t Position = 0;
 
--- a/lib/Policy/PartCrashTracker.cpp
+++ b/lib/Policy/PartCrashTracker.cpp
@@ -28,13 +28,13 @@
 }
 
 bool part_crash_tracker::insert(const fingerprint &Request,
-                                const upstream_id &Upstream,
+                                const upstream_incarnation &Upstream,
                                 std::vector<std::string> Parts,
                                 monotonic_time At) {
   monotonic_time Expired = Clock.monotonicNow() - CrashLifetime;
   if (At < Expired)
     return false;
-  return Crashes.withShard(Upstream.text(), [&](crash_map &Shard) {
+  return Crashes.withShard(Upstream.upstream().text(), [&](crash_map &Shard) {
     crash_key Key(Request, Upstream);
     if (Shard.count(Key) > 0)
       return false;
@@ -69,7 +69,7 @@
 }
 
 void part_crash_tracker::noteCrash(const fingerprint &Request,
-                                   const upstream_id &Upstream,
+                                   const upstream_incarnation &Upstream,
                                    const prompt &Prompt) {
   auto Parts = Prompt.sharedPartIds();
   if (!Parts.empty() &&
--- a/lib/Relay/ForwardRelay.cpp
+++ b/lib/Relay/ForwardRelay.cpp
@@ -334,17 +334,19 @@
     Deps.RollOuts.noteResponse(service(), Upstream.version(),
                                /*Good=*/false);
   if (Error == attempt_error::Truncated)
-    noteCrash(Upstream.id());
+    noteCrash(Upstream);
 }
 
-void forward_relay::noteCrash(const upstream_id &Upstream) {
-  Deps.Crashes.noteCrash(Admission.requestFingerprint(), Upstream,
+void forward_relay::noteCrash(const upstream_listing &Upstream) {
+  Deps.Crashes.noteCrash(Admission.requestFingerprint(), Upstream.id(),
                          Progress.SentAt);
   // Only a request that was beginning can have caused the crash by what its
   // prompt holds; the others merely ran beside it.
   if (Progress.HeadReceived && !Stream.started())
-    Deps.PartCrashes.noteCrash(Admission.requestFingerprint(), Upstream,
-                               Call->requestPrompt());
+    Deps.PartCrashes.noteCrash(
+        Admission.requestFingerprint(),
+        upstream_incarnation(Upstream.id(), Upstream.incarnation()),
+        Call->requestPrompt());
 }
 
 /// Ends the call with a refusal, or aborts the response if it has started.
--- a/unittests/Peer/DigestTest.cpp
+++ b/unittests/Peer/DigestTest.cpp
@@ -44,10 +44,10 @@
   Fields.Loads = {instance_load(upstream_id("u"), 2, 300)};
   Fields.RollOuts = {roll_out_evidence(Evidence)};
   Fields.Crashes = {crash_notice(fingerprint("f"), upstream_id("u"))};
-  Fields.PartCrashes =
-      part_crash_report({part_crash(fingerprint("f"), upstream_id("u"),
-                                    {"p", "q"}, milliseconds(11))},
-                        {part_success("p", milliseconds(12))});
+  Fields.PartCrashes = part_crash_report(
+      {part_crash(fingerprint("f"), upstream_incarnation(upstream_id("u"), 13),
+                  {"p", "q"}, milliseconds(11))},
+      {part_success("p", milliseconds(12))});
   Fields.KnownInstances = {Record};
   peer_body Digest = instance_digest(Fields);
   EXPECT_EQ(Digest, encodeAndDecode(Digest, instance_id("b")));
--- a/unittests/Policy/PartCrashTrackerTest.cpp
+++ b/unittests/Policy/PartCrashTrackerTest.cpp
@@ -20,6 +20,11 @@
     Parts.emplace_back("own", 10);
     return prompt(100, 10, 0, std::move(Parts));
   }
+  /// Run number \p Number of the upstream \p Id.
+  static upstream_incarnation run(const std::string &Id,
+                                  std::uint64_t Number = 1) {
+    return upstream_incarnation(upstream_id(Id), Number);
+  }
   part_crash_tracker &instance(std::size_t Index) {
     while (Instances.size() <= Index)
       Instances.emplace_back(Clock);
@@ -29,7 +34,7 @@
   void crash(std::size_t Index, const std::vector<std::string> &Shared) {
     ++Crashes;
     instance(Index).noteCrash(fingerprint("r" + std::to_string(Crashes)),
-                              upstream_id("u" + std::to_string(Crashes)),
+                              run("u" + std::to_string(Crashes)),
                               promptWith(Shared));
   }
   bool blocks(std::size_t Index, const std::vector<std::string> &Shared) {
@@ -70,18 +75,27 @@
   EXPECT_FALSE(instance(0).blame()->mentions("own"));
 }
 
-TEST_F(part_crash_tracker_test, crashesOfOneUpstreamOnly_blockNothing) {
+TEST_F(part_crash_tracker_test, upstreamThatRestartsUnderItsId_countsAgain) {
+  for (std::uint64_t Start = 1; Start <= 3; ++Start) {
+    EXPECT_FALSE(blocks(0, {"d"}));
+    instance(0).noteCrash(fingerprint("r" + std::to_string(Start)),
+                          run("u", Start), promptWith({"d"}));
+  }
+  EXPECT_TRUE(blocks(0, {"d"}));
+}
+
+TEST_F(part_crash_tracker_test, requestsOfOneCrash_blockNothing) {
   for (int I = 0; I < 9; ++I)
-    instance(0).noteCrash(fingerprint("r" + std::to_string(I)),
-                          upstream_id("u"), promptWith({"d"}));
+    instance(0).noteCrash(fingerprint("r" + std::to_string(I)), run("u"),
+                          promptWith({"d"}));
   EXPECT_FALSE(blocks(0, {"d"}));
 }
 
 TEST_F(part_crash_tracker_test, oneRequest_afterTwoUpstreams_isBlocked) {
   fingerprint Request("r");
-  instance(0).noteCrash(Request, upstream_id("u1"), promptWith({"d"}));
+  instance(0).noteCrash(Request, run("u1"), promptWith({"d"}));
   EXPECT_FALSE(instance(0).blame()->blocksRequest(Request));
-  instance(0).noteCrash(Request, upstream_id("u2"), promptWith({"d"}));
+  instance(0).noteCrash(Request, run("u2"), promptWith({"d"}));
   EXPECT_TRUE(instance(0).blame()->blocksRequest(Request));
   EXPECT_FALSE(blocks(0, {"d"}));
 }
@@ -254,8 +268,7 @@
       ++Deadly;
     }
     Tracker.noteCrash(fingerprint("r" + std::to_string(Number)),
-                      upstream_id("u" + std::to_string(Number)),
-                      promptWith(Shared));
+                      run("u" + std::to_string(Number)), promptWith(Shared));
     if (!IsDeadly)
       Tracker.noteSuccess(promptWith(Shared));
     Tracker.noteSuccess(promptWith({"common", "s" + std::to_string(Draw % 3)}));
--- a/unittests/Relay/CrashingPartTest.cpp
+++ b/unittests/Relay/CrashingPartTest.cpp
@@ -89,6 +89,24 @@
   EXPECT_EQ(Sent, Upstreams.Attempts.size());
 }
 
+TEST_F(crashing_part_test, twoUpstreamsThatRestartUnderTheirIds_areSpared) {
+  for (int I = 3; I <= 40; ++I)
+    Registry.remove(upstream_id("u" + std::to_string(I)));
+  int Crashes = 0;
+  for (std::uint64_t Request = 0; Request < 20; ++Request) {
+    for (const char *Id : {"u1", "u2"}) {
+      auto Listing = listingOf(Id);
+      Listing.Incarnation = 2 + Request;
+      Registry.insertIfNewer(upstream_listing(Listing));
+    }
+    upstream_script Crashing = crashingAfter(0);
+    Crashing.Before = [&Crashes] { ++Crashes; };
+    script({Crashing, Crashing, Crashing});
+    run(callWith({"common", "deadly"}));
+  }
+  EXPECT_LE(Crashes, 5);
+}
+
 TEST_F(crashing_part_test, suspectedPart_crashesOfSmallModels_areCounted) {
   upstream_script Unsure = crashingAfter(0);
   Unsure.Confidence = 1;
