Blame no part of a prompt for a body that broke off midway

A request counts against the parts of its prompt if its upstream crashed when it was beginning. Requests with parts are streams on the sites known. bodiesBrokenAfterTheirFirstBytes_areNotBlamed fails before.

--- a/lib/Relay/ForwardRelay.cpp
+++ b/lib/Relay/ForwardRelay.cpp
@@ -116,6 +116,7 @@
     Deps.HeavyLoad.onHeavyPrefill();
   Progress.SentAt = Deps.Clock.monotonicNow();
   Progress.HeadReceived = false;
+  Progress.BodyStarted = false;
   Progress.Events = 0;
   forward_attempt Attempt = attemptAt(Upstream);
   Progress.IdleLimit = Attempt.idleLimit();
@@ -206,6 +207,7 @@
       return handleAttemptError(Upstream, Piece.error());
     if (Piece->empty())
       break;
+    Progress.BodyStarted = true;
     Body += *Piece;
     if (Body.size() <= MaxBufferedBytes)
       continue;
@@ -342,7 +344,7 @@
                          Progress.SentAt);
   // Only a request that was beginning can have caused the crash by what its
   // prompt holds; the others merely ran beside it.
-  if (Progress.HeadReceived && !Stream.started())
+  if (Progress.HeadReceived && !Progress.BodyStarted && !Stream.started())
     Deps.PartCrashes.noteCrash(
         Admission.requestFingerprint(),
         upstream_incarnation(Upstream.id(), Upstream.incarnation()),
--- a/unittests/Relay/CrashingPartTest.cpp
+++ b/unittests/Relay/CrashingPartTest.cpp
@@ -140,6 +140,16 @@
   EXPECT_EQ(Sent + 2, Upstreams.Attempts.size());
 }
 
+TEST_F(crashing_part_test, bodiesBrokenAfterTheirFirstBytes_areNotBlamed) {
+  for (int Request = 0; Request < 20; ++Request) {
+    script({crashingAfter(1), crashingAfter(1)});
+    run(callWith({"common", "part " + std::to_string(Request % 2)},
+                 "/again/x"));
+  }
+  EXPECT_FALSE(PartCrashes.blame()->mentions("common"));
+  EXPECT_FALSE(PartCrashes.blame()->mentions("part 0"));
+}
+
 TEST_F(crashing_part_test, streamsResumedByTheirCallers_areNotBlamed) {
   for (int Request = 0; Request < 20; ++Request) {
     script({crashingAfter(0), crashingAfter(0), crashingAfter(0)});
