Count a read that waited for news in vain from the end of its wait

A read of the log that waited a second and brought nothing was taken as complete as of its request, so a reader's view was believed to be one to two seconds old. The log responds without records only after the whole wait, which therefore lies before the response; a read that returns early, or with records, counts from its request as before.

readWithoutRecords_afterItsWait_isCompleteAsOfItsEnd fails before.

--- a/include/bluebellkeel/Journal/LogFreshness.h
+++ b/include/bluebellkeel/Journal/LogFreshness.h
@@ -13,11 +13,12 @@
 /// instance's own completed reads or from a peer. Thread-safe.
 class log_freshness {
 public:
-  /// Records a read of the log that was requested at \p RequestedAt.
-  void noteLogRead(monotonic_time RequestedAt) {
+  /// Records a read of the log whose response was complete as of \p At, which
+  /// is not before the request.
+  void noteLogRead(monotonic_time At) {
     absl::MutexLock Lock(&Mutex);
-    LocalReadAsOf = std::max(LocalReadAsOf.value_or(RequestedAt), RequestedAt);
-    CompleteAsOf = std::max(CompleteAsOf.value_or(RequestedAt), RequestedAt);
+    LocalReadAsOf = std::max(LocalReadAsOf.value_or(At), At);
+    CompleteAsOf = std::max(CompleteAsOf.value_or(At), At);
   }
   /// Records that the view of a peer, which has no newer records than this one,
   /// was complete at \p At.
--- a/lib/Journal/KeyedFollower.cpp
+++ b/lib/Journal/KeyedFollower.cpp
@@ -2,6 +2,16 @@
 
 using namespace bluebellkeel;
 
+/// Returns a time as of which the response to a read that waited for new
+/// records was complete. The log responds without any only after the whole
+/// wait.
+static monotonic_time completeAsOf(const keyed_page &Page,
+                                   monotonic_time RequestedAt,
+                                   milliseconds Wait, monotonic_time Now) {
+  bool Waited = Page.records().empty() && Now - RequestedAt >= Wait;
+  return Waited ? RequestedAt + Wait : RequestedAt;
+}
+
 tl::expected<void, journal_error> keyed_follower::poll(keyed_log &Log,
                                                        milliseconds Wait) {
   monotonic_time RequestedAt = Clock.monotonicNow();
@@ -17,7 +27,9 @@
     View.apply(*Page);
   else
     View.replace(*Page);
+  Freshness.noteLogRead(
+      Synced ? completeAsOf(*Page, RequestedAt, Wait, Clock.monotonicNow())
+             : RequestedAt);
   Synced = true;
-  Freshness.noteLogRead(RequestedAt);
   return {};
 }
--- a/unittests/Journal/KeyedViewTest.cpp
+++ b/unittests/Journal/KeyedViewTest.cpp
@@ -241,6 +241,35 @@
   EXPECT_EQ(Before, Freshness.completeAsOf());
 }
 
+TEST_F(keyed_view_test, readWithoutRecords_afterItsWait_isCompleteAsOfItsEnd) {
+  Follower.poll(Log, milliseconds(0));
+  auto RequestedAt = Clock.monotonicNow();
+  Log.WhileWaiting = [this] { Clock.advance(milliseconds(1050)); };
+  Log.Reads = {page({}, 0)};
+  EXPECT_TRUE(Follower.poll(Log, milliseconds(1000)));
+  EXPECT_EQ(RequestedAt + milliseconds(1000), Freshness.completeAsOf());
+}
+
+TEST_F(keyed_view_test, readThatReturnsEarly_isCompleteAsOfItsRequest) {
+  Follower.poll(Log, milliseconds(0));
+  for (const auto &Page : {page({}, 0), page({record("a", "1", 1)}, 1)}) {
+    auto RequestedAt = Clock.monotonicNow();
+    Log.WhileWaiting = [this] { Clock.advance(milliseconds(990)); };
+    Log.Reads = {Page};
+    EXPECT_TRUE(Follower.poll(Log, milliseconds(1000)));
+    EXPECT_EQ(RequestedAt, Freshness.completeAsOf());
+  }
+}
+
+TEST_F(keyed_view_test, readWithRecords_afterItsWait_isCompleteAsOfItsRequest) {
+  Follower.poll(Log, milliseconds(0));
+  auto RequestedAt = Clock.monotonicNow();
+  Log.WhileWaiting = [this] { Clock.advance(milliseconds(1050)); };
+  Log.Reads = {page({record("a", "1", 1)}, 1)};
+  EXPECT_TRUE(Follower.poll(Log, milliseconds(1000)));
+  EXPECT_EQ(RequestedAt, Freshness.completeAsOf());
+}
+
 TEST_F(keyed_view_test, freshness_whileReadWaits_isThatOfTheLastResponse) {
   Follower.poll(Log, milliseconds(0));
   auto LastResponse = Freshness.completeAsOf();
