Let the apply time bound the age of data that peers pass on

Among many instances most do not read the log, and relied on their peers' data up to an age of 5 s, whatever the time within which a change has to take effect.

The limit is now three quarters of the apply time, so that a read fits in the rest, and 5 s at most; the instance wakes when it is reached, and not up to 400 ms later. maxRelayedDataAge_leavesTimeForARead states it; the former constant does not.

--- a/include/bluebellkeel/Journal/FollowTiming.h
+++ b/include/bluebellkeel/Journal/FollowTiming.h
@@ -26,11 +26,17 @@
   /// Maximum age of data from peers on which an instance relies instead of
   /// reading the log, if it exchanges data with all peers.
   milliseconds maxPeerDataAge() const { return ApplyTime / 2; }
+  /// The same where data takes several exchanges to arrive. The rest of the
+  /// apply time is left for a read of the log.
+  milliseconds maxRelayedDataAge() const {
+    return std::min(ApplyTime * 3 / 4, MaxRelayedDataAge);
+  }
   auto key() const { return std::tie(ApplyTime); }
 
 private:
   static constexpr milliseconds MinLongPoll{200};
   static constexpr milliseconds MaxLongPoll{5000};
+  static constexpr milliseconds MaxRelayedDataAge{5000};
 
   milliseconds ApplyTime;
 };
--- a/lib/Gateway/GatewayRuntime.cpp
+++ b/lib/Gateway/GatewayRuntime.cpp
@@ -32,10 +32,8 @@
 static constexpr milliseconds FailureBackoff{250};
 static constexpr milliseconds MaxFailureBackoff{1000};
 
-/// Maximum age of data from peers on which one of many instances relies instead
-/// of reading the log, and the interval at which it checks that age. The limit
-/// covers the detection of a reader's lost read, and three digests.
-static constexpr milliseconds ManyPeersMaxDataAge{5000};
+/// Longest time after which an instance that relies on data from peers checks
+/// whether it still may.
 static constexpr milliseconds PeerDataCheckInterval{400};
 
 static constexpr milliseconds DigestInterval{700};
@@ -82,7 +80,8 @@
   void exchangeDigests(asio::yield_context Yield);
   void runPeriodicTasks(asio::yield_context Yield);
   follow_timing timingOf(keyed_topic Topic) const;
-  bool peerDataSuffices(keyed_topic Topic, const log_freshness &Age) const;
+  milliseconds peerDataLifetime(keyed_topic Topic,
+                                const log_freshness &Age) const;
   void updateMetrics();
   bool isRedundantReader() const;
   milliseconds maxPeerDataAge(keyed_topic Topic) const;
@@ -154,15 +153,18 @@
   Context.Log.write(Line);
 }
 
-/// True if this instance need not read the topic of \p Age itself. In a data
-/// centre with many instances a few read the log, and the others rely on their
-/// digests as long as these are fresh.
-bool gateway_runtime::impl::peerDataSuffices(keyed_topic Topic,
-                                             const log_freshness &Age) const {
+/// Returns the time for which this instance need not read the topic of \p Age
+/// itself; 0 if it has to read now. In a data centre with many instances a few
+/// read the log, and the others rely on their digests as long as these are
+/// fresh.
+milliseconds
+gateway_runtime::impl::peerDataLifetime(keyed_topic Topic,
+                                        const log_freshness &Age) const {
   auto Known = Age.age(Context.Clock.monotonicNow());
-  return Known && *Known <= maxPeerDataAge(Topic) &&
-         Context.State.phase() != serving_phase::Starting &&
-         isRedundantReader();
+  if (!Known || Context.State.phase() == serving_phase::Starting ||
+      !isRedundantReader())
+    return milliseconds(0);
+  return std::max(maxPeerDataAge(Topic) - *Known, milliseconds(0));
 }
 
 bool gateway_runtime::impl::isRedundantReader() const {
@@ -179,8 +181,9 @@
   topic_availability_monitor Availability(Topic, Context.Clock, Context.Log);
   milliseconds Backoff = FailureBackoff;
   while (true) {
-    if (peerDataSuffices(Topic, Age)) {
-      awaitTime(Yield, PeerDataCheckInterval);
+    milliseconds Lifetime = peerDataLifetime(Topic, Age);
+    if (Lifetime.count() > 0) {
+      awaitTime(Yield, std::min(Lifetime, PeerDataCheckInterval));
       continue;
     }
     log_offset Before = View.end();
@@ -241,8 +244,9 @@
 }
 
 milliseconds gateway_runtime::impl::maxPeerDataAge(keyed_topic Topic) const {
-  return Exchanger.reachesAllPeers() ? timingOf(Topic).maxPeerDataAge()
-                                     : ManyPeersMaxDataAge;
+  follow_timing Timing = timingOf(Topic);
+  return Exchanger.reachesAllPeers() ? Timing.maxPeerDataAge()
+                                     : Timing.maxRelayedDataAge();
 }
 
 milliseconds gateway_runtime::impl::instancesDelay(bool ReadFailed) const {
--- a/unittests/Journal/FollowTimingTest.cpp
+++ b/unittests/Journal/FollowTimingTest.cpp
@@ -26,3 +26,13 @@
   EXPECT_GT(Timing.maxPeerDataAge(), Timing.longPoll());
   EXPECT_LT(Timing.maxPeerDataAge(), Timing.applyTime());
 }
+
+TEST_F(follow_timing_test, maxRelayedDataAge_leavesTimeForARead) {
+  constexpr milliseconds ReadTime{300};
+  for (int ApplyMs : {1500, 2000, 3000, 4000, 10000}) {
+    milliseconds ApplyTime(ApplyMs);
+    follow_timing Timing(ApplyTime);
+    EXPECT_LE(Timing.maxRelayedDataAge() + ReadTime, ApplyTime) << ApplyMs;
+    EXPECT_GT(Timing.maxRelayedDataAge(), Timing.longPoll()) << ApplyMs;
+  }
+}
