--- a/include/bluebellkeel/Relay.h
+++ b/include/bluebellkeel/Relay.h
@@ -3,6 +3,7 @@
 
 #include "bluebellkeel/Relay/AdmissionError.h"
 #include "bluebellkeel/Relay/AttemptError.h"
+#include "bluebellkeel/Relay/AttemptRecorder.h"
 #include "bluebellkeel/Relay/AttemptTimeouts.h"
 #include "bluebellkeel/Relay/CandidateFinder.h"
 #include "bluebellkeel/Relay/ChatAttempt.h"
--- a/include/bluebellkeel/Relay/ForwardRelay.h
+++ b/include/bluebellkeel/Relay/ForwardRelay.h
@@ -1,6 +1,7 @@
 #ifndef BLUEBELLKEEL_RELAY_FORWARDRELAY_H
 #define BLUEBELLKEEL_RELAY_FORWARDRELAY_H
 
+#include "bluebellkeel/Relay/AttemptRecorder.h"
 #include "bluebellkeel/Relay/ForwardAdmission.h"
 #include "bluebellkeel/Relay/ForwardCaller.h"
 #include "bluebellkeel/Relay/ForwardCandidates.h"
@@ -52,11 +53,6 @@
   double relativeTokenTime() const;
   bool runsLeft() const { return Progress.Runs < route().attempts(); }
   bool repeatable() const { return route().repeatable(); }
-  void noteDroppedResponse(const upstream_listing &Upstream);
-  void noteAttemptSuccess(const upstream_listing &Upstream);
-  void noteAttemptFailure(const upstream_listing &Upstream,
-                          attempt_error Error);
-  void noteCrash(const upstream_listing &Upstream);
   void refuse(refusal_reason Reason);
   int refusalStatus(refusal_reason Reason) const;
   void logEnd(std::string_view Outcome, int Status) const;
@@ -80,6 +76,7 @@
   /// Index of the chosen model in forward_route::sizes().
   std::size_t ModelIndex = 0;
   stream_forwarder Stream;
+  attempt_recorder Recorder;
 };
 
 } // namespace bluebellkeel
--- a/lib/Relay/ForwardRelay.cpp
+++ b/lib/Relay/ForwardRelay.cpp
@@ -15,12 +15,6 @@
 /// more, so that other instances should not send their requests there.
 static constexpr std::uint64_t HeavyPrefillTokens = 20000;
 
-/// Weights of a failed run, a failed connection and a rejected request in the
-/// upstream's suspicion, which placement uses.
-static constexpr double FailureWeight = 1;
-static constexpr double ConnectFailureWeight = 2;
-static constexpr double TurnedAwayWeight = 0.3;
-
 forward_relay::forward_relay(const forward_dependencies &Deps,
                              forward_upstream &Upstreams,
                              forward_caller &Caller,
@@ -28,7 +22,8 @@
     : Deps(Deps), Upstreams(Upstreams), Caller(Caller), Call(std::move(Call)),
       Limit(*this->Call, Deps.Tables), Admission(Deps, *this->Call, Limit),
       Candidates(Deps), Log(Deps, *this->Call, Admission, Progress),
-      Stream(Deps, Caller, Progress, this->Call->lastEvent()) {}
+      Stream(Deps, Caller, Progress, this->Call->lastEvent()),
+      Recorder(Deps, *this->Call, Admission, Progress, Stream) {}
 
 void forward_relay::run() {
   if (auto Reason = Admission.admit()) {
@@ -177,7 +172,7 @@
     refuse(refusal_reason::TimeLimit);
     return next_action::Done;
   }
-  noteAttemptFailure(Upstream, Error);
+  Recorder.failed(Upstream, Error);
   bool Retry = definitelyNotRun(Error)
                    ? Progress.Arrivals < MaxArrivals &&
                          Progress.ConnectFailures < MaxConnectFailures
@@ -220,7 +215,7 @@
                      ? (Body.empty() || Caller.write(Body)) && Caller.end()
                      : Caller.respond(Response.head(), Body);
   if (Response.head().succeeded())
-    noteAttemptSuccess(Upstream);
+    Recorder.succeeded(Upstream);
   else
     Deps.RollOuts.noteResponse(service(), Upstream.version(),
                                Response.head().status() < 500);
@@ -239,13 +234,13 @@
   Deps.Prefixes.notePromptRead(modelName(), Call->requestPrompt(),
                                Upstream.id());
   if (escalateModel(Response)) {
-    noteDroppedResponse(Upstream);
+    Recorder.dropped(Upstream);
     return next_action::Retry;
   }
   auto Reached = Stream.forward(service(), Upstream, Response);
   if (!Reached)
     return handleAttemptError(Upstream, Reached.error());
-  noteAttemptSuccess(Upstream);
+  Recorder.succeeded(Upstream);
   logEnd(*Reached ? "answered" : "caller_gone", Response.head().status());
   return next_action::Done;
 }
@@ -312,45 +307,6 @@
   return Smallest > 0 && Chosen > 0 ? Chosen / Smallest : 1;
 }
 
-/// Records a good response of which only the head was read. It does not show
-/// that the upstream can answer the request.
-void forward_relay::noteDroppedResponse(const upstream_listing &Upstream) {
-  Deps.Loads.noteSuccess(Upstream.id());
-  Deps.RollOuts.noteResponse(service(), Upstream.version(),
-                             /*Good=*/true);
-}
-
-void forward_relay::noteAttemptSuccess(const upstream_listing &Upstream) {
-  noteDroppedResponse(Upstream);
-  Deps.Crashes.noteSuccess(Admission.requestFingerprint());
-  Deps.PartCrashes.noteSuccess(Call->requestPrompt());
-}
-
-void forward_relay::noteAttemptFailure(const upstream_listing &Upstream,
-                                       attempt_error Error) {
-  bool NotConnected = Error == attempt_error::ConnectFailed;
-  double Weight = definitelyNotRun(Error) ? TurnedAwayWeight : FailureWeight;
-  Deps.Loads.noteFailure(Upstream.id(),
-                         NotConnected ? ConnectFailureWeight : Weight);
-  if (!definitelyNotRun(Error))
-    Deps.RollOuts.noteResponse(service(), Upstream.version(),
-                               /*Good=*/false);
-  if (Error == attempt_error::Truncated)
-    noteCrash(Upstream);
-}
-
-void forward_relay::noteCrash(const upstream_listing &Upstream) {
-  Deps.Crashes.noteCrash(Admission.requestFingerprint(), Upstream.id(),
-                         Progress.SentAt);
-  // Only a request that was beginning can have caused the crash by what its
-  // prompt holds; the others merely ran beside it.
-  if (Progress.HeadReceived && !Progress.BodyStarted && !Stream.started())
-    Deps.PartCrashes.noteCrash(
-        Admission.requestFingerprint(),
-        upstream_incarnation(Upstream.id(), Upstream.incarnation()),
-        Call->requestPrompt());
-}
-
 /// Ends the call with a refusal, or aborts the response if it has started.
 void forward_relay::refuse(refusal_reason Reason) {
   constexpr int Unavailable = 503;
