Split the schedule of reads from the gateway's runtime

read_schedule decides when an instance reads each topic, gateway_runtime runs the reads. The 46 process tests of gateways, settings and membership pass.

--- a/lib/Gateway/GatewayRuntime.cpp
+++ b/lib/Gateway/GatewayRuntime.cpp
@@ -1,8 +1,8 @@
 #include "bluebellkeel/Gateway/GatewayRuntime.h"
 #include "DigestExchanger.h"
+#include "ReadSchedule.h"
 #include "TopicAvailabilityMonitor.h"
 #include "bluebellkeel/Http/Await.h"
-#include "bluebellkeel/Journal/FollowTiming.h"
 #include "bluebellkeel/Journal/KeyedFollower.h"
 #include "bluebellkeel/Peer/WebsocketPeerLink.h"
 #include "bluebellkeel/Telemetry/MetricsPeerMonitor.h"
@@ -13,20 +13,6 @@
 
 namespace asio = boost::asio;
 
-/// Delay after a successful read, so that a burst of changes costs few calls.
-/// It is short against the time within which a change has to take effect.
-static constexpr milliseconds PollDelay{100};
-
-/// Delay after a read that returned only unchanged re-registrations, with many
-/// instances. Their upstreams are many too, so each read would return at once.
-/// Twice this delay plus the propagation through two peers stays well below the
-/// time for which a leaving upstream still serves.
-static constexpr milliseconds UnchangedPollDelay{800};
-
-/// Delay after a read that returned changes, with many instances. With many
-/// upstreams, changes arrive continually.
-static constexpr milliseconds ChangedPollDelay{400};
-
 /// Minimum time from the start of a failed read to the next read. It doubles
 /// with each further failure, up to MaxFailureBackoff.
 static constexpr milliseconds FailureBackoff{250};
@@ -36,19 +22,13 @@
 /// whether it still may.
 static constexpr milliseconds PeerDataCheckInterval{400};
 
+/// Delay before the first read of the registered instances, so that all
+/// instances that start at the same time have registered.
+static constexpr milliseconds FirstInstancesReadDelay{600};
+
 static constexpr milliseconds DigestInterval{700};
 static constexpr milliseconds PeriodicTaskInterval{400};
 
-/// Timing of reads of the registered instances: once soon after startup, when
-/// all instances have registered, then rarely, since peers pass on the
-/// instances that they know. NoPeersInterval applies after a failed read and
-/// while no peer is alive. In a data centre with many instances only the
-/// readers of the log keep to InstancesInterval.
-static constexpr milliseconds FirstInstancesReadDelay{600};
-static constexpr milliseconds InstancesInterval{20000};
-static constexpr milliseconds RedundantInstancesInterval{120000};
-static constexpr milliseconds NoPeersInterval{2000};
-
 class gateway_runtime::impl : public std::enable_shared_from_this<impl> {
 public:
   impl(gateway_context &Context, listeners Listeners,
@@ -58,7 +38,8 @@
         InstancesView(Listeners.Instances), Signer(Context.Settings.PeerKey),
         Counter(Context.Metrics),
         Link(Context.Settings.Instance, Signer, Context.Clock, Counter),
-        Exchanger(Context, SettingsView, UpstreamsView, Link) {}
+        Exchanger(Context, SettingsView, UpstreamsView, Link),
+        Schedule(Context, Exchanger) {}
 
   tl::expected<void, std::string> start();
   void announceLeaving() { Exchanger.exchangeWithPeers(); }
@@ -79,16 +60,9 @@
   void followInstances(asio::yield_context Yield);
   void exchangeDigests(asio::yield_context Yield);
   void runPeriodicTasks(asio::yield_context Yield);
-  follow_timing timingOf(keyed_topic Topic) const;
-  milliseconds peerDataLifetime(keyed_topic Topic,
-                                const log_freshness &Age) const;
   void updateMetrics();
-  bool isRedundantReader() const;
-  milliseconds maxPeerDataAge(keyed_topic Topic) const;
   void awaitBackoff(asio::yield_context Yield, monotonic_time RequestedAt,
                     milliseconds Backoff) const;
-  milliseconds instancesDelay(bool ReadFailed) const;
-  milliseconds pollDelay(keyed_topic Topic, bool Changes) const;
   void startServingWhenReady();
   void removeLapsedUpstreams();
 
@@ -103,6 +77,7 @@
   metrics_peer_monitor Counter;
   websocket_peer_link Link;
   digest_exchanger Exchanger;
+  read_schedule Schedule;
 };
 
 template <typename loop_t> void gateway_runtime::impl::spawn(loop_t Loop) {
@@ -153,26 +128,6 @@
   Context.Log.write(Line);
 }
 
-/// Returns the time for which this instance need not read the topic of \p Age
-/// itself; 0 if it has to read now. In a data centre with many instances a few
-/// read the log, and the others rely on their digests as long as these are
-/// fresh.
-milliseconds
-gateway_runtime::impl::peerDataLifetime(keyed_topic Topic,
-                                        const log_freshness &Age) const {
-  auto Known = Age.age(Context.Clock.monotonicNow());
-  if (!Known || Context.State.phase() == serving_phase::Starting ||
-      !isRedundantReader())
-    return milliseconds(0);
-  return std::max(maxPeerDataAge(Topic) - *Known, milliseconds(0));
-}
-
-bool gateway_runtime::impl::isRedundantReader() const {
-  return reader_election::isRedundantReader(Context.Settings.Instance,
-                                            Context.Settings.DataCentre,
-                                            Context.Instances.alive());
-}
-
 void gateway_runtime::impl::follow(keyed_topic Topic, keyed_view &View,
                                    log_freshness &Age,
                                    asio::yield_context Yield) {
@@ -181,7 +136,7 @@
   topic_availability_monitor Availability(Topic, Context.Clock, Context.Log);
   milliseconds Backoff = FailureBackoff;
   while (true) {
-    milliseconds Lifetime = peerDataLifetime(Topic, Age);
+    milliseconds Lifetime = Schedule.peerDataLifetime(Topic, Age);
     if (Lifetime.count() > 0) {
       awaitTime(Yield, std::min(Lifetime, PeerDataCheckInterval));
       continue;
@@ -200,7 +155,7 @@
     // After an outage the first read returns at once instead of waiting for new
     // records.
     auto Read = Follower.poll(*Log, WasLost ? milliseconds(0)
-                                            : timingOf(Topic).longPoll());
+                                            : Schedule.longPoll(Topic));
     if (!Read) {
       if (MayHaveExpired)
         Context.Updater.logUnavailable();
@@ -216,18 +171,11 @@
     startServingWhenReady();
     if (View.end() > Before)
       Exchanger.propagateChanges(Topic);
-    awaitTime(Yield,
-              pollDelay(Topic, Context.Registry.changes() > ChangesBefore));
+    awaitTime(Yield, Schedule.pollDelay(Topic, Context.Registry.changes() >
+                                                   ChangesBefore));
   }
 }
 
-milliseconds gateway_runtime::impl::pollDelay(keyed_topic Topic,
-                                              bool Changes) const {
-  if (Topic != keyed_topic::Upstreams || Exchanger.reachesAllPeers())
-    return PollDelay;
-  return Changes ? ChangedPollDelay : UnchangedPollDelay;
-}
-
 void gateway_runtime::impl::awaitBackoff(asio::yield_context Yield,
                                          monotonic_time RequestedAt,
                                          milliseconds Backoff) const {
@@ -236,25 +184,6 @@
     awaitTime(Yield, std::chrono::ceil<milliseconds>(Left));
 }
 
-follow_timing gateway_runtime::impl::timingOf(keyed_topic Topic) const {
-  reloadable_settings Reloadable = Context.Reloadable.get();
-  return follow_timing(Topic == keyed_topic::Upstreams
-                           ? Reloadable.UpstreamsApplyTime
-                           : Reloadable.SettingsApplyTime);
-}
-
-milliseconds gateway_runtime::impl::maxPeerDataAge(keyed_topic Topic) const {
-  follow_timing Timing = timingOf(Topic);
-  return Exchanger.reachesAllPeers() ? Timing.maxPeerDataAge()
-                                     : Timing.maxRelayedDataAge();
-}
-
-milliseconds gateway_runtime::impl::instancesDelay(bool ReadFailed) const {
-  if (ReadFailed || Context.Instances.aliveUpTo(1).empty())
-    return NoPeersInterval;
-  return isRedundantReader() ? RedundantInstancesInterval : InstancesInterval;
-}
-
 void gateway_runtime::impl::followSettings(asio::yield_context Yield) {
   follow(keyed_topic::Settings, SettingsView, Context.SettingsAge, Yield);
 }
@@ -305,7 +234,7 @@
     else
       Availability.failed(Read.error(), RequestedAt, InstancesView.end(),
                           InstancesAge.age(Context.Clock.monotonicNow()));
-    awaitTime(Yield, instancesDelay(/*ReadFailed=*/!Read));
+    awaitTime(Yield, Schedule.instancesDelay(/*ReadFailed=*/!Read));
   }
 }
 
