Count the age of peers' data from the query that brought it

Removals reached the last of 81 instances up to 4.3 s after the first.

Views that were three seconds old were believed to be 0.2 s old, so that only the eight elected readers ever read the log.

Now the age in an answer counts from the time of its query, and a digest that comes unasked tells nothing of the age; fetched records bring the age of the peer's view. An end is read after its age, so that records that arrive in between do no harm.

--- a/include/bluebellkeel/Peer.h
+++ b/include/bluebellkeel/Peer.h
@@ -19,7 +19,10 @@
 #include "bluebellkeel/Peer/StateAnswer.h"
 #include "bluebellkeel/Peer/StateQuery.h"
 #include "bluebellkeel/Peer/ViewAnswer.h"
+#include "bluebellkeel/Peer/ViewListener.h"
 #include "bluebellkeel/Peer/ViewQuery.h"
+#include "bluebellkeel/Peer/ViewState.h"
+#include "bluebellkeel/Peer/ViewSynchronizer.h"
 #include "bluebellkeel/Peer/WebsocketPeerLink.h"
 
 #endif // BLUEBELLKEEL_PEER_H
--- a/include/bluebellkeel/Peer/InstanceDigest.h
+++ b/include/bluebellkeel/Peer/InstanceDigest.h
@@ -1,14 +1,13 @@
 #ifndef BLUEBELLKEEL_PEER_INSTANCEDIGEST_H
 #define BLUEBELLKEEL_PEER_INSTANCEDIGEST_H
 
-#include "bluebellkeel/Core/LogOffset.h"
 #include "bluebellkeel/Membership/InstanceRecord.h"
 #include "bluebellkeel/Membership/LivenessReport.h"
 #include "bluebellkeel/Peer/CrashNotice.h"
+#include "bluebellkeel/Peer/ViewState.h"
 #include "bluebellkeel/Policy/PartCrashReport.h"
 #include "bluebellkeel/Policy/RollOutEvidence.h"
 #include "bluebellkeel/Upstream/InstanceLoad.h"
-#include <optional>
 #include <vector>
 
 namespace bluebellkeel {
@@ -20,14 +19,8 @@
   /// The contents of a digest.
   struct fields {
     instance_record Sender;
-    log_offset SettingsEnd;
-    log_offset UpstreamsEnd;
-    /// Time since the sender's settings were last known to be up to date; empty
-    /// if they never were.
-    std::optional<milliseconds> SettingsAge;
-    /// Time since the sender's upstreams were last known to be up to date;
-    /// empty if they never were.
-    std::optional<milliseconds> UpstreamsAge;
+    view_state Settings;
+    view_state Upstreams;
     std::vector<instance_load> Loads;
     std::vector<roll_out_evidence> RollOuts;
     std::vector<crash_notice> Crashes;
@@ -40,14 +33,9 @@
   explicit instance_digest(fields Fields) : Content(std::move(Fields)) {}
 
   const instance_record &sender() const { return Content.Sender; }
-  log_offset settingsEnd() const { return Content.SettingsEnd; }
-  log_offset upstreamsEnd() const { return Content.UpstreamsEnd; }
-  const std::optional<milliseconds> &settingsAge() const {
-    return Content.SettingsAge;
-  }
-  const std::optional<milliseconds> &upstreamsAge() const {
-    return Content.UpstreamsAge;
-  }
+  /// Returns the states of the sender's views of the two topics.
+  const view_state &settings() const { return Content.Settings; }
+  const view_state &upstreams() const { return Content.Upstreams; }
   const std::vector<instance_load> &loads() const { return Content.Loads; }
   const std::vector<roll_out_evidence> &rollOuts() const {
     return Content.RollOuts;
@@ -64,10 +52,10 @@
     return Content.LivenessReports;
   }
   auto key() const {
-    return std::tie(Content.Sender, Content.SettingsEnd, Content.UpstreamsEnd,
-                    Content.SettingsAge, Content.UpstreamsAge, Content.Loads,
-                    Content.RollOuts, Content.Crashes, Content.PartCrashes,
-                    Content.KnownInstances, Content.LivenessReports);
+    return std::tie(Content.Sender, Content.Settings, Content.Upstreams,
+                    Content.Loads, Content.RollOuts, Content.Crashes,
+                    Content.PartCrashes, Content.KnownInstances,
+                    Content.LivenessReports);
   }
 
 private:
--- a/lib/Gateway/DigestExchanger.cpp
+++ b/lib/Gateway/DigestExchanger.cpp
@@ -15,22 +15,11 @@
 /// digest constant as the number of instances grows.
 static constexpr std::size_t MaxKnownPeersInDigest = 3;
 
-/// Time without a response from the log after which records are fetched from
-/// peers; a read in progress may still return them until then.
-static constexpr milliseconds LogSilenceLimit{1200};
-
-/// Time to wait for a peer's records before they are requested from another
-/// peer.
-static constexpr milliseconds FetchTimeout{300};
-
 instance_digest digest_exchanger::digestFor(const data_centre_id &Centre) {
   instance_digest::fields Fields;
   Fields.Sender = Context.self();
-  Fields.SettingsEnd = Settings.end();
-  Fields.UpstreamsEnd = Upstreams.end();
-  monotonic_time Now = Context.Clock.monotonicNow();
-  Fields.SettingsAge = Context.SettingsAge.age(Now);
-  Fields.UpstreamsAge = Context.UpstreamsAge.age(Now);
+  Fields.Settings = Settings.state();
+  Fields.Upstreams = Upstreams.state();
   Fields.Loads = Context.Loads.localLoads();
   Fields.RollOuts = Context.RollOuts.evidence();
   for (const auto &[Request, Upstream] : Context.Crashes.recent(CrashAge))
@@ -44,7 +33,8 @@
   return instance_digest(std::move(Fields));
 }
 
-void digest_exchanger::merge(const instance_digest &Digest) {
+void digest_exchanger::merge(const instance_digest &Digest,
+                             std::optional<monotonic_time> AskedAt) {
   const instance_id &Peer = Digest.sender().id();
   if (Peer == Context.Settings.Instance)
     return;
@@ -62,95 +52,39 @@
   for (const auto &Crash : Digest.crashes())
     Context.Crashes.notePeerCrash(Crash.request(), Crash.upstream());
   Context.PartCrashes.merge(Digest.partCrashes());
-  syncTopic(keyed_topic::Settings, Digest.sender(), Digest.settingsEnd(),
-            Digest.settingsAge());
-  syncTopic(keyed_topic::Upstreams, Digest.sender(), Digest.upstreamsEnd(),
-            Digest.upstreamsAge());
-}
-
-static bool isLogSilent(const log_freshness &Age, monotonic_time Now) {
-  auto ReadAt = Age.localReadAsOf();
-  return !ReadAt || Now - *ReadAt > LogSilenceLimit;
+  Settings.compare(Digest.sender(), Digest.settings(), AskedAt);
+  Upstreams.compare(Digest.sender(), Digest.upstreams(), AskedAt);
 }
 
-/// Compares a peer's view of \p Topic with this instance's. Fetches missing
-/// records if the log is silent. The peer's view reaches \p End and was
-/// complete \p PeerAge ago.
-void digest_exchanger::syncTopic(keyed_topic Topic, const instance_record &Peer,
-                                 log_offset End,
-                                 const std::optional<milliseconds> &PeerAge) {
-  monotonic_time Now = Context.Clock.monotonicNow();
-  std::optional<monotonic_time> KnownAt;
-  if (PeerAge)
-    KnownAt = Now - *PeerAge;
-  if (End <= viewOf(Topic).end()) {
-    if (KnownAt)
-      ageFor(Topic).notePeerReport(*KnownAt);
-    return;
-  }
-  if (isLogSilent(ageFor(Topic), Now))
-    fetch(Peer, Topic, KnownAt);
-}
-
-/// Marks a fetch of \p Topic as started. False if another is in progress; a
-/// fetch without an answer counts as in progress until FetchTimeout.
-bool digest_exchanger::tryBeginFetch(keyed_topic Topic) {
-  monotonic_time Now = Context.Clock.monotonicNow();
-  absl::MutexLock Lock(&Mutex);
-  auto Began = FetchStartTimes.find(Topic);
-  if (Began != FetchStartTimes.end() && Now - Began->second < FetchTimeout)
-    return false;
-  FetchStartTimes[Topic] = Now;
-  return true;
-}
-
-void digest_exchanger::fetch(const instance_record &Peer, keyed_topic Topic,
-                             std::optional<monotonic_time> KnownAt) {
-  if (!tryBeginFetch(Topic))
-    return;
-  auto OnAnswer = [this, Topic, KnownAt](const std::optional<peer_body> &Body) {
-    {
-      absl::MutexLock Lock(&Mutex);
-      FetchStartTimes.erase(Topic);
-    }
-    const auto *Answer = Body ? std::get_if<view_answer>(&*Body) : nullptr;
-    if (!Answer || Answer->topic() != Topic)
-      return;
-    viewOf(Topic).apply(Answer->page());
-    // The fetched records are at least as fresh as the age in the peer's
-    // digest.
-    if (KnownAt)
-      ageFor(Topic).notePeerReport(*KnownAt);
-    event_line Line("peers", "records_fetched");
-    Line.add("topic", toString(Topic))
-        .add("count",
-             static_cast<std::int64_t>(Answer->page().records().size()))
-        .add("offset", static_cast<std::int64_t>(Answer->page().end().value()));
-    Context.Log.write(Line);
-    propagateChanges(Topic);
-  };
-  Link.sendQuery(Peer, view_query(Topic, viewOf(Topic).end()), OnAnswer);
+void digest_exchanger::onRecordsFetched(keyed_topic Topic,
+                                        const keyed_page &Page) {
+  event_line Line("peers", "records_fetched");
+  Line.add("topic", toString(Topic))
+      .add("count", static_cast<std::int64_t>(Page.records().size()))
+      .add("offset", static_cast<std::int64_t>(Page.end().value()));
+  Context.Log.write(Line);
+  propagateChanges(Topic);
 }
 
 std::optional<peer_body> digest_exchanger::answer(const instance_id & /*From*/,
                                                   const peer_body &Body) {
   if (const auto *Digest = std::get_if<instance_digest>(&Body)) {
-    merge(*Digest);
+    merge(*Digest, std::nullopt);
     return peer_body(digestFor(Digest->sender().dataCentre()));
   }
   if (const auto *Query = std::get_if<view_query>(&Body))
-    return peer_body(view_answer(Query->topic(),
-                                 viewOf(Query->topic()).since(Query->after())));
+    return peer_body(viewOf(Query->topic()).answer(Query->after()));
   return std::nullopt;
 }
 
 void digest_exchanger::sendQuery(const instance_record &Peer) {
+  monotonic_time AskedAt = Context.Clock.monotonicNow();
   Link.sendQuery(Peer, digestFor(Peer.dataCentre()),
-                 [this](const std::optional<peer_body> &Body) {
+                 [this, AskedAt](const std::optional<peer_body> &Body) {
                    const auto *Digest =
                        Body ? std::get_if<instance_digest>(&*Body) : nullptr;
                    if (Digest)
-                     merge(*Digest);
+                     merge(*Digest, AskedAt);
                  });
 }
 
--- a/lib/Gateway/DigestExchanger.h
+++ b/lib/Gateway/DigestExchanger.h
@@ -4,20 +4,22 @@
 #include "absl/base/thread_annotations.h"
 #include "absl/synchronization/mutex.h"
 #include "bluebellkeel/Gateway/GatewayContext.h"
-#include "bluebellkeel/Journal/KeyedView.h"
-#include "bluebellkeel/Peer/PeerLink.h"
 #include "bluebellkeel/Peer/PeerResponder.h"
+#include "bluebellkeel/Peer/ViewSynchronizer.h"
 
 namespace bluebellkeel {
 
-/// Exchanges digests with peers and fetches records from them that this
-/// instance has not received from the log.
-class digest_exchanger final : public peer_responder {
+/// Exchanges digests with peers, and keeps the views of the settings and the
+/// upstreams up to date with theirs.
+class digest_exchanger final : public peer_responder, private view_listener {
 public:
   digest_exchanger(gateway_context &Context, keyed_view &Settings,
                    keyed_view &Upstreams, peer_link &Link)
-      : Context(Context), Settings(Settings), Upstreams(Upstreams), Link(Link) {
-  }
+      : Context(Context), Link(Link),
+        Settings(keyed_topic::Settings, Settings, Context.SettingsAge, Link,
+                 Context.Clock, *this),
+        Upstreams(keyed_topic::Upstreams, Upstreams, Context.UpstreamsAge, Link,
+                  Context.Clock, *this) {}
 
   std::optional<peer_body> answer(const instance_id &From,
                                   const peer_body &Body) override;
@@ -39,32 +41,23 @@
   /// Returns this instance's digest for a peer in \p Centre.
   instance_digest digestFor(const data_centre_id &Centre);
   void sendQuery(const instance_record &Peer);
-  void merge(const instance_digest &Digest);
-  void syncTopic(keyed_topic Topic, const instance_record &Peer, log_offset End,
-                 const std::optional<milliseconds> &PeerAge);
-  bool tryBeginFetch(keyed_topic Topic);
-  /// \param KnownAt when the peer's view of the topic was complete; empty if
-  /// unknown.
-  void fetch(const instance_record &Peer, keyed_topic Topic,
-             std::optional<monotonic_time> KnownAt);
-  log_freshness &ageFor(keyed_topic Topic) {
-    return Topic == keyed_topic::Upstreams ? Context.UpstreamsAge
-                                           : Context.SettingsAge;
-  }
-  keyed_view &viewOf(keyed_topic Topic) {
+  /// \param AskedAt time of the query that \p Digest answers; empty if it came
+  /// as a query itself.
+  void merge(const instance_digest &Digest,
+             std::optional<monotonic_time> AskedAt);
+  void onRecordsFetched(keyed_topic Topic, const keyed_page &Page) override;
+  const view_synchronizer &viewOf(keyed_topic Topic) const {
     return Topic == keyed_topic::Upstreams ? Upstreams : Settings;
   }
 
   gateway_context &Context;
-  keyed_view &Settings;
-  keyed_view &Upstreams;
   peer_link &Link;
+  view_synchronizer Settings;
+  view_synchronizer Upstreams;
   absl::Mutex Mutex;
   std::optional<monotonic_time> PropagatedAt ABSL_GUARDED_BY(Mutex);
   /// The registry's change count at the last early exchange.
   std::uint64_t PropagatedChanges ABSL_GUARDED_BY(Mutex) = 0;
-  /// Start time of the fetch in progress for each topic.
-  std::map<keyed_topic, monotonic_time> FetchStartTimes ABSL_GUARDED_BY(Mutex);
 };
 
 } // namespace bluebellkeel
--- a/lib/Peer/DigestJson.cpp
+++ b/lib/Peer/DigestJson.cpp
@@ -114,19 +114,22 @@
         {{"i", LivenessReport.id().text()},
          {"a", static_cast<std::uint64_t>(LivenessReport.age().count())},
          {"l", LivenessReport.state() == instance_state::Live}});
-  json Json = {
-      {"i", toJson(Body.sender())},        {"so", Body.settingsEnd().value()},
-      {"uo", Body.upstreamsEnd().value()}, {"l", std::move(Loads)},
-      {"r", std::move(RollOuts)},          {"c", std::move(Crashes)},
-      {"k", std::move(KnownInstances)},    {"h", std::move(LivenessReports)}};
+  json Json = {{"i", toJson(Body.sender())},
+               {"so", Body.settings().end().value()},
+               {"uo", Body.upstreams().end().value()},
+               {"l", std::move(Loads)},
+               {"r", std::move(RollOuts)},
+               {"c", std::move(Crashes)},
+               {"k", std::move(KnownInstances)},
+               {"h", std::move(LivenessReports)}};
   if (!Body.partCrashes().crashes().empty())
     Json["pc"] = crashesToJson(Body.partCrashes());
   if (!Body.partCrashes().successes().empty())
     Json["ps"] = successesToJson(Body.partCrashes());
-  if (Body.settingsAge())
-    Json["a"] = static_cast<std::uint64_t>(Body.settingsAge()->count());
-  if (Body.upstreamsAge())
-    Json["b"] = static_cast<std::uint64_t>(Body.upstreamsAge()->count());
+  if (Body.settings().age())
+    Json["a"] = static_cast<std::uint64_t>(Body.settings().age()->count());
+  if (Body.upstreams().age())
+    Json["b"] = static_cast<std::uint64_t>(Body.upstreams().age()->count());
   return Json;
 }
 
@@ -230,16 +233,26 @@
   return *Record;
 }
 
+/// Returns an optional age in milliseconds.
+static std::optional<milliseconds> viewAgeFrom(field_reader &Fields,
+                                               const char *Name) {
+  if (Fields.optional(Name).is_null())
+    return std::nullopt;
+  return milliseconds(Fields.number(Name));
+}
+
+static view_state viewStateFrom(field_reader &Fields, const char *EndName,
+                                const char *AgeName) {
+  log_offset End(Fields.number(EndName));
+  return view_state(End, viewAgeFrom(Fields, AgeName));
+}
+
 body_result bluebellkeel::digestFromJson(const json &Json) {
   field_reader Fields(Json);
   instance_digest::fields Digest;
   Digest.Sender = recordFrom(Fields.optional("i"), Fields);
-  Digest.SettingsEnd = log_offset(Fields.number("so"));
-  Digest.UpstreamsEnd = log_offset(Fields.number("uo"));
-  if (!Fields.optional("a").is_null())
-    Digest.SettingsAge = milliseconds(Fields.number("a"));
-  if (!Fields.optional("b").is_null())
-    Digest.UpstreamsAge = milliseconds(Fields.number("b"));
+  Digest.Settings = viewStateFrom(Fields, "so", "a");
+  Digest.Upstreams = viewStateFrom(Fields, "uo", "b");
   Digest.Loads = loadsFrom(Fields);
   for (const auto &Item : Fields.array("r"))
     Digest.RollOuts.push_back(evidenceFrom(Item, Fields));
@@ -287,6 +300,8 @@
                {"r", std::move(Records)}};
   if (Body.page().holdsAllKeys())
     Json["all"] = true;
+  if (Body.age())
+    Json["a"] = static_cast<std::uint64_t>(Body.age()->count());
   return Json;
 }
 
@@ -304,11 +319,12 @@
       Fields.fail(Record.error().message());
     Records.emplace_back(Key, Value, Offset);
   }
-  // Earlier releases do not send this field.
+  // Earlier releases send neither of these fields.
   bool All = !Fields.optional("all").is_null() && Fields.flag("all");
+  auto Age = viewAgeFrom(Fields, "a");
   if (Fields.failed())
     return tl::unexpected(Fields.error());
   auto Scope = All ? keyed_page::scope::AllKeys : keyed_page::scope::Changes;
   return peer_body(
-      view_answer(Topic, keyed_page(std::move(Records), End, Scope)));
+      view_answer(Topic, keyed_page(std::move(Records), End, Scope), Age));
 }
--- a/unittests/Peer/DigestTest.cpp
+++ b/unittests/Peer/DigestTest.cpp
@@ -38,9 +38,8 @@
       version_stats(1, 2, log_time_mean(3, 4.5), log_time_mean(5, 6.5));
   instance_digest::fields Fields;
   Fields.Sender = Record;
-  Fields.SettingsEnd = log_offset(7);
-  Fields.UpstreamsEnd = log_offset(8);
-  Fields.SettingsAge = milliseconds(9);
+  Fields.Settings = view_state(log_offset(7), milliseconds(9));
+  Fields.Upstreams = view_state(log_offset(8), std::nullopt);
   Fields.Loads = {instance_load(upstream_id("u"), 2, 300)};
   Fields.RollOuts = {roll_out_evidence(Evidence)};
   Fields.Crashes = {crash_notice(fingerprint("f"), upstream_id("u"))};
@@ -67,12 +66,14 @@
       view_answer(keyed_topic::Settings,
                   keyed_page({keyed_record("k", "{\"v\":1}", log_offset(5)),
                               keyed_record("gone", "", log_offset(6))},
-                             log_offset(6)));
+                             log_offset(6)),
+                  std::nullopt);
   EXPECT_EQ(Answer, encodeAndDecode(Answer, instance_id("b")));
   peer_body Whole =
       view_answer(keyed_topic::Upstreams,
                   keyed_page({keyed_record("k", "{\"v\":1}", log_offset(5))},
-                             log_offset(6), keyed_page::scope::AllKeys));
+                             log_offset(6), keyed_page::scope::AllKeys),
+                  milliseconds(7));
   EXPECT_EQ(Whole, encodeAndDecode(Whole, instance_id("b")));
 }
 
