Delay no read of the log after one that waited in vain

Among many instances a read of the upstreams was followed by a delay of 0.8 s, meant for reads that return at once with re-registrations.

--- a/lib/Gateway/GatewayRuntime.cpp
+++ b/lib/Gateway/GatewayRuntime.cpp
@@ -169,10 +169,12 @@
     if (Availability.succeeded(View.end()) && MayHaveExpired)
       Context.Updater.logReconnected();
     startServingWhenReady();
-    if (View.end() > Before)
+    bool Records = View.end() > Before;
+    if (Records)
       Exchanger.propagateChanges(Topic);
-    awaitTime(Yield, Schedule.pollDelay(Topic, Context.Registry.changes() >
-                                                   ChangesBefore));
+    bool Changes = Context.Registry.changes() > ChangesBefore;
+    awaitTime(Yield, Records ? Schedule.delayAfterRecords(Topic, Changes)
+                             : Schedule.delayAfterWait());
   }
 }
 
--- a/lib/Gateway/ReadSchedule.cpp
+++ b/lib/Gateway/ReadSchedule.cpp
@@ -1,5 +1,4 @@
 #include "ReadSchedule.h"
-#include "bluebellkeel/Membership/ReaderElection.h"
 
 using namespace bluebellkeel;
 
@@ -57,12 +56,15 @@
                                      : Timing.maxRelayedDataAge();
 }
 
-milliseconds read_schedule::pollDelay(keyed_topic Topic, bool Changes) const {
+milliseconds read_schedule::delayAfterRecords(keyed_topic Topic,
+                                              bool Changes) const {
   if (Topic != keyed_topic::Upstreams || Exchanger.reachesAllPeers())
     return PollDelay;
   return Changes ? ChangedPollDelay : UnchangedPollDelay;
 }
 
+milliseconds read_schedule::delayAfterWait() { return PollDelay; }
+
 milliseconds read_schedule::instancesDelay(bool ReadFailed) const {
   if (ReadFailed || Context.Instances.aliveUpTo(1).empty())
     return NoPeersInterval;
--- a/lib/Gateway/ReadSchedule.h
+++ b/lib/Gateway/ReadSchedule.h
@@ -22,10 +22,12 @@
                                 const log_freshness &Age) const;
   /// Returns the longest time that a read of \p Topic waits for new records.
   milliseconds longPoll(keyed_topic Topic) const;
-  /// Returns the delay between two reads of \p Topic.
+  /// Returns the delay after a read of \p Topic that returned records.
   ///
-  /// \param Changes true if the first of them changed the upstreams.
-  milliseconds pollDelay(keyed_topic Topic, bool Changes) const;
+  /// \param Changes true if they changed the upstreams.
+  milliseconds delayAfterRecords(keyed_topic Topic, bool Changes) const;
+  /// Returns the delay after a read that waited for records in vain.
+  static milliseconds delayAfterWait();
   /// Returns the delay between two reads of the registered instances.
   milliseconds instancesDelay(bool ReadFailed) const;
 
