Compare the pace of versions at similar load

Cause: the analyzer compared the mean times between events of both versions whatever the load of their upstreams. During the burst the old version ran 25 to 32 requests on each (75 to 160 ms), the new one 0 to 5 (93 to 146 ms); when the new one had the load, the old one's times of the burst still counted. At equal load the new one took 3.6 to 6 times as long (trial with load and time in the log). A good version that gets all the load could be taken back for the same reason.

event_intervals keeps the times by five levels of load and compares each level with the same one, or with higher ones where that has too few.

slowVersionWhileTheOldOneIsLoaded_isRolledBack and goodVersionThatGetsTheLoad_isKept fail if all load counts as one level, as before.

--- a/include/bluebellkeel/Policy.h
+++ b/include/bluebellkeel/Policy.h
@@ -9,6 +9,7 @@
 #include "bluebellkeel/Policy/CheapestPlacement.h"
 #include "bluebellkeel/Policy/ConfidenceModelSelector.h"
 #include "bluebellkeel/Policy/CrashTracker.h"
+#include "bluebellkeel/Policy/EventIntervals.h"
 #include "bluebellkeel/Policy/Fingerprint.h"
 #include "bluebellkeel/Policy/FixedModelSelector.h"
 #include "bluebellkeel/Policy/LeastLoadedPlacement.h"
--- a/include/bluebellkeel/Policy/RollOutTracker.h
+++ b/include/bluebellkeel/Policy/RollOutTracker.h
@@ -55,10 +55,10 @@
   /// no roll-out is known.
   void noteFirstByte(const service_id &Service, const version_id &Version,
                      milliseconds Time);
-  /// Records the mean time between two events of a stream of \p Version;
-  /// ignored if no roll-out is known.
+  /// Records the mean time between two events of a stream of \p Version, from
+  /// an upstream with \p Running requests; ignored if no roll-out is known.
   void noteEventInterval(const service_id &Service, const version_id &Version,
-                         milliseconds Time);
+                         milliseconds Time, double Running);
 
   /// Returns the state and the statistics of all roll-outs, for the peers.
   std::vector<roll_out_evidence> evidence();
--- a/include/bluebellkeel/Relay/StreamForwarder.h
+++ b/include/bluebellkeel/Relay/StreamForwarder.h
@@ -44,7 +44,7 @@
   tl::expected<void, attempt_error>
   forwardEvents(const service_id &Service, const upstream_listing &Upstream,
                 const response_head &Head, std::string_view Piece);
-  void noteEvents(const service_id &Service, const version_id &From,
+  void noteEvents(const service_id &Service, const upstream_listing &Upstream,
                   std::size_t Count);
   std::optional<attempt_error> eventError() const;
   bool brokenOff(const response_head &Head) const;
--- a/lib/Peer/DigestJson.cpp
+++ b/lib/Peer/DigestJson.cpp
@@ -10,13 +10,40 @@
 
 using body_result = tl::expected<peer_body, codec_error>;
 
+static json toCompactJson(const event_intervals &Intervals) {
+  json Levels = json::array();
+  for (const auto &Mean : Intervals.means())
+    Levels.push_back({{"n", Mean.count()}, {"l", Mean.logSum()}});
+  return Levels;
+}
+
 static json toCompactJson(const version_stats &Stats) {
   return {{"g", Stats.good()},
           {"b", Stats.bad()},
           {"t", Stats.firstByte().count()},
           {"l", Stats.firstByte().logSum()},
-          {"en", Stats.eventInterval().count()},
-          {"el", Stats.eventInterval().logSum()}};
+          {"ei", toCompactJson(Stats.eventIntervals())}};
+}
+
+/// Reads the fields that earlier releases do not send.
+static event_intervals eventIntervalsFrom(field_reader &Fields) {
+  event_intervals::level_means Means;
+  if (Fields.optional("ei").is_null())
+    return event_intervals();
+  const json &Levels = Fields.array("ei");
+  if (Levels.size() != Means.size()) {
+    Fields.fail("ei: another number of load levels");
+    return event_intervals();
+  }
+  std::size_t Level = 0;
+  for (const auto &Item : Levels) {
+    field_reader Mean(Item);
+    std::uint64_t Count = Mean.number("n");
+    Means.at(Level++) = log_time_mean(Count, Mean.real("l"));
+    if (Mean.failed())
+      Fields.fail(Mean.error().message());
+  }
+  return event_intervals(Means);
 }
 
 static version_stats versionStatsFrom(const json &Json, field_reader &Outer) {
@@ -25,16 +52,11 @@
   std::uint64_t Bad = Fields.number("b");
   std::uint64_t Timed = Fields.number("t");
   double LogTimeSum = Fields.real("l");
-  log_time_mean EventInterval;
-  // Earlier releases do not send it.
-  if (!Fields.optional("en").is_null()) {
-    std::uint64_t Intervals = Fields.number("en");
-    EventInterval = log_time_mean(Intervals, Fields.real("el"));
-  }
+  event_intervals EventIntervals = eventIntervalsFrom(Fields);
   if (Fields.failed())
     Outer.fail(Fields.error().message());
   return version_stats(Good, Bad, log_time_mean(Timed, LogTimeSum),
-                       EventInterval);
+                       EventIntervals);
 }
 
 static json toCompactJson(const roll_out_evidence &Evidence) {
--- a/lib/Policy/RollOutAnalyzer.cpp
+++ b/lib/Policy/RollOutAnalyzer.cpp
@@ -9,17 +9,18 @@
 /// some faults affect all versions.
 static constexpr double MinBadShareRatio = 3;
 
-/// Minimum number of times to compare, and minimum differences of the mean
-/// logarithms: ln 3 for the first byte, which also depends on what is cached,
-/// and ln 2.2 for the interval between events, which depends on load alone.
+/// Minimum number of first-byte times to compare, and minimum differences of
+/// the mean logarithms: ln 3 for the first byte, which also depends on load and
+/// on what is cached, and ln 2.2 for the interval between events at similar
+/// load.
 static constexpr std::uint64_t MinTimes = 8;
 static constexpr double MinFirstByteDifference = 1.1;
 static constexpr double MinEventIntervalDifference = 0.8;
 
-static bool isSlower(const log_time_mean &Target, const log_time_mean &Others,
-                     double MinDifference) {
+static bool startsSlower(const log_time_mean &Target,
+                         const log_time_mean &Others) {
   return Target.count() >= MinTimes && Others.count() >= MinTimes &&
-         Target.mean() - Others.mean() >= MinDifference;
+         Target.mean() - Others.mean() >= MinFirstByteDifference;
 }
 
 bool roll_out_analyzer::isBad(const version_stats &Target,
@@ -27,8 +28,8 @@
   if (Target.bad() >= MinBadResponses && Target.badShare() >= MinBadShare &&
       Target.badShare() >= MinBadShareRatio * Others.badShare())
     return true;
-  return isSlower(Target.firstByte(), Others.firstByte(),
-                  MinFirstByteDifference) ||
-         isSlower(Target.eventInterval(), Others.eventInterval(),
-                  MinEventIntervalDifference);
+  auto Difference =
+      Target.eventIntervals().differenceTo(Others.eventIntervals());
+  return startsSlower(Target.firstByte(), Others.firstByte()) ||
+         (Difference && *Difference >= MinEventIntervalDifference);
 }
--- a/lib/Policy/RollOutTracker.cpp
+++ b/lib/Policy/RollOutTracker.cpp
@@ -155,13 +155,13 @@
 
 void roll_out_tracker::noteEventInterval(const service_id &Service,
                                          const version_id &Version,
-                                         milliseconds Time) {
+                                         milliseconds Time, double Running) {
   Shards.withShard(Service.text(), [&](state &Shard) {
     auto Known = Shard.Entries.find(Service);
     if (Known == Shard.Entries.end())
       return;
     version_stats &Stats = Known->second.statsOf(Version);
-    Stats = Stats.withEventInterval(Time);
+    Stats = Stats.withEventInterval(Time, Running);
   });
 }
 
--- a/lib/Relay/StreamForwarder.cpp
+++ b/lib/Relay/StreamForwarder.cpp
@@ -35,7 +35,7 @@
   auto Events = Splitter.feed(Piece);
   if (Events.empty())
     return {};
-  noteEvents(Service, Upstream.version(), Events.size());
+  noteEvents(Service, Upstream, Events.size());
   if (!Version)
     Version = Upstream.version();
   if (!beginResponse(Caller, Progress, Head))
@@ -55,7 +55,8 @@
 /// Counts the events of the attempt. Records their mean interval once, early,
 /// since a slow version must be noticed before its streams end.
 void stream_forwarder::noteEvents(const service_id &Service,
-                                  const version_id &From, std::size_t Count) {
+                                  const upstream_listing &Upstream,
+                                  std::size_t Count) {
   constexpr std::size_t MeasuredEvents = 3;
   if (Progress.Events == 0)
     Progress.FirstEventAt = Deps.Clock.monotonicNow();
@@ -66,7 +67,9 @@
   auto Time = std::chrono::duration_cast<milliseconds>(
       Deps.Clock.monotonicNow() - Progress.FirstEventAt);
   Deps.RollOuts.noteEventInterval(
-      Service, From, Time / static_cast<std::int64_t>(Progress.Events - 1));
+      Service, Upstream.version(),
+      Time / static_cast<std::int64_t>(Progress.Events - 1),
+      Deps.Loads.loadOf(Upstream.id()).running());
 }
 
 /// Returns the error of a stream that sends bytes but no complete events: they
--- a/unittests/Peer/DigestTest.cpp
+++ b/unittests/Peer/DigestTest.cpp
@@ -34,8 +34,9 @@
   Evidence.Elapsed = milliseconds(700);
   Evidence.Stage = roll_out_stage::RolledBack;
   Evidence.Published = true;
-  Evidence.Target =
-      version_stats(1, 2, log_time_mean(3, 4.5), log_time_mean(5, 6.5));
+  Evidence.Target = version_stats(
+      1, 2, log_time_mean(3, 4.5),
+      event_intervals().with(milliseconds(40), 1).with(milliseconds(90), 20));
   instance_digest::fields Fields;
   Fields.Sender = Record;
   Fields.Settings = view_state(log_offset(7), milliseconds(9));
--- a/unittests/Policy/RollOutTrackerTest.cpp
+++ b/unittests/Policy/RollOutTrackerTest.cpp
@@ -128,16 +128,35 @@
 
 TEST_F(roll_out_tracker_test, versionWithSlowEvents_isRolledBack) {
   for (int I = 0; I < 10; ++I) {
-    Tracker.noteEventInterval(Service, V1, milliseconds(40));
-    Tracker.noteEventInterval(Service, V2, milliseconds(150));
+    Tracker.noteEventInterval(Service, V1, milliseconds(40), 1);
+    Tracker.noteEventInterval(Service, V2, milliseconds(150), 1);
   }
   EXPECT_EQ(0, countOnNewVersion());
 }
 
+TEST_F(roll_out_tracker_test, slowVersionWhileTheOldOneIsLoaded_isRolledBack) {
+  for (int I = 0; I < 10; ++I)
+    Tracker.noteEventInterval(Service, V1, milliseconds(35), 3);
+  for (int I = 0; I < 300; ++I)
+    Tracker.noteEventInterval(Service, V1, milliseconds(110), 30);
+  for (int I = 0; I < 10; ++I)
+    Tracker.noteEventInterval(Service, V2, milliseconds(130), 3);
+  EXPECT_EQ(0, countOnNewVersion());
+}
+
+TEST_F(roll_out_tracker_test, goodVersionThatGetsTheLoad_isKept) {
+  for (int I = 0; I < 100; ++I) {
+    Tracker.noteEventInterval(Service, V1, milliseconds(35), 3);
+    Tracker.noteEventInterval(Service, V2, milliseconds(35), 3);
+    Tracker.noteEventInterval(Service, V2, milliseconds(600), 60);
+  }
+  EXPECT_GT(countOnNewVersion(), 0);
+}
+
 TEST_F(roll_out_tracker_test, versionWithEventsAsUnderMoreLoad_isKept) {
   for (int I = 0; I < 100; ++I) {
-    Tracker.noteEventInterval(Service, V1, milliseconds(35));
-    Tracker.noteEventInterval(Service, V2, milliseconds(60));
+    Tracker.noteEventInterval(Service, V1, milliseconds(35), 1);
+    Tracker.noteEventInterval(Service, V2, milliseconds(60), 1);
   }
   EXPECT_GT(countOnNewVersion(), 0);
 }
--- a/unittests/Relay/ForwardStreamTest.cpp
+++ b/unittests/Relay/ForwardStreamTest.cpp
@@ -94,8 +94,8 @@
   script({Slow});
   run("/stream/x");
   ASSERT_EQ(1U, RollOuts.evidence().size());
-  log_time_mean Expected = log_time_mean().with(milliseconds(300));
-  EXPECT_EQ(Expected, RollOuts.evidence()[0].others().eventInterval());
+  event_intervals Expected = event_intervals().with(milliseconds(300), 1);
+  EXPECT_EQ(Expected, RollOuts.evidence()[0].others().eventIntervals());
 }
 
 TEST_F(forward_stream_test, slowEvents_withinThePauseLimit_areNotCut) {
