Read and log what upstreams say of themselves in responses

Instances logged nothing of the limit that an upstream names, so the logs could not tell whether one knew it when it sent, nor count what was sent afterwards. upstream_notice holds the limit, the announcement to leave and the pause that a refusal asks for; the line upstreams/notice tells each change. Nothing acts on it yet.

--- a/include/bluebellkeel/Gateway/GatewayContext.h
+++ b/include/bluebellkeel/Gateway/GatewayContext.h
@@ -46,6 +46,7 @@
   load_tracker Loads;
   occupancy_estimator Occupancy;
   cold_start_limiter Cold;
+  notice_tracker Notices;
   closed_data_centres Centres;
   live_instances Instances;
   roll_out_tracker RollOuts;
--- a/include/bluebellkeel/Relay/ForwardDependencies.h
+++ b/include/bluebellkeel/Relay/ForwardDependencies.h
@@ -18,6 +18,7 @@
 #include "bluebellkeel/Routing/RouteTableHolder.h"
 #include "bluebellkeel/Upstream/ColdStartLimiter.h"
 #include "bluebellkeel/Upstream/LoadTracker.h"
+#include "bluebellkeel/Upstream/NoticeTracker.h"
 #include "bluebellkeel/Upstream/OccupancyEstimator.h"
 #include "bluebellkeel/Upstream/UpstreamRegistry.h"
 
@@ -34,6 +35,7 @@
   load_tracker &Loads;
   occupancy_estimator &Occupancy;
   cold_start_limiter &Cold;
+  notice_tracker &Notices;
   closed_data_centres &Centres;
   live_instances &Instances;
   roll_out_tracker &RollOuts;
--- a/include/bluebellkeel/Relay/ForwardLog.h
+++ b/include/bluebellkeel/Relay/ForwardLog.h
@@ -19,6 +19,9 @@
   void attemptFailed(const upstream_id &Upstream, attempt_error Error) const;
   void largerModel(const std::string &From, const std::string &To,
                    double Confidence) const;
+  /// Logs what an upstream says of itself where that has changed.
+  void notice(const upstream_listing &Upstream,
+              const upstream_notice &Notice) const;
   void finished(std::string_view Outcome, int Status, const std::string &Model,
                 std::optional<std::uint64_t> LastEvent) const;
 
--- a/include/bluebellkeel/Relay/ResponseHead.h
+++ b/include/bluebellkeel/Relay/ResponseHead.h
@@ -4,6 +4,7 @@
 #include "bluebellkeel/Core/Comparable.h"
 #include "bluebellkeel/Relay/HeaderList.h"
 #include "bluebellkeel/Upstream/QueueReport.h"
+#include "bluebellkeel/Upstream/UpstreamNotice.h"
 #include <optional>
 #include <tuple>
 
@@ -22,6 +23,7 @@
     bool DelimitedByClose = false;
     std::optional<double> Confidence;
     std::optional<queue_report> Queue;
+    upstream_notice Notice;
   };
 
   response_head() = default;
@@ -50,11 +52,13 @@
   const std::optional<double> &confidence() const { return Content.Confidence; }
   /// Load that the upstream reported; empty if not reported.
   const std::optional<queue_report> &queue() const { return Content.Queue; }
+  /// What the upstream says of itself.
+  const upstream_notice &notice() const { return Content.Notice; }
   auto key() const {
     return std::tie(Content.Status, Content.Headers, Content.Verified,
                     Content.NotRun, Content.FromOtherUpstream,
                     Content.DelimitedByClose, Content.Confidence,
-                    Content.Queue);
+                    Content.Queue, Content.Notice);
   }
 
 private:
--- a/lib/Gateway/GatewayContext.cpp
+++ b/lib/Gateway/GatewayContext.cpp
@@ -36,6 +36,7 @@
                               Loads,
                               Occupancy,
                               Cold,
+                              Notices,
                               Centres,
                               Instances,
                               RollOuts,
--- a/lib/Relay/ForwardLog.cpp
+++ b/lib/Relay/ForwardLog.cpp
@@ -1,4 +1,5 @@
 #include "bluebellkeel/Relay/ForwardLog.h"
+#include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
 
 using namespace bluebellkeel;
@@ -56,6 +57,21 @@
   Deps.Log.write(Line);
 }
 
+void forward_log::notice(const upstream_listing &Upstream,
+                         const upstream_notice &Notice) const {
+  event_line Line("upstreams", "notice");
+  Line.add("id", Call.id().text())
+      .add("upstream", Upstream.id().text())
+      .add("incarnation", static_cast<std::int64_t>(Upstream.incarnation()))
+      .add("leaving", Notice.leaving())
+      .add("pause_ms", Notice.pause().count());
+  if (Notice.rateLimit())
+    Line.add("limit_per_s", absl::StrCat(*Notice.rateLimit()));
+  if (!Notice.unreadable().empty())
+    Line.add("unreadable", Notice.unreadable());
+  Deps.Log.write(Line);
+}
+
 void forward_log::finished(std::string_view Outcome, int Status,
                            const std::string &Model,
                            std::optional<std::uint64_t> LastEvent) const {
--- a/lib/Relay/ForwardRelay.cpp
+++ b/lib/Relay/ForwardRelay.cpp
@@ -138,6 +138,11 @@
   const response_head &Head = Response.head();
   if (Head.queue() && !Head.fromOtherUpstream())
     Deps.Loads.noteReport(Upstream.id(), *Head.queue());
+  if (!Head.fromOtherUpstream() &&
+      Deps.Notices.note(
+          upstream_incarnation(Upstream.id(), Upstream.incarnation()),
+          Head.notice()))
+    Log.notice(Upstream, Head.notice());
   if (Head.fromOtherUpstream()) {
     Deps.Registry.noteReplaced(Upstream.id(), Upstream.address());
     return handleAttemptError(Upstream, attempt_error::WrongInstance);
--- a/unittests/Support/ForwardFixture.h
+++ b/unittests/Support/ForwardFixture.h
@@ -21,6 +21,7 @@
   bool FromOtherUpstream = false;
   bool DelimitedByClose = false;
   std::optional<double> Confidence;
+  upstream_notice::fields Notice;
   std::vector<std::string> Pieces = {"whole"};
   /// Returned by read() after the pieces instead of the end of the body.
   std::optional<attempt_error> ReadError;
@@ -42,6 +43,7 @@
     Fields.FromOtherUpstream = Script.FromOtherUpstream;
     Fields.DelimitedByClose = Script.DelimitedByClose;
     Fields.Confidence = Script.Confidence;
+    Fields.Notice = upstream_notice(Script.Notice);
     Head = response_head(Fields);
     ++Open;
   }
@@ -261,6 +263,7 @@
   load_tracker Loads{Clock};
   occupancy_estimator Occupancy{Registry, Loads, Clock};
   cold_start_limiter Cold{instance_id("self"), Clock};
+  notice_tracker Notices;
   closed_data_centres Centres{Clock};
   live_instances Instances{Clock};
   roll_out_tracker RollOuts{roll_out_limits(0.15), Clock};
@@ -282,6 +285,7 @@
                             Loads,
                             Occupancy,
                             Cold,
+                            Notices,
                             Centres,
                             Instances,
                             RollOuts,
