--- a/unittests/Adapter/GatewayProcessTest.cpp
+++ b/unittests/Adapter/GatewayProcessTest.cpp
@@ -195,6 +195,13 @@
                          Body);
   }
 
+  static http_response withHeader(const http_response &Response,
+                                  const std::string &Name,
+                                  const std::string &Value) {
+    return http_response(Response.status(),
+                         Response.headers().with(Name, Value), Response.body());
+  }
+
   thread_pool Pool{2};
   store_standin Store;
   callback_handler UpstreamHandler{
@@ -314,6 +321,37 @@
   EXPECT_EQ(Before, requests());
 }
 
+TEST_F(gateway_process_test,
+       limitNamedByUpstreams_isNotExceededInAnyFourSeconds) {
+  constexpr double Limit = 3;
+  constexpr double Allowed = 1.5 * Limit * 4 + 5;
+  std::map<std::string, int> Counts;
+  bool Counting = false;
+  setUpstreamAction([&](int, const http_request &Request,
+                        http_responder &Responder, boost::asio::yield_context) {
+    {
+      absl::MutexLock Lock(&Mutex);
+      Counts[Request.headers().get("Bluebellkeel-Expect-Instance")] += Counting;
+    }
+    Responder.send(withHeader(okResponse("fine"), "Server-Limit", "3"));
+  });
+  auto CallFor = [this](milliseconds Time) {
+    auto End = std::chrono::steady_clock::now() + Time;
+    while (std::chrono::steady_clock::now() < End)
+      call("idempotent");
+  };
+  CallFor(milliseconds(1000));
+  {
+    absl::MutexLock Lock(&Mutex);
+    Counting = true;
+  }
+  CallFor(milliseconds(4000));
+  absl::MutexLock Lock(&Mutex);
+  for (const auto &[Upstream, Count] : Counts)
+    EXPECT_LE(Count, Allowed) << Upstream;
+  EXPECT_EQ(2U, Counts.size());
+}
+
 TEST_F(gateway_process_test, completedRollOut_statusIsAppendedToTheLog) {
   Store.put("keyed.op", "rollout/desk",
             R"({"service":"desk","target":"v2","duration_s":1})");
