Generalize the cold-start limiter to rates of any origin

An upstream that names a limit needs what a cold one has: a rate that all instances share without coordination. cold_start_limiter becomes shared_rate_limiter; the number of senders per request per second is a parameter, one can ask how long the next request must wait, and all instances can share a rate at equal parts. The tests keep their checks.

--- a/include/bluebellkeel/Gateway/GatewayContext.h
+++ b/include/bluebellkeel/Gateway/GatewayContext.h
@@ -45,7 +45,7 @@
   registry_updater Updater;
   load_tracker Loads;
   occupancy_estimator Occupancy;
-  cold_start_limiter Cold;
+  shared_rate_limiter Cold;
   notice_tracker Notices;
   closed_data_centres Centres;
   live_instances Instances;
--- a/include/bluebellkeel/Relay/ForwardDependencies.h
+++ b/include/bluebellkeel/Relay/ForwardDependencies.h
@@ -16,10 +16,10 @@
 #include "bluebellkeel/Relay/RelayMonitor.h"
 #include "bluebellkeel/Relay/ServingStatus.h"
 #include "bluebellkeel/Routing/RouteTableHolder.h"
-#include "bluebellkeel/Upstream/ColdStartLimiter.h"
 #include "bluebellkeel/Upstream/LoadTracker.h"
 #include "bluebellkeel/Upstream/NoticeTracker.h"
 #include "bluebellkeel/Upstream/OccupancyEstimator.h"
+#include "bluebellkeel/Upstream/SharedRateLimiter.h"
 #include "bluebellkeel/Upstream/UpstreamRegistry.h"
 
 namespace bluebellkeel {
@@ -34,7 +34,7 @@
   upstream_registry &Registry;
   load_tracker &Loads;
   occupancy_estimator &Occupancy;
-  cold_start_limiter &Cold;
+  shared_rate_limiter &Cold;
   notice_tracker &Notices;
   closed_data_centres &Centres;
   live_instances &Instances;
--- a/include/bluebellkeel/Upstream.h
+++ b/include/bluebellkeel/Upstream.h
@@ -2,7 +2,6 @@
 #define BLUEBELLKEEL_UPSTREAM_H
 
 #include "bluebellkeel/Upstream/AdmissionQueue.h"
-#include "bluebellkeel/Upstream/ColdStartLimiter.h"
 #include "bluebellkeel/Upstream/Grant.h"
 #include "bluebellkeel/Upstream/GrantHolder.h"
 #include "bluebellkeel/Upstream/GrantIssuer.h"
@@ -19,6 +18,7 @@
 #include "bluebellkeel/Upstream/QueueReport.h"
 #include "bluebellkeel/Upstream/RegistryEntry.h"
 #include "bluebellkeel/Upstream/RegistryUpdater.h"
+#include "bluebellkeel/Upstream/SharedRateLimiter.h"
 #include "bluebellkeel/Upstream/UpstreamDirectory.h"
 #include "bluebellkeel/Upstream/UpstreamIncarnation.h"
 #include "bluebellkeel/Upstream/UpstreamKind.h"
--- /dev/null
+++ b/include/bluebellkeel/Upstream/SharedRateLimiter.h
@@ -0,0 +1,68 @@
+#ifndef BLUEBELLKEEL_UPSTREAM_SHAREDRATELIMITER_H
+#define BLUEBELLKEEL_UPSTREAM_SHAREDRATELIMITER_H
+
+#include "bluebellkeel/Core/InstanceId.h"
+#include "bluebellkeel/Core/Sharded.h"
+#include "bluebellkeel/Core/TimeSource.h"
+#include "bluebellkeel/Core/UpstreamId.h"
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace bluebellkeel {
+
+/// Keeps the requests of all instances to an upstream within a rate without
+/// coordination: rendezvous hashing selects a few instances that send to the
+/// upstream, each at its part of the rate. Thread-safe.
+class shared_rate_limiter {
+public:
+  /// Which instances send to an upstream.
+  enum class senders {
+    /// The few that rendezvous hashing selects.
+    Selected,
+    /// All of them, each at an equal part of the rate.
+    All
+  };
+
+  /// \param SendersPerRate number of selected senders per request per second of
+  /// the rate. Each sender may exceed its part by one request in any window, so
+  /// all of them stay within the rate times the window plus their number.
+  shared_rate_limiter(instance_id Self, double SendersPerRate,
+                      const time_source &Clock)
+      : Self(std::move(Self)), SendersPerRate(SendersPerRate), Clock(Clock) {}
+
+  /// Returns the time until this instance may send a request to \p Upstream; 0
+  /// if it may now. Empty if only others send to it.
+  ///
+  /// \param Rate requests per second that the upstream accepts; positive.
+  /// \param Instances all instances that may send, including this one.
+  std::optional<milliseconds> delay(const upstream_id &Upstream, double Rate,
+                                    const std::vector<instance_id> &Instances,
+                                    senders Senders = senders::Selected);
+  /// Returns true if this instance may send a request to \p Upstream now, and
+  /// counts it. The parameters are those of delay().
+  bool admit(const upstream_id &Upstream, double Rate,
+             const std::vector<instance_id> &Instances,
+             senders Senders = senders::Selected);
+
+private:
+  using interval = std::chrono::duration<double>;
+  using time_map = std::map<upstream_id, monotonic_time>;
+
+  /// Returns the shortest time between two requests of this instance.
+  std::optional<interval> intervalOf(const upstream_id &Upstream, double Rate,
+                                     const std::vector<instance_id> &Instances,
+                                     senders Senders) const;
+  /// Removes the upstreams to which nothing was sent for long, so that the map
+  /// does not grow with all upstreams that ever were.
+  static void removeOld(time_map &Shard, monotonic_time Now);
+
+  const instance_id Self;
+  const double SendersPerRate;
+  const time_source &Clock;
+  sharded<time_map> LastSent;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_UPSTREAM_SHAREDRATELIMITER_H
--- a/lib/Gateway/GatewayContext.cpp
+++ b/lib/Gateway/GatewayContext.cpp
@@ -2,6 +2,10 @@
 
 using namespace bluebellkeel;
 
+/// One sender per two requests per second keeps the requests to a cold upstream
+/// within one and a half times its rate in any second.
+static constexpr double ColdSendersPerRate = 0.5;
+
 static roll_out_limits rollOutLimitsOf(const reloadable_settings &Reloadable) {
   return roll_out_limits(Reloadable.TrialShare);
 }
@@ -15,9 +19,9 @@
       Log(Settings.Instance.text(), Clock),
       State(SettingsAge, Reloadable, Clock), Registry(Clock),
       Updater(Registry, Clock), Loads(Clock), Occupancy(Registry, Loads, Clock),
-      Cold(Settings.Instance, Clock), Centres(Clock), Instances(Clock),
-      RollOuts(rollOutLimitsOf(Settings.Reloadable), Clock), Prefixes(Clock),
-      Crashes(Clock), PartCrashes(Clock),
+      Cold(Settings.Instance, ColdSendersPerRate, Clock), Centres(Clock),
+      Instances(Clock), RollOuts(rollOutLimitsOf(Settings.Reloadable), Clock),
+      Prefixes(Clock), Crashes(Clock), PartCrashes(Clock),
       Retries(retryRulesOf(Settings.Reloadable), Clock), HeavyLoad(Clock) {}
 
 void gateway_context::reconfigure(const reloadable_settings &Newer) {
--- a/unittests/Support/ForwardFixture.h
+++ b/unittests/Support/ForwardFixture.h
@@ -262,7 +262,7 @@
   upstream_registry Registry{Clock};
   load_tracker Loads{Clock};
   occupancy_estimator Occupancy{Registry, Loads, Clock};
-  cold_start_limiter Cold{instance_id("self"), Clock};
+  shared_rate_limiter Cold{instance_id("self"), 0.5, Clock};
   notice_tracker Notices;
   closed_data_centres Centres{Clock};
   live_instances Instances{Clock};
--- a/unittests/Upstream/ColdStartLimiterTest.cpp
+++ b/unittests/Upstream/SharedRateLimiterTest.cpp
@@ -8,13 +8,17 @@
 
 namespace {
 
-class cold_start_limiter_test : public testing::Test {
+/// Selected senders per request per second, as for cold upstreams.
+constexpr double SendersPerRate = 0.5;
+
+class shared_rate_limiter_test : public testing::Test {
 protected:
   void addInstances(std::size_t Count) {
     for (std::size_t I = 0; I < Count; ++I)
       Ids.emplace_back("edge-" + std::to_string(I));
     for (const auto &Id : Ids)
-      Limiters.push_back(std::make_unique<cold_start_limiter>(Id, Clock));
+      Limiters.push_back(
+          std::make_unique<shared_rate_limiter>(Id, SendersPerRate, Clock));
   }
   /// Lets all instances try every millisecond for 3 s; returns the most
   /// requests admitted in any second.
@@ -41,7 +45,7 @@
 
   manual_clock Clock;
   std::vector<instance_id> Ids;
-  std::vector<std::unique_ptr<cold_start_limiter>> Limiters;
+  std::vector<std::unique_ptr<shared_rate_limiter>> Limiters;
 };
 
 /// Operators' bound on the requests to a cold upstream in any second: Overage
@@ -51,24 +55,24 @@
 
 } // namespace
 
-TEST_F(cold_start_limiter_test,
+TEST_F(shared_rate_limiter_test,
        allInstances_underConstantDemand_stayWithinTheBound) {
   addInstances(9);
   EXPECT_LE(maxPerSecond(14), 14 * Overage + Slack);
 }
 
-TEST_F(cold_start_limiter_test,
+TEST_F(shared_rate_limiter_test,
        manyInstances_underConstantDemand_stayWithinTheBound) {
   addInstances(81);
   EXPECT_LE(maxPerSecond(14), 14 * Overage + Slack);
 }
 
-TEST_F(cold_start_limiter_test, singleInstance_usesTheFullRate) {
+TEST_F(shared_rate_limiter_test, singleInstance_usesTheFullRate) {
   addInstances(1);
   EXPECT_GE(maxPerSecond(14), 14U);
 }
 
-RC_GTEST_FIXTURE_PROP(cold_start_limiter_test,
+RC_GTEST_FIXTURE_PROP(shared_rate_limiter_test,
                       anyNumberOfInstances_staysWithinTheBound, ()) {
   addInstances(*rc::gen::inRange<std::size_t>(1, 40));
   double Rate = *rc::gen::inRange(1, 30);
