Keep to the limits that upstreams name, at all instances together

Cause: no code read the limit, so first attempts and, at upstreams that run large models, repetitions went on as before. Class: a limit that is meant for all instances together was known to none.

Change: notice_tracker holds the limit in the latest response of an upstream's incarnation, to this instance or, by digest, to a peer. upstream_admission counts every attempt against it, with one sender per request per second by rendezvous hashing, each at its part and at most a second ahead. Who shares the limit is decided by live_instances:: rateSharers: instances silent for 20 s no longer count, unless most are, since then this one may be cut off; one that has just started waits until it has read the registrations. If nobody has heard from the upstream for 10 s, all may ask it at equal parts, as only a response shows that the limit is lifted. When no upstream may take the request it is refused at once with upstreams_limited and the time until one may. A small model's response is dropped only once an upstream for the larger model is found. The occupancy that decides on larger models leaves limited upstreams out.

--- a/include/bluebellkeel/Gateway/GatewayContext.h
+++ b/include/bluebellkeel/Gateway/GatewayContext.h
@@ -44,9 +44,10 @@
   upstream_registry Registry;
   registry_updater Updater;
   load_tracker Loads;
+  notice_tracker Notices;
   occupancy_estimator Occupancy;
   shared_rate_limiter Cold;
-  notice_tracker Notices;
+  shared_rate_limiter Limits;
   closed_data_centres Centres;
   live_instances Instances;
   roll_out_tracker RollOuts;
--- a/include/bluebellkeel/Membership.h
+++ b/include/bluebellkeel/Membership.h
@@ -19,6 +19,7 @@
 #include "bluebellkeel/Membership/PeerStatus.h"
 #include "bluebellkeel/Membership/PeerTable.h"
 #include "bluebellkeel/Membership/ReaderElection.h"
+#include "bluebellkeel/Membership/SenderGroup.h"
 #include "bluebellkeel/Membership/ServingPhase.h"
 #include "bluebellkeel/Membership/ServingVerdict.h"
 #include "bluebellkeel/Membership/SettingsPosition.h"
--- a/include/bluebellkeel/Membership/LiveInstances.h
+++ b/include/bluebellkeel/Membership/LiveInstances.h
@@ -5,6 +5,8 @@
 #include "bluebellkeel/Core/TimeSource.h"
 #include "bluebellkeel/Membership/InstanceRecord.h"
 #include "bluebellkeel/Membership/LivenessReport.h"
+#include "bluebellkeel/Membership/SenderGroup.h"
+#include <atomic>
 #include <map>
 #include <vector>
 
@@ -23,10 +25,13 @@
   /// Silence after which an instance that is not registered is forgotten.
   static constexpr milliseconds ForgetAfter{60000};
 
-  explicit live_instances(const time_source &Clock) : Clock(Clock) {}
+  explicit live_instances(const time_source &Clock)
+      : Clock(Clock), CreatedAt(Clock.monotonicNow()) {}
 
   /// Records that the instance is registered in the platform's log.
   void recordRegistration(const instance_record &Record);
+  /// Records that all registrations in the log have been read once.
+  void noteRegistrationsRead() { RegistrationsRead = true; }
   /// Records that a peer or the log mentioned the instance. Replaces the stored
   /// record only if the instance has been silent for SilenceLimit.
   void recordMention(const instance_record &Record);
@@ -51,6 +56,11 @@
   /// seen or mentioned within SenderTimeout, and those registered but never
   /// seen.
   std::vector<instance_id> senders();
+  /// Returns the other instances with which this one shares the rate limits of
+  /// upstreams: those seen or mentioned within SenderTimeout. If these are a
+  /// minority of the known ones, this instance may be cut off, while the others
+  /// go on sending; then all known ones count.
+  sender_group rateSharers();
   /// Returns how long ago each live instance of \p Centre was last seen.
   std::vector<liveness_report> livenessReports(const data_centre_id &Centre);
 
@@ -71,6 +81,8 @@
   }
 
   const time_source &Clock;
+  const monotonic_time CreatedAt;
+  std::atomic<bool> RegistrationsRead{false};
   sharded<entry_map> Entries;
 };
 
--- a/include/bluebellkeel/Peer/InstanceDigest.h
+++ b/include/bluebellkeel/Peer/InstanceDigest.h
@@ -8,6 +8,7 @@
 #include "bluebellkeel/Policy/PartCrashReport.h"
 #include "bluebellkeel/Policy/RollOutEvidence.h"
 #include "bluebellkeel/Upstream/InstanceLoad.h"
+#include "bluebellkeel/Upstream/NoticeReport.h"
 #include <vector>
 
 namespace bluebellkeel {
@@ -25,6 +26,7 @@
     std::vector<roll_out_evidence> RollOuts;
     std::vector<crash_notice> Crashes;
     part_crash_report PartCrashes;
+    std::vector<notice_report> Notices;
     std::vector<instance_record> KnownInstances;
     std::vector<liveness_report> LivenessReports;
   };
@@ -42,6 +44,8 @@
   }
   const std::vector<crash_notice> &crashes() const { return Content.Crashes; }
   const part_crash_report &partCrashes() const { return Content.PartCrashes; }
+  /// Returns what upstreams said of themselves lately.
+  const std::vector<notice_report> &notices() const { return Content.Notices; }
   /// Returns some of the instances that the sender considers alive.
   const std::vector<instance_record> &knownInstances() const {
     return Content.KnownInstances;
@@ -54,8 +58,8 @@
   auto key() const {
     return std::tie(Content.Sender, Content.Settings, Content.Upstreams,
                     Content.Loads, Content.RollOuts, Content.Crashes,
-                    Content.PartCrashes, Content.KnownInstances,
-                    Content.LivenessReports);
+                    Content.PartCrashes, Content.Notices,
+                    Content.KnownInstances, Content.LivenessReports);
   }
 
 private:
--- a/include/bluebellkeel/Relay.h
+++ b/include/bluebellkeel/Relay.h
@@ -28,6 +28,7 @@
 #include "bluebellkeel/Relay/ForwardUpstream.h"
 #include "bluebellkeel/Relay/HeaderList.h"
 #include "bluebellkeel/Relay/LoadListener.h"
+#include "bluebellkeel/Relay/NoCandidate.h"
 #include "bluebellkeel/Relay/Refusal.h"
 #include "bluebellkeel/Relay/RefusalReason.h"
 #include "bluebellkeel/Relay/RelayDependencies.h"
@@ -50,6 +51,7 @@
 #include "bluebellkeel/Relay/StreamForwarder.h"
 #include "bluebellkeel/Relay/TimeLimit.h"
 #include "bluebellkeel/Relay/TokenUsage.h"
+#include "bluebellkeel/Relay/UpstreamAdmission.h"
 #include "bluebellkeel/Relay/UpstreamResponse.h"
 
 #endif // BLUEBELLKEEL_RELAY_H
--- a/include/bluebellkeel/Relay/ForwardCandidates.h
+++ b/include/bluebellkeel/Relay/ForwardCandidates.h
@@ -3,8 +3,10 @@
 
 #include "bluebellkeel/Core/RequestId.h"
 #include "bluebellkeel/Policy/UpstreamPartition.h"
-#include "bluebellkeel/Relay/ForwardDependencies.h"
+#include "bluebellkeel/Relay/NoCandidate.h"
+#include "bluebellkeel/Relay/UpstreamAdmission.h"
 #include <set>
+#include <tl/expected.hpp>
 
 namespace bluebellkeel {
 
@@ -24,10 +26,11 @@
 
   explicit forward_candidates(const forward_dependencies &Deps) : Deps(Deps) {}
 
-  /// Returns the best upstream that may take the request now; empty if there is
-  /// none. A cold upstream that is returned has been counted against its rate
-  /// limit.
-  std::optional<placement_candidate> choose(const query &Query) const;
+  /// Returns the best upstream that may take the request now. The request has
+  /// been counted against its rates. The error tells whether one might take the
+  /// request later.
+  tl::expected<placement_candidate, no_candidate>
+  choose(const query &Query) const;
 
 private:
   using entry_list = std::vector<std::shared_ptr<const registry_entry>>;
@@ -36,7 +39,8 @@
   /// Returns the best of \p Entries that may take the request now.
   std::optional<placement_candidate>
   chooseBest(const entry_list &Entries, const query &Query,
-             const upstream_partition &Partition) const;
+             const upstream_partition &Partition,
+             upstream_admission &Admission) const;
   placement_candidate makeCandidate(const registry_entry &Entry,
                                     const query &Query,
                                     const upstream_partition &Partition) const;
--- a/include/bluebellkeel/Relay/ForwardDependencies.h
+++ b/include/bluebellkeel/Relay/ForwardDependencies.h
@@ -35,6 +35,7 @@
   load_tracker &Loads;
   occupancy_estimator &Occupancy;
   shared_rate_limiter &Cold;
+  shared_rate_limiter &Limits;
   notice_tracker &Notices;
   closed_data_centres &Centres;
   live_instances &Instances;
@@ -55,6 +56,11 @@
     Ids.push_back(Self);
     return Ids;
   }
+  /// Returns all instances that share the rate limits of upstreams, including
+  /// this one.
+  sender_group rateSharers() const {
+    return Instances.rateSharers().with(Self);
+  }
 };
 
 } // namespace bluebellkeel
--- a/include/bluebellkeel/Relay/ForwardRelay.h
+++ b/include/bluebellkeel/Relay/ForwardRelay.h
@@ -32,7 +32,8 @@
 
   std::optional<refusal_reason> revalidate();
   void sendUntilDone();
-  std::optional<placement_candidate> choose();
+  tl::expected<placement_candidate, no_candidate> choose();
+  tl::expected<placement_candidate, no_candidate> nextTarget();
   bool reserveRetry();
   next_action send(const placement_candidate &Target);
   next_action handleResponseHead(const upstream_listing &Upstream,
@@ -54,6 +55,8 @@
   bool runsLeft() const { return Progress.Runs < route().attempts(); }
   bool repeatable() const { return route().repeatable(); }
   void refuse(refusal_reason Reason);
+  void refuse(refusal_reason Reason, milliseconds RetryAfter);
+  void refuseWithoutTarget(const no_candidate &Reason);
   int refusalStatus(refusal_reason Reason) const;
   void logEnd(std::string_view Outcome, int Status) const;
   milliseconds elapsed() const;
@@ -73,6 +76,9 @@
   forward_progress Progress;
   forward_log Log;
   bool RetryReserved = false;
+  /// Upstream for the next attempt, chosen while the response of the attempt
+  /// before could still be used.
+  std::optional<placement_candidate> ReservedTarget;
   /// Index of the chosen model in forward_route::sizes().
   std::size_t ModelIndex = 0;
   stream_forwarder Stream;
--- a/include/bluebellkeel/Relay/RefusalReason.h
+++ b/include/bluebellkeel/Relay/RefusalReason.h
@@ -47,6 +47,9 @@
   TimeLimitUnsent,
   /// The time limit was reached after an upstream may have run the request.
   TimeLimit,
+  /// Every upstream that may run the request has named a limit, which is used
+  /// up for now.
+  UpstreamsLimited,
 };
 
 /// Returns the stable code used in error responses and counters.
--- a/include/bluebellkeel/Upstream/NoticeTracker.h
+++ b/include/bluebellkeel/Upstream/NoticeTracker.h
@@ -2,28 +2,56 @@
 #define BLUEBELLKEEL_UPSTREAM_NOTICETRACKER_H
 
 #include "bluebellkeel/Core/Sharded.h"
-#include "bluebellkeel/Upstream/UpstreamIncarnation.h"
+#include "bluebellkeel/Core/TimeSource.h"
+#include "bluebellkeel/Upstream/NoticeReport.h"
+#include "bluebellkeel/Upstream/UpstreamCondition.h"
 #include "bluebellkeel/Upstream/UpstreamNotice.h"
 #include <map>
+#include <vector>
 
 namespace bluebellkeel {
 
-/// Holds what upstreams say of themselves in their responses. Thread-safe.
+/// Holds what upstreams say of themselves in their responses, to this instance
+/// or to its peers. The latest response of an incarnation counts. Thread-safe.
 class notice_tracker {
 public:
+  /// Time after the latest response for which peers are told of it, and for
+  /// which its limit counts as confirmed.
+  static constexpr seconds ReportAge{10};
+  /// Time after the latest response for which its limit is kept to.
+  static constexpr seconds LimitLifetime{600};
+  /// Maximum number of upstreams in a report.
+  static constexpr std::size_t MaxReported = 256;
+
+  explicit notice_tracker(const time_source &Clock) : Clock(Clock) {}
+
   /// Records the notice in a response of \p Upstream. Returns true if it
   /// differs from that of the response before.
   bool note(const upstream_incarnation &Upstream,
             const upstream_notice &Notice);
+  upstream_condition conditionOf(const upstream_incarnation &Upstream);
+
+  /// Returns what peers need to know, latest responses first.
+  std::vector<notice_report> report();
+  /// Takes over what a peer knows from later responses than this instance.
+  void merge(const std::vector<notice_report> &Reports);
 
 private:
   struct entry {
     std::uint64_t Incarnation = 0;
+    /// The notice in the latest response to this instance.
     upstream_notice Notice;
+    /// The limit in the latest response to any instance, and its time.
+    std::optional<double> RateLimit;
+    monotonic_time At;
   };
 
   using entry_map = std::map<upstream_id, entry>;
 
+  void merge(const notice_report &Report, monotonic_time Now);
+  static bool isExpired(const entry &Entry, monotonic_time Now);
+
+  const time_source &Clock;
   sharded<entry_map> Entries;
 };
 
--- a/include/bluebellkeel/Upstream/OccupancyEstimator.h
+++ b/include/bluebellkeel/Upstream/OccupancyEstimator.h
@@ -5,6 +5,7 @@
 #include "bluebellkeel/Core/Sharded.h"
 #include "bluebellkeel/Core/TimeSource.h"
 #include "bluebellkeel/Upstream/LoadTracker.h"
+#include "bluebellkeel/Upstream/NoticeTracker.h"
 #include "bluebellkeel/Upstream/UpstreamRegistry.h"
 #include <map>
 
@@ -19,11 +20,13 @@
   static constexpr milliseconds EstimateLifetime{100};
 
   occupancy_estimator(upstream_registry &Registry, load_tracker &Loads,
-                      const time_source &Clock)
-      : Registry(Registry), Loads(Loads), Clock(Clock) {}
+                      notice_tracker &Notices, const time_source &Clock)
+      : Registry(Registry), Loads(Loads), Notices(Notices), Clock(Clock) {}
 
   /// Returns the fraction of the slots of \p Service in use, from 0 to 1; above
   /// 1 if more requests run than there are slots. 0 if no upstream has slots.
+  /// The slots of upstreams that name a limit do not count, since the limit and
+  /// not the slots bounds their load; 1 if there are no others.
   double occupancyOf(const service_id &Service);
 
 private:
@@ -36,6 +39,7 @@
 
   upstream_registry &Registry;
   load_tracker &Loads;
+  notice_tracker &Notices;
   const time_source &Clock;
   sharded<std::map<service_id, estimate>> Estimates;
 };
--- a/include/bluebellkeel/Upstream/SharedRateLimiter.h
+++ b/include/bluebellkeel/Upstream/SharedRateLimiter.h
@@ -24,12 +24,18 @@
     All
   };
 
+  /// In any window, all senders together send at most the rate times the sum of
+  /// the window, \p Advance and \p SendersPerRate seconds, or one request more
+  /// if this selects less than one sender.
+  ///
   /// \param SendersPerRate number of selected senders per request per second of
-  /// the rate. Each sender may exceed its part by one request in any window, so
-  /// all of them stay within the rate times the window plus their number.
+  /// the rate.
+  /// \param Advance how far a sender that had nothing to send may catch up with
+  /// its part of the rate.
   shared_rate_limiter(instance_id Self, double SendersPerRate,
-                      const time_source &Clock)
-      : Self(std::move(Self)), SendersPerRate(SendersPerRate), Clock(Clock) {}
+                      milliseconds Advance, const time_source &Clock)
+      : Self(std::move(Self)), SendersPerRate(SendersPerRate), Advance(Advance),
+        Clock(Clock) {}
 
   /// Returns the time until this instance may send a request to \p Upstream; 0
   /// if it may now. Empty if only others send to it.
@@ -47,9 +53,12 @@
 
 private:
   using interval = std::chrono::duration<double>;
+  /// For each upstream the time at which its latest request was due, which is
+  /// later than the time at which it was sent if that was in advance.
   using time_map = std::map<upstream_id, monotonic_time>;
 
-  /// Returns the shortest time between two requests of this instance.
+  /// Returns the time between two requests of this instance at its part of the
+  /// rate; empty if only others send.
   std::optional<interval> intervalOf(const upstream_id &Upstream, double Rate,
                                      const std::vector<instance_id> &Instances,
                                      senders Senders) const;
@@ -59,8 +68,9 @@
 
   const instance_id Self;
   const double SendersPerRate;
+  const milliseconds Advance;
   const time_source &Clock;
-  sharded<time_map> LastSent;
+  sharded<time_map> LastDue;
 };
 
 } // namespace bluebellkeel
--- a/lib/Gateway/DigestExchanger.cpp
+++ b/lib/Gateway/DigestExchanger.cpp
@@ -25,6 +25,7 @@
   for (const auto &[Request, Upstream] : Context.Crashes.recent(CrashAge))
     Fields.Crashes.emplace_back(Request, Upstream);
   Fields.PartCrashes = Context.PartCrashes.report();
+  Fields.Notices = Context.Notices.report();
   // A few instances are enough for a peer that knows no others, since it
   // contacts these next.
   Fields.KnownInstances = Context.Instances.aliveUpTo(MaxKnownPeersInDigest);
@@ -52,6 +53,7 @@
   for (const auto &Crash : Digest.crashes())
     Context.Crashes.notePeerCrash(Crash.request(), Crash.upstream());
   Context.PartCrashes.merge(Digest.partCrashes());
+  Context.Notices.merge(Digest.notices());
   Settings.compare(Digest.sender(), Digest.settings(), AskedAt);
   Upstreams.compare(Digest.sender(), Digest.upstreams(), AskedAt);
 }
--- a/lib/Gateway/GatewayContext.cpp
+++ b/lib/Gateway/GatewayContext.cpp
@@ -6,6 +6,12 @@
 /// within one and a half times its rate in any second.
 static constexpr double ColdSendersPerRate = 0.5;
 
+/// With one sender per request per second, each of which may be a second ahead,
+/// an upstream gets at most one and a half times the limit that it names in any
+/// four seconds, the shortest time in which it judges its load.
+static constexpr double LimitSendersPerRate = 1;
+static constexpr milliseconds LimitAdvance{1000};
+
 static roll_out_limits rollOutLimitsOf(const reloadable_settings &Reloadable) {
   return roll_out_limits(Reloadable.TrialShare);
 }
@@ -18,10 +24,13 @@
     : Settings(Settings), Reloadable(Settings.Reloadable),
       Log(Settings.Instance.text(), Clock),
       State(SettingsAge, Reloadable, Clock), Registry(Clock),
-      Updater(Registry, Clock), Loads(Clock), Occupancy(Registry, Loads, Clock),
-      Cold(Settings.Instance, ColdSendersPerRate, Clock), Centres(Clock),
-      Instances(Clock), RollOuts(rollOutLimitsOf(Settings.Reloadable), Clock),
-      Prefixes(Clock), Crashes(Clock), PartCrashes(Clock),
+      Updater(Registry, Clock), Loads(Clock), Notices(Clock),
+      Occupancy(Registry, Loads, Notices, Clock),
+      Cold(Settings.Instance, ColdSendersPerRate, milliseconds(0), Clock),
+      Limits(Settings.Instance, LimitSendersPerRate, LimitAdvance, Clock),
+      Centres(Clock), Instances(Clock),
+      RollOuts(rollOutLimitsOf(Settings.Reloadable), Clock), Prefixes(Clock),
+      Crashes(Clock), PartCrashes(Clock),
       Retries(retryRulesOf(Settings.Reloadable), Clock), HeavyLoad(Clock) {}
 
 void gateway_context::reconfigure(const reloadable_settings &Newer) {
@@ -40,6 +49,7 @@
                               Loads,
                               Occupancy,
                               Cold,
+                              Limits,
                               Notices,
                               Centres,
                               Instances,
--- a/lib/Gateway/GatewayRuntime.cpp
+++ b/lib/Gateway/GatewayRuntime.cpp
@@ -231,9 +231,10 @@
   while (true) {
     monotonic_time RequestedAt = Context.Clock.monotonicNow();
     auto Read = Follower.poll(*Log, milliseconds(0));
-    if (Read)
+    if (Read) {
+      Context.Instances.noteRegistrationsRead();
       Availability.succeeded(InstancesView.end());
-    else
+    } else
       Availability.failed(Read.error(), RequestedAt, InstancesView.end(),
                           InstancesAge.age(Context.Clock.monotonicNow()));
     awaitTime(Yield, Schedule.instancesDelay(/*ReadFailed=*/!Read));
--- a/lib/Membership/LiveInstances.cpp
+++ b/lib/Membership/LiveInstances.cpp
@@ -112,6 +112,24 @@
   return Senders;
 }
 
+sender_group live_instances::rateSharers() {
+  monotonic_time Now = Clock.monotonicNow();
+  std::vector<instance_id> Recent;
+  std::vector<instance_id> Known;
+  Entries.forEachShard([&](entry_map &Shard) {
+    for (const auto &[Id, Entry] : Shard) {
+      Known.push_back(Id);
+      if (Now - std::max(Entry.LastSeenAt, Entry.LastMentionedAt) <=
+          SenderTimeout)
+        Recent.push_back(Id);
+    }
+  });
+  // Both counts without this instance, which is part of either group.
+  bool Majority = 2 * (Recent.size() + 1) > Known.size() + 1;
+  bool Complete = RegistrationsRead || Now - CreatedAt > SilenceLimit;
+  return sender_group(std::move(Majority ? Recent : Known), Complete);
+}
+
 std::vector<liveness_report>
 live_instances::livenessReports(const data_centre_id &Centre) {
   monotonic_time Now = Clock.monotonicNow();
--- a/lib/Peer/DigestJson.cpp
+++ b/lib/Peer/DigestJson.cpp
@@ -1,4 +1,5 @@
 #include "DigestJson.h"
+#include "NoticeJson.h"
 #include "bluebellkeel/Codec.h"
 #include "bluebellkeel/Codec/FieldReader.h"
 #include <algorithm>
@@ -148,6 +149,8 @@
     Json["pc"] = crashesToJson(Body.partCrashes());
   if (!Body.partCrashes().successes().empty())
     Json["ps"] = successesToJson(Body.partCrashes());
+  if (!Body.notices().empty())
+    Json["un"] = noticesToJson(Body.notices());
   if (Body.settings().age())
     Json["a"] = static_cast<std::uint64_t>(Body.settings().age()->count());
   if (Body.upstreams().age())
@@ -280,6 +283,7 @@
     Digest.RollOuts.push_back(evidenceFrom(Item, Fields));
   Digest.Crashes = crashesFrom(Fields);
   Digest.PartCrashes = partCrashesFrom(Fields);
+  Digest.Notices = noticesFromJson(optionalArray(Fields, "un"), Fields);
   for (const auto &Item : Fields.array("k"))
     Digest.KnownInstances.push_back(recordFrom(Item, Fields));
   Digest.LivenessReports = livenessReportsFrom(Fields);
--- a/lib/Relay/ForwardCandidates.cpp
+++ b/lib/Relay/ForwardCandidates.cpp
@@ -73,7 +73,7 @@
   return Ids;
 }
 
-std::optional<placement_candidate>
+tl::expected<placement_candidate, no_candidate>
 forward_candidates::choose(const query &Query) const {
   entry_list Permitted = permittedEntries(Query);
   shuffleFor(Query.Request, Permitted);
@@ -84,28 +84,29 @@
       Permitted.begin(), Permitted.end(), [&Shortlisted](const auto &Entry) {
         return Shortlisted.count(Entry->listing().id()) > 0;
       });
-  auto Found =
-      chooseBest(entry_list(Permitted.begin(), ShortlistEnd), Query, Partition);
+  upstream_admission Admission(Deps, Query.ServiceConfig.coldRate());
+  auto Found = chooseBest(entry_list(Permitted.begin(), ShortlistEnd), Query,
+                          Partition, Admission);
   if (!Found && ShortlistEnd != Permitted.end())
-    Found =
-        chooseBest(entry_list(ShortlistEnd, Permitted.end()), Query, Partition);
-  return Found;
+    Found = chooseBest(entry_list(ShortlistEnd, Permitted.end()), Query,
+                       Partition, Admission);
+  if (!Found)
+    return tl::unexpected(no_candidate(Admission.freeIn()));
+  return std::move(*Found);
 }
 
 std::optional<placement_candidate>
 forward_candidates::chooseBest(const entry_list &Entries, const query &Query,
-                               const upstream_partition &Partition) const {
+                               const upstream_partition &Partition,
+                               upstream_admission &Admission) const {
   std::vector<placement_candidate> Candidates;
   Candidates.reserve(Entries.size());
   for (const auto &Entry : Entries)
     Candidates.push_back(makeCandidate(*Entry, Query, Partition));
   for (auto &Candidate : Deps.Placement.order(
            std::move(Candidates), Query.Prompt, Query.RelativeTokenTime)) {
-    if (Candidate.cold() &&
-        !Deps.Cold.admit(Candidate.listing().id(),
-                         Query.ServiceConfig.coldRate(), Deps.senders()))
-      continue;
-    return std::move(Candidate);
+    if (Admission.admit(Candidate))
+      return std::move(Candidate);
   }
   return std::nullopt;
 }
--- a/lib/Relay/ForwardRelay.cpp
+++ b/lib/Relay/ForwardRelay.cpp
@@ -2,6 +2,7 @@
 #include "BeginResponse.h"
 #include "bluebellkeel/Relay/AttemptTimeouts.h"
 #include <algorithm>
+#include <utility>
 
 using namespace bluebellkeel;
 
@@ -53,11 +54,9 @@
       refuse(*Reason);
       return;
     }
-    auto Target = choose();
+    auto Target = nextTarget();
     if (!Target) {
-      refuse(Progress.Arrivals + Progress.ConnectFailures > 0
-                 ? refusal_reason::NoCapacity
-                 : refusal_reason::NoUpstream);
+      refuseWithoutTarget(Target.error());
       return;
     }
     if (!reserveRetry()) {
@@ -69,7 +68,17 @@
   }
 }
 
-std::optional<placement_candidate> forward_relay::choose() {
+/// Returns the upstream for the next attempt: the one that was chosen before
+/// the response of a smaller model was dropped, unless the configuration has
+/// changed the service since.
+tl::expected<placement_candidate, no_candidate> forward_relay::nextTarget() {
+  auto Reserved = std::exchange(ReservedTarget, std::nullopt);
+  if (Reserved && Reserved->listing().service() == service())
+    return std::move(*Reserved);
+  return choose();
+}
+
+tl::expected<placement_candidate, no_candidate> forward_relay::choose() {
   using kind = version_rule::kind;
   const std::string Model = modelName();
   version_rule Rule =
@@ -83,11 +92,25 @@
   };
   auto Found = Find(Rule);
   // Falls back to other versions rather than refusing the call.
-  if (!Found && Rule.type() == kind::Only)
-    Found = Find(version_rule(kind::Not, Rule.version()));
+  if (!Found && Rule.type() == kind::Only) {
+    no_candidate First = Found.error();
+    Found = Find(version_rule(kind::Not, Rule.version()))
+                .map_error([&](const no_candidate &Second) {
+                  return First.with(Second);
+                });
+  }
   return Found;
 }
 
+void forward_relay::refuseWithoutTarget(const no_candidate &Reason) {
+  if (Reason.freeIn())
+    refuse(refusal_reason::UpstreamsLimited, *Reason.freeIn());
+  else if (Progress.Arrivals + Progress.ConnectFailures > 0)
+    refuse(refusal_reason::NoCapacity);
+  else
+    refuse(refusal_reason::NoUpstream);
+}
+
 bool forward_relay::reserveRetry() {
   if (Progress.Arrivals == 0 || RetryReserved)
     return true;
@@ -260,12 +283,20 @@
   // A crash after the response was dropped would go unnoticed.
   if (Deps.PartCrashes.blame()->suspects(Call->requestPrompt()))
     return false;
-  std::size_t Next = Deps.ModelSelector.next(modelQuery(), ModelIndex,
+  std::size_t Current = ModelIndex;
+  std::size_t Next = Deps.ModelSelector.next(modelQuery(), Current,
                                              *Response.head().confidence());
-  if (Next == ModelIndex || !reserveRetry())
+  if (Next == Current)
     return false;
   std::string Before = modelName();
   ModelIndex = Next;
+  // Without an upstream for the larger model, the response is better than none.
+  auto Target = choose();
+  if (!Target || !reserveRetry()) {
+    ModelIndex = Current;
+    return false;
+  }
+  ReservedTarget = *Target;
   Log.largerModel(Before, modelName(), *Response.head().confidence());
   return true;
 }
@@ -314,6 +345,12 @@
 
 /// Ends the call with a refusal, or aborts the response if it has started.
 void forward_relay::refuse(refusal_reason Reason) {
+  refuse(Reason, retryAfter(Reason));
+}
+
+/// \param RetryAfter how long the caller should wait before it retries; used
+/// if the request has not run.
+void forward_relay::refuse(refusal_reason Reason, milliseconds RetryAfter) {
   constexpr int Unavailable = 503;
   Deps.Monitor.countRefusal(Reason);
   if (Reason == refusal_reason::CallerGone) {
@@ -327,7 +364,7 @@
   }
   int Status = refusalStatus(Reason);
   Caller.refuse(Reason, Status,
-                Status == Unavailable ? retryAfter(Reason) : milliseconds(0));
+                Status == Unavailable ? RetryAfter : milliseconds(0));
   logEnd(toString(Reason), Status);
 }
 
--- a/lib/Relay/RefusalReason.cpp
+++ b/lib/Relay/RefusalReason.cpp
@@ -45,6 +45,7 @@
     {refusal_reason::UnknownRoute, "unknown_route", 404},
     {refusal_reason::TimeLimitUnsent, "time_limit_unsent", 503},
     {refusal_reason::TimeLimit, "time_limit", 504},
+    {refusal_reason::UpstreamsLimited, "upstreams_limited", 503},
 };
 
 const reason_entry &entryOf(refusal_reason Reason) {
--- a/lib/Upstream/OccupancyEstimator.cpp
+++ b/lib/Upstream/OccupancyEstimator.cpp
@@ -24,9 +24,20 @@
 double occupancy_estimator::compute(const service_id &Service) {
   double Running = 0;
   double Slots = 0;
+  bool Limited = false;
   for (const auto &Entry : Registry.serving(Service)) {
-    Running += Loads.loadOf(Entry->listing().id()).running();
-    Slots += Entry->listing().slots();
+    const upstream_listing &Upstream = Entry->listing();
+    if (Notices
+            .conditionOf(
+                upstream_incarnation(Upstream.id(), Upstream.incarnation()))
+            .rateLimit()) {
+      Limited = true;
+      continue;
+    }
+    Running += Loads.loadOf(Upstream.id()).running();
+    Slots += Upstream.slots();
   }
-  return Slots > 0 ? Running / Slots : 0;
+  if (Slots > 0)
+    return Running / Slots;
+  return Limited ? 1 : 0;
 }
--- a/lib/Upstream/SharedRateLimiter.cpp
+++ b/lib/Upstream/SharedRateLimiter.cpp
@@ -42,11 +42,11 @@
   if (!Interval)
     return std::nullopt;
   monotonic_time Now = Clock.monotonicNow();
-  return LastSent.withShard(Upstream.text(), [&](time_map &Shard) {
+  return LastDue.withShard(Upstream.text(), [&](time_map &Shard) {
     auto Found = Shard.find(Upstream);
     if (Found == Shard.end())
       return milliseconds(0);
-    interval Left = *Interval - (Now - Found->second);
+    interval Left = Found->second - Now + *Interval - Advance;
     return std::max(milliseconds(0), std::chrono::ceil<milliseconds>(Left));
   });
 }
@@ -57,14 +57,20 @@
   auto Interval = intervalOf(Upstream, Rate, Instances, Senders);
   if (!Interval)
     return false;
+  auto Step = std::chrono::duration_cast<monotonic_time::duration>(*Interval);
   monotonic_time Now = Clock.monotonicNow();
-  return LastSent.withShard(Upstream.text(), [&](time_map &Shard) {
+  return LastDue.withShard(Upstream.text(), [&](time_map &Shard) {
     auto Found = Shard.find(Upstream);
-    if (Found != Shard.end() && Now - Found->second < *Interval)
+    if (Found == Shard.end()) {
+      if (Shard.size() >= MaxUpstreams)
+        removeOld(Shard, Now);
+      Shard.emplace(Upstream, Now);
+      return true;
+    }
+    monotonic_time Due = Found->second + Step;
+    if (Now < Due - Advance)
       return false;
-    if (Found == Shard.end() && Shard.size() >= MaxUpstreams)
-      removeOld(Shard, Now);
-    Shard[Upstream] = Now;
+    Found->second = std::max(Now, Due);
     return true;
   });
 }
--- a/unittests/Membership/LiveInstancesTest.cpp
+++ b/unittests/Membership/LiveInstancesTest.cpp
@@ -17,6 +17,11 @@
                            instance_state::Live);
   }
 
+  static std::vector<instance_id> sorted(std::vector<instance_id> Ids) {
+    std::sort(Ids.begin(), Ids.end());
+    return Ids;
+  }
+
   manual_clock Clock;
   live_instances Instances{Clock};
 };
@@ -114,3 +119,31 @@
   Clock.advance(live_instances::SenderTimeout + milliseconds(1));
   EXPECT_TRUE(Instances.senders().empty());
 }
+
+TEST_F(live_instances_test,
+       rateSharers_untilRegistrationsAreRead_areIncompleteForAWhile) {
+  EXPECT_FALSE(Instances.rateSharers().complete());
+  Clock.advance(live_instances::SilenceLimit + milliseconds(1));
+  EXPECT_TRUE(Instances.rateSharers().complete());
+  live_instances Fresh(Clock);
+  Fresh.noteRegistrationsRead();
+  EXPECT_TRUE(Fresh.rateSharers().complete());
+}
+
+TEST_F(live_instances_test, rateSharers_minorityLost_leavesItOut) {
+  for (const char *Id : {"a", "b", "c"})
+    Instances.recordContact(record(Id));
+  Clock.advance(live_instances::SenderTimeout + milliseconds(1));
+  Instances.recordContact(record("a"));
+  Instances.recordContact(record("b"));
+  EXPECT_EQ((std::vector<instance_id>{instance_id("a"), instance_id("b")}),
+            sorted(Instances.rateSharers().instances()));
+}
+
+TEST_F(live_instances_test, rateSharers_majorityLost_keepsCountingIt) {
+  for (const char *Id : {"a", "b", "c"})
+    Instances.recordContact(record(Id));
+  Clock.advance(live_instances::SenderTimeout + milliseconds(1));
+  Instances.recordContact(record("a"));
+  EXPECT_EQ(3U, Instances.rateSharers().instances().size());
+}
--- a/unittests/Peer/DigestTest.cpp
+++ b/unittests/Peer/DigestTest.cpp
@@ -48,6 +48,10 @@
       {part_crash(fingerprint("f"), upstream_incarnation(upstream_id("u"), 13),
                   {"p", "q"}, milliseconds(11))},
       {part_success("p", milliseconds(12))});
+  Fields.Notices = {notice_report(upstream_incarnation(upstream_id("u"), 13),
+                                  2.5, milliseconds(14)),
+                    notice_report(upstream_incarnation(upstream_id("v"), 0),
+                                  std::nullopt, milliseconds(15))};
   Fields.KnownInstances = {Record};
   peer_body Digest = instance_digest(Fields);
   EXPECT_EQ(Digest, encodeAndDecode(Digest, instance_id("b")));
--- a/unittests/Support/ForwardFixture.h
+++ b/unittests/Support/ForwardFixture.h
@@ -68,7 +68,7 @@
 };
 
 /// Upstreams whose attempts follow Scripts in order; without a script, an
-/// attempt succeeds.
+/// attempt follows the upstream's entry in Defaults, or succeeds.
 class scripted_upstreams final : public forward_upstream {
 public:
   tl::expected<std::unique_ptr<upstream_response>, attempt_error>
@@ -78,9 +78,12 @@
     EXPECT_EQ(0, Open);
     Attempts.push_back(Attempt);
     upstream_script Script;
+    auto Default = Defaults.find(Attempt.upstream().id());
     if (!Scripts.empty()) {
       Script = Scripts.front();
       Scripts.pop_front();
+    } else if (Default != Defaults.end()) {
+      Script = Default->second;
     }
     if (Script.Before)
       Script.Before();
@@ -90,6 +93,7 @@
   }
 
   std::deque<upstream_script> Scripts;
+  std::map<upstream_id, upstream_script> Defaults;
   std::vector<forward_attempt> Attempts;
   int Open = 0;
 };
@@ -174,7 +178,8 @@
 /// kind.
 class forward_fixture : public testing::Test {
 protected:
-  forward_fixture() {
+  explicit forward_fixture(const std::string &Self = "self") : Self(Self) {
+    Instances.noteRegistrationsRead();
     for (const char *Id : {"u1", "u2", "u3"})
       Registry.insertIfNewer(upstream_listing(listingOf(Id)));
     configure(1);
@@ -256,14 +261,16 @@
     return "id: " + std::to_string(Number) + "\ndata: x\n\n";
   }
 
+  const instance_id Self;
   manual_clock Clock;
   settable_serving_status ServingStatus;
   route_table_holder Tables;
   upstream_registry Registry{Clock};
   load_tracker Loads{Clock};
-  occupancy_estimator Occupancy{Registry, Loads, Clock};
-  shared_rate_limiter Cold{instance_id("self"), 0.5, Clock};
-  notice_tracker Notices;
+  notice_tracker Notices{Clock};
+  occupancy_estimator Occupancy{Registry, Loads, Notices, Clock};
+  shared_rate_limiter Cold{Self, 0.5, milliseconds(0), Clock};
+  shared_rate_limiter Limits{Self, 1, milliseconds(1000), Clock};
   closed_data_centres Centres{Clock};
   live_instances Instances{Clock};
   roll_out_tracker RollOuts{roll_out_limits(0.15), Clock};
@@ -276,27 +283,17 @@
   noop_monitor Monitor;
   recording_log Log;
   counting_listener HeavyLoad;
-  forward_dependencies Deps{instance_id("self"),
-                            data_centre_id("north"),
-                            Clock,
-                            ServingStatus,
-                            Tables,
-                            Registry,
-                            Loads,
-                            Occupancy,
-                            Cold,
-                            Notices,
-                            Centres,
-                            Instances,
-                            RollOuts,
-                            Prefixes,
-                            Crashes,
-                            PartCrashes,
-                            Retries,
-                            Placement,
-                            ModelSelector,
-                            Monitor,
-                            Log,
+  forward_dependencies Deps{Self,        data_centre_id("north"),
+                            Clock,       ServingStatus,
+                            Tables,      Registry,
+                            Loads,       Occupancy,
+                            Cold,        Limits,
+                            Notices,     Centres,
+                            Instances,   RollOuts,
+                            Prefixes,    Crashes,
+                            PartCrashes, Retries,
+                            Placement,   ModelSelector,
+                            Monitor,     Log,
                             HeavyLoad};
   scripted_upstreams Upstreams;
   int LastId = 0;
--- a/unittests/Upstream/OccupancyEstimatorTest.cpp
+++ b/unittests/Upstream/OccupancyEstimatorTest.cpp
@@ -18,7 +18,8 @@
   manual_clock Clock;
   upstream_registry Registry{Clock};
   load_tracker Loads{Clock};
-  occupancy_estimator Estimator{Registry, Loads, Clock};
+  notice_tracker Notices{Clock};
+  occupancy_estimator Estimator{Registry, Loads, Notices, Clock};
   service_id Service{"engines"};
 };
 
@@ -44,3 +45,24 @@
   Clock.advance(occupancy_estimator::EstimateLifetime);
   EXPECT_DOUBLE_EQ(0.5, Estimator.occupancyOf(Service));
 }
+
+TEST_F(occupancy_estimator_test,
+       limitedUpstream_countsNeitherSlotsNorRequests) {
+  list("a", 2);
+  list("b", 6);
+  Loads.noteSent(upstream_id("a"), 0);
+  upstream_notice::fields Notice;
+  Notice.RateLimit = 3;
+  Notices.note(upstream_incarnation(upstream_id("b"), 1),
+               upstream_notice(Notice));
+  EXPECT_DOUBLE_EQ(0.5, Estimator.occupancyOf(Service));
+}
+
+TEST_F(occupancy_estimator_test, onlyLimitedUpstreams_isFull) {
+  list("a", 2);
+  upstream_notice::fields Notice;
+  Notice.RateLimit = 3;
+  Notices.note(upstream_incarnation(upstream_id("a"), 1),
+               upstream_notice(Notice));
+  EXPECT_EQ(1, Estimator.occupancyOf(Service));
+}
--- a/unittests/Upstream/SharedRateLimiterTest.cpp
+++ b/unittests/Upstream/SharedRateLimiterTest.cpp
@@ -8,8 +8,12 @@
 
 namespace {
 
-/// Selected senders per request per second, as for cold upstreams.
-constexpr double SendersPerRate = 0.5;
+/// Selected senders per request per second, and their advance, for cold
+/// upstreams and for those that name a limit.
+constexpr double ColdSendersPerRate = 0.5;
+constexpr milliseconds ColdAdvance{0};
+constexpr double LimitSendersPerRate = 1;
+constexpr milliseconds LimitAdvance{1000};
 
 class shared_rate_limiter_test : public testing::Test {
 protected:
@@ -17,14 +21,16 @@
     for (std::size_t I = 0; I < Count; ++I)
       Ids.emplace_back("edge-" + std::to_string(I));
     for (const auto &Id : Ids)
-      Limiters.push_back(
-          std::make_unique<shared_rate_limiter>(Id, SendersPerRate, Clock));
+      Limiters.push_back(std::make_unique<shared_rate_limiter>(
+          Id, SendersPerRate, Advance, Clock));
   }
   /// Lets all instances try every millisecond for 3 s; returns the most
   /// requests admitted in any second.
-  std::size_t maxPerSecond(double Rate) {
-    constexpr int Steps = 3000;
-    constexpr std::size_t Window = 1000;
+  std::size_t maxPerSecond(double Rate) { return maxInWindow(Rate, 1, 3000); }
+  /// Lets all instances try every millisecond for \p Steps; returns the most
+  /// requests admitted in any window.
+  std::size_t maxInWindow(double Rate, std::size_t WindowSeconds, int Steps) {
+    std::size_t Window = WindowSeconds * 1000;
     std::vector<std::size_t> Admitted;
     for (int Step = 0; Step < Steps; ++Step) {
       std::size_t Now = 0;
@@ -43,15 +49,32 @@
     return Peak;
   }
 
+  double SendersPerRate = ColdSendersPerRate;
+  milliseconds Advance = ColdAdvance;
   manual_clock Clock;
   std::vector<instance_id> Ids;
   std::vector<std::unique_ptr<shared_rate_limiter>> Limiters;
 };
 
-/// Operators' bound on the requests to a cold upstream in any second: Overage
-/// times its rate plus Slack.
+/// Operators' bound on the requests to a cold upstream in any second, and to a
+/// limited one in any four: Overage times its rate plus Slack.
 constexpr double Overage = 1.5;
 constexpr double Slack = 5;
+constexpr std::size_t LimitWindowSeconds = 4;
+
+class shared_limit_test : public shared_rate_limiter_test {
+protected:
+  shared_limit_test() {
+    SendersPerRate = LimitSendersPerRate;
+    Advance = LimitAdvance;
+  }
+  std::size_t maxInFourSeconds(double Rate) {
+    return maxInWindow(Rate, LimitWindowSeconds, 9000);
+  }
+  static double allowed(double Rate) {
+    return Rate * Overage * LimitWindowSeconds + Slack;
+  }
+};
 
 } // namespace
 
@@ -78,3 +101,67 @@
   double Rate = *rc::gen::inRange(1, 30);
   RC_ASSERT(static_cast<double>(maxPerSecond(Rate)) <= Rate * Overage + Slack);
 }
+
+TEST_F(shared_limit_test, rateBelowOne_isNotExceeded) {
+  addInstances(81);
+  EXPECT_LE(maxInFourSeconds(0.3), allowed(0.3));
+  EXPECT_GE(maxInFourSeconds(0.3), 1U);
+}
+
+TEST_F(shared_limit_test, idleSender_catchesUpWithinItsAdvance) {
+  addInstances(1);
+  EXPECT_TRUE(Limiters[0]->admit(upstream_id("u"), 2, Ids));
+  Clock.advance(milliseconds(5000));
+  int Admitted = 0;
+  while (Limiters[0]->admit(upstream_id("u"), 2, Ids))
+    ++Admitted;
+  EXPECT_EQ(3, Admitted);
+}
+
+TEST_F(shared_limit_test, delay_isTheTimeUntilTheNextRequestIsAdmitted) {
+  addInstances(1);
+  upstream_id Upstream("u");
+  EXPECT_EQ(milliseconds(0), Limiters[0]->delay(Upstream, 2, Ids));
+  while (Limiters[0]->admit(Upstream, 2, Ids))
+    ;
+  auto Delay = Limiters[0]->delay(Upstream, 2, Ids);
+  ASSERT_TRUE(Delay);
+  Clock.advance(*Delay - milliseconds(1));
+  EXPECT_FALSE(Limiters[0]->admit(Upstream, 2, Ids));
+  Clock.advance(milliseconds(1));
+  EXPECT_TRUE(Limiters[0]->admit(Upstream, 2, Ids));
+}
+
+TEST_F(shared_limit_test, raisedRate_shortensTheDelay) {
+  addInstances(1);
+  upstream_id Upstream("u");
+  while (Limiters[0]->admit(Upstream, 0.2, Ids))
+    ;
+  EXPECT_GT(*Limiters[0]->delay(Upstream, 0.2, Ids), milliseconds(3000));
+  EXPECT_LE(*Limiters[0]->delay(Upstream, 10, Ids), milliseconds(100));
+}
+
+TEST_F(shared_limit_test, unselectedInstance_hasNoDelayButSharesEqualParts) {
+  addInstances(9);
+  std::size_t Selected = 0;
+  std::size_t Equal = 0;
+  for (auto &Limiter : Limiters) {
+    Selected += Limiter->delay(upstream_id("u"), 2, Ids) ? 1 : 0;
+    Equal += Limiter->admit(upstream_id("u"), 2, Ids,
+                            shared_rate_limiter::senders::All)
+                 ? 1
+                 : 0;
+  }
+  EXPECT_EQ(2U, Selected);
+  EXPECT_EQ(9U, Equal);
+  Clock.advance(milliseconds(3000));
+  EXPECT_FALSE(Limiters[0]->admit(upstream_id("u"), 2, Ids,
+                                  shared_rate_limiter::senders::All));
+}
+
+RC_GTEST_FIXTURE_PROP(shared_limit_test,
+                      anyNumberOfInstances_staysWithinTheBound, ()) {
+  addInstances(*rc::gen::inRange<std::size_t>(1, 40));
+  double Rate = 0.1 * *rc::gen::inRange(1, 200);
+  RC_ASSERT(static_cast<double>(maxInFourSeconds(Rate)) <= allowed(Rate));
+}
