Mention each live instance to peers in turn

Its log shows two instances that both took themselves for its only sender.

Cause: among many instances a digest mentions three that are alive, and these were always the first three in the order of the table. The others are known only by direct contact, which among 120 instances leaves out 3 to 20 of them for 20 s, so that instances disagreed about who shares a rate. Class: a sample that is not drawn from all.

Change: live_instances::aliveInTurn takes the next ones at each call.

--- a/include/bluebellkeel/Membership/LiveInstances.h
+++ b/include/bluebellkeel/Membership/LiveInstances.h
@@ -50,8 +50,10 @@
   /// Returns the instances seen within SilenceLimit, sorted. Includes instances
   /// that are leaving.
   std::vector<instance_record> alive();
-  /// Returns at most \p MaxCount of the live instances.
-  std::vector<instance_record> aliveUpTo(std::size_t MaxCount);
+  bool anyAlive();
+  /// Returns at most \p MaxCount of the live instances, the next ones at each
+  /// call.
+  std::vector<instance_record> aliveInTurn(std::size_t MaxCount);
   /// Returns the instances that may still send requests to upstreams: those
   /// seen or mentioned within SenderTimeout, and those registered but never
   /// seen.
@@ -80,9 +82,12 @@
     return !Entry.Seen || Now - Entry.LastSeenAt > Limit;
   }
 
+  std::size_t countAlive(monotonic_time Now);
+
   const time_source &Clock;
   const monotonic_time CreatedAt;
   std::atomic<bool> RegistrationsRead{false};
+  std::atomic<std::size_t> NextInTurn{0};
   sharded<entry_map> Entries;
 };
 
--- a/lib/Gateway/DigestExchanger.cpp
+++ b/lib/Gateway/DigestExchanger.cpp
@@ -28,7 +28,7 @@
   Fields.Notices = Context.Notices.report();
   // A few instances are enough for a peer that knows no others, since it
   // contacts these next.
-  Fields.KnownInstances = Context.Instances.aliveUpTo(MaxKnownPeersInDigest);
+  Fields.KnownInstances = Context.Instances.aliveInTurn(MaxKnownPeersInDigest);
   if (Centre == Context.Settings.DataCentre)
     Fields.LivenessReports = Context.Instances.livenessReports(Centre);
   return instance_digest(std::move(Fields));
@@ -129,7 +129,7 @@
        peer_sampler::sample(Context.Instances.knownInstances(),
                             Context.Settings.DataCentre, Context.Random))
     sendQuery(Peer);
-  if (!Context.Instances.aliveUpTo(1).empty())
+  if (Context.Instances.anyAlive())
     return;
   for (const auto &Seed : Context.Reloadable.get().Seeds) {
     if (Seed == Context.Settings.PeerAddress)
--- a/lib/Gateway/ReadSchedule.cpp
+++ b/lib/Gateway/ReadSchedule.cpp
@@ -66,7 +66,7 @@
 milliseconds read_schedule::delayAfterWait() { return PollDelay; }
 
 milliseconds read_schedule::instancesDelay(bool ReadFailed) const {
-  if (ReadFailed || Context.Instances.aliveUpTo(1).empty())
+  if (ReadFailed || !Context.Instances.anyAlive())
     return NoPeersInterval;
   return isRedundantReader() ? RedundantInstancesInterval : InstancesInterval;
 }
--- a/lib/Membership/LiveInstances.cpp
+++ b/lib/Membership/LiveInstances.cpp
@@ -86,16 +86,36 @@
   return Alive;
 }
 
-std::vector<instance_record> live_instances::aliveUpTo(std::size_t MaxCount) {
+bool live_instances::anyAlive() { return countAlive(Clock.monotonicNow()) > 0; }
+
+std::size_t live_instances::countAlive(monotonic_time Now) {
+  std::size_t Count = 0;
+  Entries.forEachShard([&](entry_map &Shard) {
+    for (const auto &[Id, Entry] : Shard)
+      Count += silentFor(Entry, Now, SilenceLimit) ? 0 : 1;
+  });
+  return Count;
+}
+
+std::vector<instance_record> live_instances::aliveInTurn(std::size_t MaxCount) {
   monotonic_time Now = Clock.monotonicNow();
-  std::vector<instance_record> Alive;
+  std::size_t Count = countAlive(Now);
+  if (Count == 0)
+    return {};
+  // Only the chosen records are copied, since digests are frequent.
+  std::size_t First = NextInTurn.fetch_add(MaxCount) % Count;
+  std::size_t Position = 0;
+  std::vector<instance_record> Chosen;
   Entries.forEachShard([&](entry_map &Shard) {
     for (const auto &[Id, Entry] : Shard) {
-      if (Alive.size() < MaxCount && !silentFor(Entry, Now, SilenceLimit))
-        Alive.push_back(Entry.Record);
+      if (silentFor(Entry, Now, SilenceLimit))
+        continue;
+      std::size_t Turn = (Position++ + Count - First) % Count;
+      if (Turn < MaxCount && Chosen.size() < MaxCount)
+        Chosen.push_back(Entry.Record);
     }
   });
-  return Alive;
+  return Chosen;
 }
 
 std::vector<instance_id> live_instances::senders() {
