Keep the advance on limits for attempts with larger models

Cause: a limit counts requests, but an attempt with a large model takes many times the work of one with a small model. Small ones, four times as frequent, used the limits up first, and large ones went to the upstreams without a limit. Besides, among many upstreams the sample that a request considers hardly ever held the few limited ones that an instance may send to.

Change: an attempt that may still be repeated with a larger model leaves the advance to the others. Upstreams whose limit is used up are left out before the sample is drawn. A limited upstream is not kept free of large models, since its limit bounds the small ones anyway.

Test: smallModels_leaveTheAdvanceToLargerOnes.

--- a/include/bluebellkeel/Policy/PlacementCandidate.h
+++ b/include/bluebellkeel/Policy/PlacementCandidate.h
@@ -17,6 +17,7 @@
     std::uint64_t CachedTokens = 0;
     bool SameDataCentre = true;
     bool Cold = false;
+    bool Limited = false;
     bool ReservedForSmallModels = false;
     bool Home = false;
   };
@@ -29,6 +30,8 @@
   std::uint64_t cachedTokens() const { return Content.CachedTokens; }
   bool sameDataCentre() const { return Content.SameDataCentre; }
   bool cold() const { return Content.Cold; }
+  /// True if the upstream names a limit on the number of its requests.
+  bool limited() const { return Content.Limited; }
   /// True if the upstream is reserved for small models.
   bool reservedForSmallModels() const { return Content.ReservedForSmallModels; }
   /// True if the upstream is a home of the prompt's shared part: requests with
@@ -36,7 +39,7 @@
   bool home() const { return Content.Home; }
   auto key() const {
     return std::tie(Content.Listing, Content.Load, Content.CachedTokens,
-                    Content.SameDataCentre, Content.Cold,
+                    Content.SameDataCentre, Content.Cold, Content.Limited,
                     Content.ReservedForSmallModels, Content.Home);
   }
 
--- a/include/bluebellkeel/Relay/ForwardCandidates.h
+++ b/include/bluebellkeel/Relay/ForwardCandidates.h
@@ -22,6 +22,8 @@
     const prompt &Prompt;
     const std::string &Model;
     double RelativeTokenTime;
+    /// True if other attempts of the service take much more work.
+    bool Light;
   };
 
   explicit forward_candidates(const forward_dependencies &Deps) : Deps(Deps) {}
@@ -35,7 +37,8 @@
 private:
   using entry_list = std::vector<std::shared_ptr<const registry_entry>>;
 
-  entry_list permittedEntries(const query &Query) const;
+  entry_list permittedEntries(const query &Query,
+                              upstream_admission &Admission) const;
   /// Returns the best of \p Entries that may take the request now.
   std::optional<placement_candidate>
   chooseBest(const entry_list &Entries, const query &Query,
--- a/include/bluebellkeel/Relay/ForwardRelay.h
+++ b/include/bluebellkeel/Relay/ForwardRelay.h
@@ -52,6 +52,7 @@
   model_query modelQuery() const;
   std::string modelName() const;
   double relativeTokenTime() const;
+  bool hasLargerModel() const;
   bool runsLeft() const { return Progress.Runs < route().attempts(); }
   bool repeatable() const { return route().repeatable(); }
   void refuse(refusal_reason Reason);
--- a/include/bluebellkeel/Relay/UpstreamAdmission.h
+++ b/include/bluebellkeel/Relay/UpstreamAdmission.h
@@ -13,9 +13,15 @@
   static constexpr milliseconds MaxDelay{10000};
 
   /// \param ColdRate requests per second that a cold upstream accepts.
-  upstream_admission(const forward_dependencies &Deps, double ColdRate)
-      : Deps(Deps), ColdRate(ColdRate) {}
-
+  /// \param Light true if the attempt takes little work compared with others of
+  /// the service. Such attempts leave the advance on the limits to the others,
+  /// since a limit counts requests and not their work.
+  upstream_admission(const forward_dependencies &Deps, double ColdRate,
+                     bool Light)
+      : Deps(Deps), ColdRate(ColdRate), Light(Light) {}
+
+  /// Returns true unless the limit of \p Upstream is used up for this instance.
+  bool mayAdmit(const upstream_listing &Upstream);
   /// Returns true if the attempt may be sent to \p Candidate, and counts it
   /// against the upstream's rates.
   bool admit(const placement_candidate &Candidate);
@@ -24,14 +30,17 @@
   const std::optional<milliseconds> &freeIn() const { return FreeIn; }
 
 private:
+  using senders = shared_rate_limiter::senders;
+
   const sender_group &group();
-  /// \param Confirmed true if the upstream has named \p Limit recently.
-  bool admitWithinLimit(const upstream_id &Upstream, double Limit,
-                        bool Confirmed);
+  upstream_condition conditionOf(const upstream_listing &Upstream) const;
+  shared_rate_limiter::request requestTo(const upstream_id &Upstream,
+                                         double Limit, senders Senders);
   void noteRejected(const upstream_id &Upstream, double Limit);
 
   const forward_dependencies &Deps;
   const double ColdRate;
+  const bool Light;
   std::optional<sender_group> Group;
   std::optional<milliseconds> FreeIn;
 };
--- a/include/bluebellkeel/Upstream/SharedRateLimiter.h
+++ b/include/bluebellkeel/Upstream/SharedRateLimiter.h
@@ -24,6 +24,18 @@
     All
   };
 
+  /// One request to an upstream.
+  struct request {
+    const upstream_id &Upstream;
+    /// Requests per second that the upstream accepts; positive.
+    double Rate;
+    /// All instances that may send, including this one.
+    const std::vector<instance_id> &Instances;
+    senders Senders = senders::Selected;
+    /// False if the request leaves the advance to others.
+    bool MayAdvance = true;
+  };
+
   /// In any window, all senders together send at most the rate times the sum of
   /// the window, \p Advance and \p SendersPerRate seconds, or one request more
   /// if this selects less than one sender.
@@ -37,40 +49,42 @@
       : Self(std::move(Self)), SendersPerRate(SendersPerRate), Advance(Advance),
         Clock(Clock) {}
 
-  /// Returns the time until this instance may send a request to \p Upstream; 0
-  /// if it may now. Empty if only others send to it.
-  ///
-  /// \param Rate requests per second that the upstream accepts; positive.
-  /// \param Instances all instances that may send, including this one.
-  std::optional<milliseconds> delay(const upstream_id &Upstream, double Rate,
-                                    const std::vector<instance_id> &Instances,
-                                    senders Senders = senders::Selected);
-  /// Returns true if this instance may send a request to \p Upstream now, and
-  /// counts it. The parameters are those of delay().
-  bool admit(const upstream_id &Upstream, double Rate,
-             const std::vector<instance_id> &Instances,
-             senders Senders = senders::Selected);
+  /// Returns the time until this instance may send \p Request; 0 if it may now.
+  /// Empty if only others send to the upstream.
+  std::optional<milliseconds> delay(const request &Request);
+  /// Returns true if this instance may send \p Request now, and counts it.
+  bool admit(const request &Request);
 
 private:
+  /// Number of instances that precede this one in the order in which instances
+  /// are selected for an upstream, out of \c Instances, as of \c At.
+  struct rank {
+    std::size_t Preceding = 0;
+    std::size_t Instances = 0;
+    monotonic_time At;
+  };
+
+  using rank_map = std::map<upstream_id, rank>;
   using interval = std::chrono::duration<double>;
   /// For each upstream the time at which its latest request was due, which is
   /// later than the time at which it was sent if that was in advance.
   using time_map = std::map<upstream_id, monotonic_time>;
 
+  milliseconds advanceOf(const request &Request) const {
+    return Request.MayAdvance ? Advance : milliseconds(0);
+  }
   /// Returns the time between two requests of this instance at its part of the
   /// rate; empty if only others send.
-  std::optional<interval> intervalOf(const upstream_id &Upstream, double Rate,
-                                     const std::vector<instance_id> &Instances,
-                                     senders Senders) const;
-  /// Removes the upstreams to which nothing was sent for long, so that the map
-  /// does not grow with all upstreams that ever were.
-  static void removeOld(time_map &Shard, monotonic_time Now);
+  std::optional<interval> intervalOf(const request &Request);
+  std::size_t precedingOf(const upstream_id &Upstream,
+                          const std::vector<instance_id> &Instances);
 
   const instance_id Self;
   const double SendersPerRate;
   const milliseconds Advance;
   const time_source &Clock;
   sharded<time_map> LastDue;
+  sharded<rank_map> Ranks;
 };
 
 } // namespace bluebellkeel
--- a/lib/Policy/CheapestPlacement.cpp
+++ b/lib/Policy/CheapestPlacement.cpp
@@ -58,6 +58,9 @@
                               double RelativeTokenTime, bool Partitioned) {
   if (!Partitioned)
     return 0;
+  // A limit bounds the requests of small models anyway.
+  if (Candidate.limited())
+    return 0;
   if (RelativeTokenTime >= MinLargeModelTokenTime)
     return Candidate.reservedForSmallModels() ? LargeModelOnReserved : 0;
   return Candidate.reservedForSmallModels() ? 0 : SmallModelOnUnreserved;
--- a/lib/Relay/ForwardCandidates.cpp
+++ b/lib/Relay/ForwardCandidates.cpp
@@ -19,10 +19,11 @@
 }
 
 forward_candidates::entry_list
-forward_candidates::permittedEntries(const query &Query) const {
+forward_candidates::permittedEntries(const query &Query,
+                                     upstream_admission &Admission) const {
   entry_list Permitted;
   for (auto &Entry : Deps.Registry.serving(Query.ServiceConfig.service())) {
-    if (permitted(*Entry, Query))
+    if (permitted(*Entry, Query) && Admission.mayAdmit(Entry->listing()))
       Permitted.push_back(std::move(Entry));
   }
   return Permitted;
@@ -40,6 +41,11 @@
       Deps.Prefixes.cachedTokens(Query.Model, Query.Prompt, Id);
   Fields.SameDataCentre = Entry.listing().dataCentre() == Deps.LocalCentre;
   Fields.Cold = Query.ServiceConfig.coldRate() > 0 && isCold(Entry);
+  Fields.Limited =
+      Deps.Notices
+          .conditionOf(upstream_incarnation(Id, Entry.listing().incarnation()))
+          .rateLimit()
+          .has_value();
   Fields.ReservedForSmallModels = Partition.reservedForSmallModels(Id);
   Fields.Home = Partition.home(Id);
   return placement_candidate(std::move(Fields));
@@ -75,7 +81,9 @@
 
 tl::expected<placement_candidate, no_candidate>
 forward_candidates::choose(const query &Query) const {
-  entry_list Permitted = permittedEntries(Query);
+  upstream_admission Admission(Deps, Query.ServiceConfig.coldRate(),
+                               Query.Light);
+  entry_list Permitted = permittedEntries(Query, Admission);
   shuffleFor(Query.Request, Permitted);
   upstream_partition Partition(idsOf(Permitted), Query.Prompt);
   auto Shortlisted = Partition.shortlist(Query.Request.text());
@@ -84,7 +92,6 @@
       Permitted.begin(), Permitted.end(), [&Shortlisted](const auto &Entry) {
         return Shortlisted.count(Entry->listing().id()) > 0;
       });
-  upstream_admission Admission(Deps, Query.ServiceConfig.coldRate());
   auto Found = chooseBest(entry_list(Permitted.begin(), ShortlistEnd), Query,
                           Partition, Admission);
   if (!Found && ShortlistEnd != Permitted.end())
--- a/lib/Relay/ForwardRelay.cpp
+++ b/lib/Relay/ForwardRelay.cpp
@@ -88,7 +88,7 @@
   auto Find = [&](const version_rule &VersionRule) {
     return Candidates.choose({Admission.serviceConfig(), VersionRule,
                               Progress.Tried, Call->id(), Call->requestPrompt(),
-                              Model, relativeTokenTime()});
+                              Model, relativeTokenTime(), hasLargerModel()});
   };
   auto Found = Find(Rule);
   // Falls back to other versions rather than refusing the call.
@@ -332,6 +332,10 @@
                                              : std::string();
 }
 
+bool forward_relay::hasLargerModel() const {
+  return ModelIndex + 1 < route().sizes().size();
+}
+
 /// Returns the chosen model's time per token relative to the route's smallest
 /// model, estimated from prices, which grow with the time that a model takes; 1
 /// if unknown.
--- a/lib/Relay/UpstreamAdmission.cpp
+++ b/lib/Relay/UpstreamAdmission.cpp
@@ -3,43 +3,65 @@
 
 using namespace bluebellkeel;
 
-using senders = shared_rate_limiter::senders;
-
 const sender_group &upstream_admission::group() {
   if (!Group)
     Group = Deps.rateSharers();
   return *Group;
 }
 
-bool upstream_admission::admit(const placement_candidate &Candidate) {
-  const upstream_listing &Upstream = Candidate.listing();
-  upstream_condition Condition = Deps.Notices.conditionOf(
+upstream_condition
+upstream_admission::conditionOf(const upstream_listing &Upstream) const {
+  return Deps.Notices.conditionOf(
       upstream_incarnation(Upstream.id(), Upstream.incarnation()));
+}
+
+shared_rate_limiter::request
+upstream_admission::requestTo(const upstream_id &Upstream, double Limit,
+                              senders Senders) {
+  return {Upstream, Limit, group().instances(), Senders, !Light};
+}
+
+/// If the selected senders have nothing to send, only the requests of others
+/// show that an upstream has lifted its limit.
+static std::vector<shared_rate_limiter::senders>
+sendersFor(const upstream_condition &Condition) {
+  using senders = shared_rate_limiter::senders;
+  if (Condition.limitConfirmed())
+    return {senders::Selected};
+  return {senders::Selected, senders::All};
+}
+
+bool upstream_admission::mayAdmit(const upstream_listing &Upstream) {
+  upstream_condition Condition = conditionOf(Upstream);
   const auto &Limit = Condition.rateLimit();
-  bool Admitted = true;
-  if (Candidate.cold())
-    Admitted = Deps.Cold.admit(Upstream.id(),
-                               std::min(ColdRate, Limit.value_or(ColdRate)),
-                               Deps.senders(), senders::Selected);
-  else if (Limit)
-    Admitted =
-        admitWithinLimit(Upstream.id(), *Limit, Condition.limitConfirmed());
-  if (!Admitted && Limit)
-    noteRejected(Upstream.id(), *Limit);
-  return Admitted;
+  if (!Limit)
+    return true;
+  for (senders Senders : sendersFor(Condition)) {
+    if (group().complete() &&
+        Deps.Limits.delay(requestTo(Upstream.id(), *Limit, Senders)) ==
+            milliseconds(0))
+      return true;
+  }
+  noteRejected(Upstream.id(), *Limit);
+  return false;
 }
 
-bool upstream_admission::admitWithinLimit(const upstream_id &Upstream,
-                                          double Limit, bool Confirmed) {
-  if (!group().complete())
-    return false;
-  const auto &Instances = group().instances();
-  if (Deps.Limits.admit(Upstream, Limit, Instances, senders::Selected))
+bool upstream_admission::admit(const placement_candidate &Candidate) {
+  const upstream_id &Upstream = Candidate.listing().id();
+  upstream_condition Condition = conditionOf(Candidate.listing());
+  const auto &Limit = Condition.rateLimit();
+  if (Candidate.cold()) {
+    double Rate = std::min(ColdRate, Limit.value_or(ColdRate));
+    return Deps.Cold.admit({Upstream, Rate, Deps.senders()});
+  }
+  if (!Limit)
     return true;
-  // If the selected senders have nothing to send, only the requests of others
-  // show that the upstream has lifted its limit.
-  return !Confirmed &&
-         Deps.Limits.admit(Upstream, Limit, Instances, senders::All);
+  for (senders Senders : sendersFor(Condition)) {
+    if (Deps.Limits.admit(requestTo(Upstream, *Limit, Senders)))
+      return true;
+  }
+  noteRejected(Upstream, *Limit);
+  return false;
 }
 
 void upstream_admission::noteRejected(const upstream_id &Upstream,
@@ -49,7 +71,7 @@
   milliseconds MeanInterval(static_cast<milliseconds::rep>(std::min(
       MillisPerSecond / Limit, static_cast<double>(MaxDelay.count()))));
   milliseconds Delay =
-      Deps.Limits.delay(Upstream, Limit, group().instances(), senders::Selected)
+      Deps.Limits.delay(requestTo(Upstream, Limit, senders::Selected))
           .value_or(MeanInterval);
   FreeIn = std::min(Delay, FreeIn.value_or(MaxDelay));
 }
--- a/unittests/Relay/LimitedUpstreamTest.cpp
+++ b/unittests/Relay/LimitedUpstreamTest.cpp
@@ -108,6 +108,18 @@
   EXPECT_EQ(503, run("/again/x").Status);
 }
 
+TEST_F(limited_upstream_test, smallModels_leaveTheAdvanceToLargerOnes) {
+  limitAll(1);
+  for (auto &[Id, Script] : Upstreams.Defaults)
+    Script.Pieces = {event(1)};
+  // Without low confidence, the small model's response is kept.
+  for (int I = 0; I < 3; ++I)
+    EXPECT_EQ(200, run("/sized/x").Status);
+  EXPECT_EQ(503, run("/sized/x").Status);
+  // Requests without a choice of models may use the advance.
+  EXPECT_EQ(3, servedAtOnce());
+}
+
 TEST_F(limited_upstream_test, largerModelWithoutUpstream_smallResponseIsKept) {
   limitAll(0.5);
   for (auto &[Id, Script] : Upstreams.Defaults) {
--- a/unittests/Upstream/SharedRateLimiterTest.cpp
+++ b/unittests/Upstream/SharedRateLimiterTest.cpp
@@ -35,7 +35,7 @@
     for (int Step = 0; Step < Steps; ++Step) {
       std::size_t Now = 0;
       for (auto &Limiter : Limiters)
-        Now += Limiter->admit(upstream_id("u"), Rate, Ids) ? 1 : 0;
+        Now += Limiter->admit({Upstream, Rate, Ids}) ? 1 : 0;
       Admitted.push_back(Now);
       Clock.advance(milliseconds(1));
     }
@@ -52,6 +52,7 @@
   double SendersPerRate = ColdSendersPerRate;
   milliseconds Advance = ColdAdvance;
   manual_clock Clock;
+  const upstream_id Upstream{"u"};
   std::vector<instance_id> Ids;
   std::vector<std::unique_ptr<shared_rate_limiter>> Limiters;
 };
@@ -110,35 +111,44 @@
 
 TEST_F(shared_limit_test, idleSender_catchesUpWithinItsAdvance) {
   addInstances(1);
-  EXPECT_TRUE(Limiters[0]->admit(upstream_id("u"), 2, Ids));
+  EXPECT_TRUE(Limiters[0]->admit({Upstream, 2, Ids}));
   Clock.advance(milliseconds(5000));
   int Admitted = 0;
-  while (Limiters[0]->admit(upstream_id("u"), 2, Ids))
+  while (Limiters[0]->admit({Upstream, 2, Ids}))
     ++Admitted;
   EXPECT_EQ(3, Admitted);
 }
 
+TEST_F(shared_limit_test, requestThatLeavesTheAdvance_waitsUntilItIsDue) {
+  addInstances(1);
+  shared_rate_limiter::request Light{Upstream, 2, Ids};
+  Light.MayAdvance = false;
+  EXPECT_TRUE(Limiters[0]->admit(Light));
+  EXPECT_FALSE(Limiters[0]->admit(Light));
+  EXPECT_EQ(milliseconds(500), Limiters[0]->delay(Light));
+  EXPECT_TRUE(Limiters[0]->admit({Upstream, 2, Ids}));
+  EXPECT_EQ(milliseconds(1000), Limiters[0]->delay(Light));
+}
+
 TEST_F(shared_limit_test, delay_isTheTimeUntilTheNextRequestIsAdmitted) {
   addInstances(1);
-  upstream_id Upstream("u");
-  EXPECT_EQ(milliseconds(0), Limiters[0]->delay(Upstream, 2, Ids));
-  while (Limiters[0]->admit(Upstream, 2, Ids))
+  EXPECT_EQ(milliseconds(0), Limiters[0]->delay({Upstream, 2, Ids}));
+  while (Limiters[0]->admit({Upstream, 2, Ids}))
     ;
-  auto Delay = Limiters[0]->delay(Upstream, 2, Ids);
+  auto Delay = Limiters[0]->delay({Upstream, 2, Ids});
   ASSERT_TRUE(Delay);
   Clock.advance(*Delay - milliseconds(1));
-  EXPECT_FALSE(Limiters[0]->admit(Upstream, 2, Ids));
+  EXPECT_FALSE(Limiters[0]->admit({Upstream, 2, Ids}));
   Clock.advance(milliseconds(1));
-  EXPECT_TRUE(Limiters[0]->admit(Upstream, 2, Ids));
+  EXPECT_TRUE(Limiters[0]->admit({Upstream, 2, Ids}));
 }
 
 TEST_F(shared_limit_test, raisedRate_shortensTheDelay) {
   addInstances(1);
-  upstream_id Upstream("u");
-  while (Limiters[0]->admit(Upstream, 0.2, Ids))
+  while (Limiters[0]->admit({Upstream, 0.2, Ids}))
     ;
-  EXPECT_GT(*Limiters[0]->delay(Upstream, 0.2, Ids), milliseconds(3000));
-  EXPECT_LE(*Limiters[0]->delay(Upstream, 10, Ids), milliseconds(100));
+  EXPECT_GT(*Limiters[0]->delay({Upstream, 0.2, Ids}), milliseconds(3000));
+  EXPECT_LE(*Limiters[0]->delay({Upstream, 10, Ids}), milliseconds(100));
 }
 
 TEST_F(shared_limit_test, unselectedInstance_hasNoDelayButSharesEqualParts) {
@@ -146,17 +156,17 @@
   std::size_t Selected = 0;
   std::size_t Equal = 0;
   for (auto &Limiter : Limiters) {
-    Selected += Limiter->delay(upstream_id("u"), 2, Ids) ? 1 : 0;
-    Equal += Limiter->admit(upstream_id("u"), 2, Ids,
-                            shared_rate_limiter::senders::All)
-                 ? 1
-                 : 0;
+    Selected += Limiter->delay({Upstream, 2, Ids}) ? 1 : 0;
+    Equal +=
+        Limiter->admit({Upstream, 2, Ids, shared_rate_limiter::senders::All})
+            ? 1
+            : 0;
   }
   EXPECT_EQ(2U, Selected);
   EXPECT_EQ(9U, Equal);
   Clock.advance(milliseconds(3000));
-  EXPECT_FALSE(Limiters[0]->admit(upstream_id("u"), 2, Ids,
-                                  shared_rate_limiter::senders::All));
+  EXPECT_FALSE(Limiters[0]->admit(
+      {Upstream, 2, Ids, shared_rate_limiter::senders::All}));
 }
 
 RC_GTEST_FIXTURE_PROP(shared_limit_test,
