Tell callers refused for limits to return at the rate of the limits

When every upstream that may run a request names a limit and it is used up, each refused caller was told the same moment, that of the next request that is admitted; all but one of them would be refused again then.

return_schedule spreads the callers of a service: they return no faster than this instance's part of the limits, urgent ones before others, after 10 s at most.

Result: refusedCallers_returnAtTheRateOfTheLimits failed before (the same Retry-After twice).

--- a/include/bluebellkeel/Gateway/GatewayContext.h
+++ b/include/bluebellkeel/Gateway/GatewayContext.h
@@ -55,6 +55,7 @@
   crash_tracker Crashes;
   part_crash_tracker PartCrashes;
   retry_window Retries;
+  return_schedule Returns;
   cheapest_placement Placement;
   confidence_model_selector ModelSelector;
   heavy_load_notifier HeavyLoad;
--- a/include/bluebellkeel/Policy.h
+++ b/include/bluebellkeel/Policy.h
@@ -35,6 +35,7 @@
 #include "bluebellkeel/Policy/QualityTracker.h"
 #include "bluebellkeel/Policy/RetryRules.h"
 #include "bluebellkeel/Policy/RetryWindow.h"
+#include "bluebellkeel/Policy/ReturnSchedule.h"
 #include "bluebellkeel/Policy/RollOutAnalyzer.h"
 #include "bluebellkeel/Policy/RollOutEvidence.h"
 #include "bluebellkeel/Policy/RollOutGate.h"
--- a/include/bluebellkeel/Relay/ForwardDependencies.h
+++ b/include/bluebellkeel/Relay/ForwardDependencies.h
@@ -11,6 +11,7 @@
 #include "bluebellkeel/Policy/PlacementPolicy.h"
 #include "bluebellkeel/Policy/PrefixTracker.h"
 #include "bluebellkeel/Policy/RetryWindow.h"
+#include "bluebellkeel/Policy/ReturnSchedule.h"
 #include "bluebellkeel/Policy/RollOutTracker.h"
 #include "bluebellkeel/Relay/LoadListener.h"
 #include "bluebellkeel/Relay/RelayMonitor.h"
@@ -44,6 +45,7 @@
   crash_tracker &Crashes;
   part_crash_tracker &PartCrashes;
   retry_window &Retries;
+  return_schedule &Returns;
   const placement_policy &Placement;
   const model_selector &ModelSelector;
   relay_monitor &Monitor;
--- a/include/bluebellkeel/Relay/NoCandidate.h
+++ b/include/bluebellkeel/Relay/NoCandidate.h
@@ -12,22 +12,27 @@
 /// Why no upstream can take an attempt now.
 class no_candidate : public comparable<no_candidate> {
 public:
+  /// No upstream was left out for its limit.
   no_candidate() = default;
-  explicit no_candidate(std::optional<milliseconds> FreeIn) : FreeIn(FreeIn) {}
+  no_candidate(milliseconds FreeIn, double Rate) : FreeIn(FreeIn), Rate(Rate) {}
 
-  /// Time until an upstream whose limit is used up takes another request; empty
-  /// if no upstream was left out for its limit.
+  /// Time until an upstream whose limit is used up takes another request from
+  /// some instance; empty if none was left out for its limit.
   const std::optional<milliseconds> &freeIn() const { return FreeIn; }
-  /// Returns the combination with that of another set of upstreams.
+  /// This instance's equal part of the limits of these upstreams, in requests
+  /// per second.
+  double rate() const { return Rate; }
+  /// Returns the combination with that of other upstreams.
   no_candidate with(const no_candidate &Other) const {
     if (!FreeIn || !Other.FreeIn)
       return FreeIn ? *this : Other;
-    return no_candidate(std::min(*FreeIn, *Other.FreeIn));
+    return {std::min(*FreeIn, *Other.FreeIn), Rate + Other.Rate};
   }
-  auto key() const { return std::tie(FreeIn); }
+  auto key() const { return std::tie(FreeIn, Rate); }
 
 private:
   std::optional<milliseconds> FreeIn;
+  double Rate = 0;
 };
 
 } // namespace bluebellkeel
--- a/include/bluebellkeel/Relay/UpstreamAdmission.h
+++ b/include/bluebellkeel/Relay/UpstreamAdmission.h
@@ -2,6 +2,7 @@
 #define BLUEBELLKEEL_RELAY_UPSTREAMADMISSION_H
 
 #include "bluebellkeel/Relay/ForwardDependencies.h"
+#include "bluebellkeel/Relay/NoCandidate.h"
 
 namespace bluebellkeel {
 
@@ -9,9 +10,6 @@
 /// warm-up and by the limits that they name. To be used for one choice.
 class upstream_admission {
 public:
-  /// Upper bound of freeIn().
-  static constexpr milliseconds MaxDelay{10000};
-
   /// \param ColdRate requests per second that a cold upstream accepts.
   /// \param Light true if the attempt takes little work compared with others of
   /// the service. Such attempts leave the advance on the limits to the others,
@@ -25,9 +23,8 @@
   /// Returns true if the attempt may be sent to \p Candidate, and counts it
   /// against the upstream's rates.
   bool admit(const placement_candidate &Candidate);
-  /// Returns the time until one of the upstreams rejected for its limit may get
-  /// a request from some instance; empty if none was rejected for it.
-  const std::optional<milliseconds> &freeIn() const { return FreeIn; }
+  /// Returns why none of the upstreams so far may take the attempt.
+  const no_candidate &rejection() const { return Rejection; }
 
 private:
   using senders = shared_rate_limiter::senders;
@@ -42,7 +39,7 @@
   const double ColdRate;
   const bool Light;
   std::optional<sender_group> Group;
-  std::optional<milliseconds> FreeIn;
+  no_candidate Rejection;
 };
 
 } // namespace bluebellkeel
--- a/lib/Gateway/GatewayContext.cpp
+++ b/lib/Gateway/GatewayContext.cpp
@@ -31,7 +31,8 @@
       Centres(Clock), Instances(Clock),
       RollOuts(rollOutLimitsOf(Settings.Reloadable), Clock), Prefixes(Clock),
       Crashes(Clock), PartCrashes(Clock),
-      Retries(retryRulesOf(Settings.Reloadable), Clock), HeavyLoad(Clock) {}
+      Retries(retryRulesOf(Settings.Reloadable), Clock), Returns(Clock),
+      HeavyLoad(Clock) {}
 
 void gateway_context::reconfigure(const reloadable_settings &Newer) {
   Reloadable.set(Newer);
@@ -58,6 +59,7 @@
                               Crashes,
                               PartCrashes,
                               Retries,
+                              Returns,
                               Placement,
                               ModelSelector,
                               Metrics,
--- a/lib/Relay/ForwardCandidates.cpp
+++ b/lib/Relay/ForwardCandidates.cpp
@@ -98,7 +98,7 @@
     Found = chooseBest(entry_list(ShortlistEnd, Permitted.end()), Query,
                        Partition, Admission);
   if (!Found)
-    return tl::unexpected(no_candidate(Admission.freeIn()));
+    return tl::unexpected(Admission.rejection());
   return std::move(*Found);
 }
 
--- a/lib/Relay/ForwardRelay.cpp
+++ b/lib/Relay/ForwardRelay.cpp
@@ -103,8 +103,13 @@
 }
 
 void forward_relay::refuseWithoutTarget(const no_candidate &Reason) {
+  /// Priority of requests that name none.
+  constexpr unsigned DefaultPriority = 5;
   if (Reason.freeIn())
-    refuse(refusal_reason::UpstreamsLimited, *Reason.freeIn());
+    refuse(refusal_reason::UpstreamsLimited,
+           Deps.Returns.next(service(),
+                             Admission.priority().value_or(DefaultPriority),
+                             *Reason.freeIn(), Reason.rate()));
   else if (Progress.Arrivals + Progress.ConnectFailures > 0)
     refuse(refusal_reason::NoCapacity);
   else
--- a/lib/Relay/UpstreamAdmission.cpp
+++ b/lib/Relay/UpstreamAdmission.cpp
@@ -66,12 +66,14 @@
 
 void upstream_admission::noteRejected(const upstream_id &Upstream,
                                       double Limit) {
-  constexpr double MillisPerSecond = 1000;
+  auto OwnDelay =
+      Deps.Limits.delay(requestTo(Upstream, Limit, senders::Selected));
   // Other instances take a request this often on average.
-  milliseconds MeanInterval(static_cast<milliseconds::rep>(std::min(
-      MillisPerSecond / Limit, static_cast<double>(MaxDelay.count()))));
-  milliseconds Delay =
-      Deps.Limits.delay(requestTo(Upstream, Limit, senders::Selected))
-          .value_or(MeanInterval);
-  FreeIn = std::min(Delay, FreeIn.value_or(MaxDelay));
+  std::chrono::duration<double> MeanInterval =
+      std::min<std::chrono::duration<double>>(
+          std::chrono::duration<double>(1 / Limit), return_schedule::MaxDelay);
+  auto Instances = static_cast<double>(group().instances().size());
+  Rejection = Rejection.with(no_candidate(
+      OwnDelay.value_or(std::chrono::ceil<milliseconds>(MeanInterval)),
+      Limit / Instances));
 }
--- a/unittests/Relay/LimitedUpstreamTest.cpp
+++ b/unittests/Relay/LimitedUpstreamTest.cpp
@@ -55,7 +55,8 @@
 
 TEST_F(limited_upstream_test, limitUsedUp_refusalSaysWhenToComeBack) {
   limitAll(0.5);
-  servedAtOnce();
+  for (int I = 0; I < 3; ++I)
+    EXPECT_EQ(200, run("/once/x").Status);
   auto Caller = run("/once/x");
   EXPECT_EQ(503, Caller.Status);
   EXPECT_EQ(refusal_reason::UpstreamsLimited, Caller.Reason);
@@ -66,6 +67,15 @@
   EXPECT_EQ(200, run("/once/x").Status);
 }
 
+TEST_F(limited_upstream_test, refusedCallers_returnAtTheRateOfTheLimits) {
+  limitAll(0.5);
+  servedAtOnce();
+  auto First = run("/once/x").RetryAfter;
+  auto Second = run("/once/x").RetryAfter;
+  // Three upstreams accept 1.5 requests per second together.
+  EXPECT_NEAR(1000 / 1.5, static_cast<double>((Second - First).count()), 1);
+}
+
 TEST_F(limited_upstream_test, limitNoLongerNamed_isLifted) {
   learn("u1", 0.5);
   learn("u2", 0.5);
--- a/unittests/Support/ForwardFixture.h
+++ b/unittests/Support/ForwardFixture.h
@@ -278,23 +278,24 @@
   crash_tracker Crashes{Clock};
   part_crash_tracker PartCrashes{Clock};
   retry_window Retries{retry_rules(0.9, 56, milliseconds(10000)), Clock};
+  return_schedule Returns{Clock};
   cheapest_placement Placement;
   confidence_model_selector ModelSelector;
   noop_monitor Monitor;
   recording_log Log;
   counting_listener HeavyLoad;
-  forward_dependencies Deps{Self,        data_centre_id("north"),
-                            Clock,       ServingStatus,
-                            Tables,      Registry,
-                            Loads,       Occupancy,
-                            Cold,        Limits,
-                            Notices,     Centres,
-                            Instances,   RollOuts,
-                            Prefixes,    Crashes,
-                            PartCrashes, Retries,
-                            Placement,   ModelSelector,
-                            Monitor,     Log,
-                            HeavyLoad};
+  forward_dependencies Deps{Self,          data_centre_id("north"),
+                            Clock,         ServingStatus,
+                            Tables,        Registry,
+                            Loads,         Occupancy,
+                            Cold,          Limits,
+                            Notices,       Centres,
+                            Instances,     RollOuts,
+                            Prefixes,      Crashes,
+                            PartCrashes,   Retries,
+                            Returns,       Placement,
+                            ModelSelector, Monitor,
+                            Log,           HeavyLoad};
   scripted_upstreams Upstreams;
   int LastId = 0;
 };
