Send nothing to upstreams that announce in a response to leave

An upstream that leaves says so in all its responses, but only the log's registrations were heeded.

Cause: the header field was not read.

Change: the announcement holds for the incarnation, is kept beside the limit in notice_tracker and passed on to peers. The line upstreams/notice_from_peer tells what peers brought.

--- a/include/bluebellkeel/Upstream/NoticeTracker.h
+++ b/include/bluebellkeel/Upstream/NoticeTracker.h
@@ -20,6 +20,8 @@
   static constexpr seconds ReportAge{10};
   /// Time after the latest response for which its limit is kept to.
   static constexpr seconds LimitLifetime{600};
+  /// Time after the latest response for which an upstream counts as leaving.
+  static constexpr seconds LeavingLifetime{86400};
   /// Maximum number of upstreams in a report.
   static constexpr std::size_t MaxReported = 256;
 
@@ -33,8 +35,9 @@
 
   /// Returns what peers need to know, latest responses first.
   std::vector<notice_report> report();
-  /// Takes over what a peer knows from later responses than this instance.
-  void merge(const std::vector<notice_report> &Reports);
+  /// Takes over what a peer knows from later responses than this instance;
+  /// returns the reports that say something new.
+  std::vector<notice_report> merge(const std::vector<notice_report> &Reports);
 
 private:
   struct entry {
@@ -43,12 +46,15 @@
     upstream_notice Notice;
     /// The limit in the latest response to any instance, and its time.
     std::optional<double> RateLimit;
+    /// True if any response announced that the upstream will leave.
+    bool Leaving = false;
     monotonic_time At;
   };
 
   using entry_map = std::map<upstream_id, entry>;
 
-  void merge(const notice_report &Report, monotonic_time Now);
+  /// Returns true if \p Report says something new.
+  bool merge(const notice_report &Report, monotonic_time Now);
   static bool isExpired(const entry &Entry, monotonic_time Now);
 
   const time_source &Clock;
--- a/include/bluebellkeel/Upstream/UpstreamCondition.h
+++ b/include/bluebellkeel/Upstream/UpstreamCondition.h
@@ -11,8 +11,10 @@
 class upstream_condition : public comparable<upstream_condition> {
 public:
   upstream_condition() = default;
-  upstream_condition(std::optional<double> RateLimit, bool LimitConfirmed)
-      : RateLimit(RateLimit), LimitConfirmed(LimitConfirmed) {}
+  upstream_condition(std::optional<double> RateLimit, bool LimitConfirmed,
+                     bool Leaving)
+      : RateLimit(RateLimit), LimitConfirmed(LimitConfirmed), Leaving(Leaving) {
+  }
 
   /// Requests per second that the upstream accepts from all instances together;
   /// empty if it names no limit.
@@ -20,11 +22,14 @@
   /// True if the upstream has named the limit recently, to this instance or to
   /// a peer.
   bool limitConfirmed() const { return LimitConfirmed; }
-  auto key() const { return std::tie(RateLimit, LimitConfirmed); }
+  /// True once the upstream has announced that it will leave.
+  bool leaving() const { return Leaving; }
+  auto key() const { return std::tie(RateLimit, LimitConfirmed, Leaving); }
 
 private:
   std::optional<double> RateLimit;
   bool LimitConfirmed = false;
+  bool Leaving = false;
 };
 
 } // namespace bluebellkeel
--- a/include/bluebellkeel/Upstream/UpstreamListing.h
+++ b/include/bluebellkeel/Upstream/UpstreamListing.h
@@ -7,6 +7,7 @@
 #include "bluebellkeel/Core/Time.h"
 #include "bluebellkeel/Core/UpstreamId.h"
 #include "bluebellkeel/Core/VersionId.h"
+#include "bluebellkeel/Upstream/UpstreamIncarnation.h"
 
 namespace bluebellkeel {
 
@@ -43,6 +44,10 @@
   milliseconds coldLeft() const { return Content.ColdLeft; }
   /// Increases with each start under the same id.
   std::uint64_t incarnation() const { return Content.Incarnation; }
+  /// Returns the id together with the incarnation.
+  upstream_incarnation incarnationKey() const {
+    return upstream_incarnation(Content.Id, Content.Incarnation);
+  }
   /// Increases with each registration of one incarnation.
   std::uint64_t sequence() const { return Content.Sequence; }
   /// Orders the listings of one upstream by age.
--- a/lib/Gateway/DigestExchanger.cpp
+++ b/lib/Gateway/DigestExchanger.cpp
@@ -1,4 +1,5 @@
 #include "DigestExchanger.h"
+#include "absl/strings/str_cat.h"
 
 using namespace bluebellkeel;
 
@@ -53,11 +54,25 @@
   for (const auto &Crash : Digest.crashes())
     Context.Crashes.notePeerCrash(Crash.request(), Crash.upstream());
   Context.PartCrashes.merge(Digest.partCrashes());
-  Context.Notices.merge(Digest.notices());
+  for (const auto &News : Context.Notices.merge(Digest.notices()))
+    logNotice(Peer, News);
   Settings.compare(Digest.sender(), Digest.settings(), AskedAt);
   Upstreams.compare(Digest.sender(), Digest.upstreams(), AskedAt);
 }
 
+void digest_exchanger::logNotice(const instance_id &Peer,
+                                 const notice_report &Notice) {
+  event_line Line("upstreams", "notice_from_peer");
+  Line.add("peer", Peer.text())
+      .add("upstream", Notice.upstream().upstream().text())
+      .add("incarnation", static_cast<std::int64_t>(Notice.upstream().number()))
+      .add("leaving", Notice.leaving())
+      .add("age_ms", Notice.age().count());
+  if (Notice.rateLimit())
+    Line.add("limit_per_s", absl::StrCat(*Notice.rateLimit()));
+  Context.Log.write(Line);
+}
+
 void digest_exchanger::onRecordsFetched(keyed_topic Topic,
                                         const keyed_page &Page) {
   event_line Line("peers", "records_fetched");
--- a/lib/Gateway/DigestExchanger.h
+++ b/lib/Gateway/DigestExchanger.h
@@ -45,6 +45,7 @@
   /// as a query itself.
   void merge(const instance_digest &Digest,
              std::optional<monotonic_time> AskedAt);
+  void logNotice(const instance_id &Peer, const notice_report &Notice);
   void onRecordsFetched(keyed_topic Topic, const keyed_page &Page) override;
   const view_synchronizer &viewOf(keyed_topic Topic) const {
     return Topic == keyed_topic::Upstreams ? Upstreams : Settings;
--- a/lib/Peer/NoticeJson.cpp
+++ b/lib/Peer/NoticeJson.cpp
@@ -14,6 +14,8 @@
                  {"a", static_cast<std::uint64_t>(Report.age().count())}};
     if (Report.rateLimit())
       Item["r"] = *Report.rateLimit();
+    if (Report.leaving())
+      Item["v"] = true;
     Json.push_back(std::move(Item));
   }
   return Json;
@@ -38,6 +40,7 @@
     std::uint64_t Incarnation = Item.number("n");
     std::uint64_t Age = Item.number("a");
     auto RateLimit = rateLimitFrom(Item);
+    bool Leaving = !Item.optional("v").is_null() && Item.flag("v");
     if (Age > MaxAgeMs)
       Item.fail("an age is over a day");
     if (Item.failed()) {
@@ -45,7 +48,7 @@
       continue;
     }
     Reports.emplace_back(upstream_incarnation(Id, Incarnation), RateLimit,
-                         milliseconds(Age));
+                         Leaving, milliseconds(Age));
   }
   return Reports;
 }
--- a/lib/Relay/AttemptRecorder.cpp
+++ b/lib/Relay/AttemptRecorder.cpp
@@ -39,8 +39,6 @@
   // Only a request that was beginning can have caused the crash by what its
   // prompt holds; the others merely ran beside it.
   if (Progress.HeadReceived && !Progress.BodyStarted && !Stream.started())
-    Deps.PartCrashes.noteCrash(
-        Admission.requestFingerprint(),
-        upstream_incarnation(Upstream.id(), Upstream.incarnation()),
-        Call.requestPrompt());
+    Deps.PartCrashes.noteCrash(Admission.requestFingerprint(),
+                               Upstream.incarnationKey(), Call.requestPrompt());
 }
--- a/lib/Relay/ForwardCandidates.cpp
+++ b/lib/Relay/ForwardCandidates.cpp
@@ -8,6 +8,7 @@
                                    const query &Query) const {
   const upstream_listing &Listing = Entry.listing();
   return Query.Tried.count(Listing.id()) == 0 &&
+         !Deps.Notices.conditionOf(Listing.incarnationKey()).leaving() &&
          !Deps.Centres.closed(Listing.dataCentre()) &&
          Query.Rule.admits(Listing.version()) &&
          Deps.RollOuts.usable(Listing.service(), Listing.version());
@@ -41,11 +42,9 @@
       Deps.Prefixes.cachedTokens(Query.Model, Query.Prompt, Id);
   Fields.SameDataCentre = Entry.listing().dataCentre() == Deps.LocalCentre;
   Fields.Cold = Query.ServiceConfig.coldRate() > 0 && isCold(Entry);
-  Fields.Limited =
-      Deps.Notices
-          .conditionOf(upstream_incarnation(Id, Entry.listing().incarnation()))
-          .rateLimit()
-          .has_value();
+  Fields.Limited = Deps.Notices.conditionOf(Entry.listing().incarnationKey())
+                       .rateLimit()
+                       .has_value();
   Fields.ReservedForSmallModels = Partition.reservedForSmallModels(Id);
   Fields.Home = Partition.home(Id);
   return placement_candidate(std::move(Fields));
--- a/lib/Relay/ForwardRelay.cpp
+++ b/lib/Relay/ForwardRelay.cpp
@@ -167,9 +167,7 @@
   if (Head.queue() && !Head.fromOtherUpstream())
     Deps.Loads.noteReport(Upstream.id(), *Head.queue());
   if (!Head.fromOtherUpstream() &&
-      Deps.Notices.note(
-          upstream_incarnation(Upstream.id(), Upstream.incarnation()),
-          Head.notice()))
+      Deps.Notices.note(Upstream.incarnationKey(), Head.notice()))
     Log.notice(Upstream, Head.notice());
   if (Head.fromOtherUpstream()) {
     Deps.Registry.noteReplaced(Upstream.id(), Upstream.address());
--- a/lib/Relay/UpstreamAdmission.cpp
+++ b/lib/Relay/UpstreamAdmission.cpp
@@ -11,8 +11,7 @@
 
 upstream_condition
 upstream_admission::conditionOf(const upstream_listing &Upstream) const {
-  return Deps.Notices.conditionOf(
-      upstream_incarnation(Upstream.id(), Upstream.incarnation()));
+  return Deps.Notices.conditionOf(Upstream.incarnationKey());
 }
 
 shared_rate_limiter::request
--- a/lib/Upstream/NoticeTracker.cpp
+++ b/lib/Upstream/NoticeTracker.cpp
@@ -26,6 +26,7 @@
     bool Changed = Notice != Entry.Notice;
     Entry.Notice = Notice;
     Entry.RateLimit = Notice.rateLimit();
+    Entry.Leaving = Entry.Leaving || Notice.leaving();
     Entry.At = Now;
     return Changed;
   });
@@ -34,7 +35,8 @@
 /// True if the entry no longer says anything, to this instance or to peers.
 bool notice_tracker::isExpired(const entry &Entry, monotonic_time Now) {
   bool SaysNothing = !Entry.RateLimit && Entry.Notice == upstream_notice();
-  return Now - Entry.At > (SaysNothing ? ReportAge : LimitLifetime);
+  seconds Lifetime = SaysNothing ? ReportAge : LimitLifetime;
+  return Now - Entry.At > (Entry.Leaving ? LeavingLifetime : Lifetime);
 }
 
 upstream_condition
@@ -48,7 +50,8 @@
         isExpired(Known->second, Now))
       return upstream_condition();
     const entry &Entry = Known->second;
-    return upstream_condition(Entry.RateLimit, Now - Entry.At <= ReportAge);
+    return upstream_condition(Entry.RateLimit, Now - Entry.At <= ReportAge,
+                              Entry.Leaving);
   });
 }
 
@@ -65,7 +68,8 @@
       auto Age = std::chrono::duration_cast<milliseconds>(Now - Entry.At);
       if (Age <= ReportAge)
         Reports.emplace_back(upstream_incarnation(It->first, Entry.Incarnation),
-                             Entry.RateLimit, std::max(Age, milliseconds(0)));
+                             Entry.RateLimit, Entry.Leaving,
+                             std::max(Age, milliseconds(0)));
       ++It;
     }
   });
@@ -78,29 +82,36 @@
   return Reports;
 }
 
-void notice_tracker::merge(const std::vector<notice_report> &Reports) {
+std::vector<notice_report>
+notice_tracker::merge(const std::vector<notice_report> &Reports) {
   monotonic_time Now = Clock.monotonicNow();
+  std::vector<notice_report> News;
   for (const auto &Report : Reports) {
-    if (Report.age() <= ReportAge)
-      merge(Report, Now);
+    if (Report.age() <= ReportAge && merge(Report, Now))
+      News.push_back(Report);
   }
+  return News;
 }
 
-void notice_tracker::merge(const notice_report &Report, monotonic_time Now) {
+bool notice_tracker::merge(const notice_report &Report, monotonic_time Now) {
   const upstream_id &Id = Report.upstream().upstream();
   std::uint64_t Incarnation = Report.upstream().number();
   monotonic_time At = Now - Report.age();
-  Entries.withShard(Id.text(), [&](entry_map &Shard) {
+  return Entries.withShard(Id.text(), [&](entry_map &Shard) {
     auto Known = Shard.find(Id);
     if (Known != Shard.end() &&
         (Incarnation < Known->second.Incarnation ||
          (Incarnation == Known->second.Incarnation && At <= Known->second.At)))
-      return;
+      return false;
     entry &Entry = Shard[Id];
     if (Incarnation != Entry.Incarnation)
       Entry = entry();
+    bool New = Entry.RateLimit != Report.rateLimit() ||
+               Report.leaving() > Entry.Leaving;
     Entry.Incarnation = Incarnation;
     Entry.RateLimit = Report.rateLimit();
+    Entry.Leaving = Entry.Leaving || Report.leaving();
     Entry.At = At;
+    return New;
   });
 }
--- a/lib/Upstream/OccupancyEstimator.cpp
+++ b/lib/Upstream/OccupancyEstimator.cpp
@@ -27,10 +27,11 @@
   bool Limited = false;
   for (const auto &Entry : Registry.serving(Service)) {
     const upstream_listing &Upstream = Entry->listing();
-    if (Notices
-            .conditionOf(
-                upstream_incarnation(Upstream.id(), Upstream.incarnation()))
-            .rateLimit()) {
+    upstream_condition Condition =
+        Notices.conditionOf(Upstream.incarnationKey());
+    if (Condition.leaving())
+      continue;
+    if (Condition.rateLimit()) {
       Limited = true;
       continue;
     }
--- a/unittests/Peer/DigestTest.cpp
+++ b/unittests/Peer/DigestTest.cpp
@@ -49,9 +49,9 @@
                   {"p", "q"}, milliseconds(11))},
       {part_success("p", milliseconds(12))});
   Fields.Notices = {notice_report(upstream_incarnation(upstream_id("u"), 13),
-                                  2.5, milliseconds(14)),
+                                  2.5, false, milliseconds(14)),
                     notice_report(upstream_incarnation(upstream_id("v"), 0),
-                                  std::nullopt, milliseconds(15))};
+                                  std::nullopt, true, milliseconds(15))};
   Fields.KnownInstances = {Record};
   peer_body Digest = instance_digest(Fields);
   EXPECT_EQ(Digest, encodeAndDecode(Digest, instance_id("b")));
--- a/unittests/Relay/LimitedUpstreamTest.cpp
+++ b/unittests/Relay/LimitedUpstreamTest.cpp
@@ -99,7 +99,7 @@
 TEST_F(limited_upstream_test, limitReportedByPeer_isKeptTo) {
   for (const char *Id : {"u1", "u2", "u3"})
     Notices.merge({notice_report(upstream_incarnation(upstream_id(Id), 1), 1,
-                                 milliseconds(300))});
+                                 /*Leaving=*/false, milliseconds(300))});
   for (const char *Id : {"u1", "u2", "u3"})
     Upstreams.Defaults[upstream_id(Id)] = limitedTo(1);
   EXPECT_EQ(6, servedAtOnce());
--- a/unittests/Upstream/NoticeTrackerTest.cpp
+++ b/unittests/Upstream/NoticeTrackerTest.cpp
@@ -19,7 +19,7 @@
 
   static notice_report reportOf(std::optional<double> Rate, milliseconds Age,
                                 std::uint64_t Incarnation = 1) {
-    return notice_report(upstream(Incarnation), Rate, Age);
+    return notice_report(upstream(Incarnation), Rate, /*Leaving=*/false, Age);
   }
   std::optional<double> limit(std::uint64_t Incarnation = 1) {
     return Tracker.conditionOf(upstream(Incarnation)).rateLimit();
@@ -125,3 +125,22 @@
   Tracker.merge({reportOf(4, milliseconds(0), 1)});
   EXPECT_EQ(3, limit(2));
 }
+
+TEST_F(notice_tracker_test, announcementToLeave_holdsForTheIncarnation) {
+  upstream_notice::fields Leaving;
+  Leaving.Leaving = true;
+  Tracker.note(upstream(), upstream_notice(Leaving));
+  Tracker.note(upstream(), upstream_notice());
+  Tracker.merge({reportOf(std::nullopt, milliseconds(0))});
+  EXPECT_TRUE(Tracker.conditionOf(upstream()).leaving());
+  Clock.advance(notice_tracker::LimitLifetime * 2);
+  EXPECT_TRUE(Tracker.conditionOf(upstream()).leaving());
+  EXPECT_FALSE(Tracker.conditionOf(upstream(2)).leaving());
+}
+
+TEST_F(notice_tracker_test, merge_returnsOnlyWhatIsNew) {
+  auto Report = reportOf(3, milliseconds(500));
+  EXPECT_EQ(std::vector<notice_report>{Report}, Tracker.merge({Report}));
+  EXPECT_TRUE(Tracker.merge({reportOf(3, milliseconds(100))}).empty());
+  EXPECT_EQ(1U, Tracker.merge({reportOf(2, milliseconds(50))}).size());
+}
