Send nothing to upstreams that ask for a pause

An upstream that turns a request away with 503 may say how long it wants nothing from this instance.

Cause: Retry-After of an upstream's refusal was not read.

Change: the pause is kept beside the upstream's other notices, for this instance only, for at most 5 minutes. If all upstreams that may run a request have asked for one, the request is refused at once with the time until the first one ends.

--- a/include/bluebellkeel/Policy/ReturnSchedule.h
+++ b/include/bluebellkeel/Policy/ReturnSchedule.h
@@ -25,7 +25,7 @@
   /// \param Priority rank of the request; 0 is the most urgent.
   /// \param FreeIn time until an upstream may take a request.
   /// \param Rate requests per second that this instance can expect to be
-  /// admitted; positive.
+  /// admitted; 0 if they are not limited.
   milliseconds next(const service_id &Service, unsigned Priority,
                     milliseconds FreeIn, double Rate);
 
--- a/include/bluebellkeel/Relay/NoCandidate.h
+++ b/include/bluebellkeel/Relay/NoCandidate.h
@@ -12,15 +12,15 @@
 /// Why no upstream can take an attempt now.
 class no_candidate : public comparable<no_candidate> {
 public:
-  /// No upstream was left out for its limit.
+  /// No upstream was left out for its limit or a pause.
   no_candidate() = default;
   no_candidate(milliseconds FreeIn, double Rate) : FreeIn(FreeIn), Rate(Rate) {}
 
-  /// Time until an upstream whose limit is used up takes another request from
-  /// some instance; empty if none was left out for its limit.
+  /// Time until an upstream whose limit is used up, or which asked for a pause,
+  /// takes another request from some instance; empty if there is none.
   const std::optional<milliseconds> &freeIn() const { return FreeIn; }
   /// This instance's equal part of the limits of these upstreams, in requests
-  /// per second.
+  /// per second; 0 if they only asked for pauses.
   double rate() const { return Rate; }
   /// Returns the combination with that of other upstreams.
   no_candidate with(const no_candidate &Other) const {
--- a/include/bluebellkeel/Relay/RefusalReason.h
+++ b/include/bluebellkeel/Relay/RefusalReason.h
@@ -48,7 +48,7 @@
   /// The time limit was reached after an upstream may have run the request.
   TimeLimit,
   /// Every upstream that may run the request has named a limit, which is used
-  /// up for now.
+  /// up for now, or asked for a pause.
   UpstreamsLimited,
 };
 
--- a/include/bluebellkeel/Relay/UpstreamAdmission.h
+++ b/include/bluebellkeel/Relay/UpstreamAdmission.h
@@ -7,7 +7,8 @@
 namespace bluebellkeel {
 
 /// Decides which upstreams this instance may send one attempt to now, by their
-/// warm-up and by the limits that they name. To be used for one choice.
+/// warm-up and by the limits and pauses that they ask for. To be used for one
+/// choice.
 class upstream_admission {
 public:
   /// \param ColdRate requests per second that a cold upstream accepts.
@@ -18,7 +19,8 @@
                      bool Light)
       : Deps(Deps), ColdRate(ColdRate), Light(Light) {}
 
-  /// Returns true unless the limit of \p Upstream is used up for this instance.
+  /// Returns true unless \p Upstream asked this instance for a pause, or its
+  /// limit is used up for this instance.
   bool mayAdmit(const upstream_listing &Upstream);
   /// Returns true if the attempt may be sent to \p Candidate, and counts it
   /// against the upstream's rates.
--- a/include/bluebellkeel/Upstream/NoticeTracker.h
+++ b/include/bluebellkeel/Upstream/NoticeTracker.h
@@ -22,6 +22,8 @@
   static constexpr seconds LimitLifetime{600};
   /// Time after the latest response for which an upstream counts as leaving.
   static constexpr seconds LeavingLifetime{86400};
+  /// Longest pause that is kept to, so that a faulty upstream is asked again.
+  static constexpr seconds MaxPause{300};
   /// Maximum number of upstreams in a report.
   static constexpr std::size_t MaxReported = 256;
 
@@ -49,6 +51,8 @@
     /// True if any response announced that the upstream will leave.
     bool Leaving = false;
     monotonic_time At;
+    /// End of the pause that the upstream wants from this instance.
+    monotonic_time PausedUntil;
   };
 
   using entry_map = std::map<upstream_id, entry>;
--- a/lib/Policy/ReturnSchedule.cpp
+++ b/lib/Policy/ReturnSchedule.cpp
@@ -6,7 +6,7 @@
 milliseconds return_schedule::next(const service_id &Service, unsigned Priority,
                                    milliseconds FreeIn, double Rate) {
   monotonic_time Now = Clock.monotonicNow();
-  std::chrono::duration<double> Gap(1 / Rate);
+  std::chrono::duration<double> Gap(Rate > 0 ? 1 / Rate : 0);
   monotonic_time Latest = Now + MaxDelay;
   return Returns.withShard(Service.text(), [&](auto &Shard) {
     return_map &ByPriority = Shard[Service];
--- a/lib/Relay/UpstreamAdmission.cpp
+++ b/lib/Relay/UpstreamAdmission.cpp
@@ -32,6 +32,10 @@
 
 bool upstream_admission::mayAdmit(const upstream_listing &Upstream) {
   upstream_condition Condition = conditionOf(Upstream);
+  if (Condition.pauseLeft()) {
+    Rejection = Rejection.with(no_candidate(*Condition.pauseLeft(), 0));
+    return false;
+  }
   const auto &Limit = Condition.rateLimit();
   if (!Limit)
     return true;
--- a/lib/Upstream/NoticeTracker.cpp
+++ b/lib/Upstream/NoticeTracker.cpp
@@ -28,6 +28,9 @@
     Entry.RateLimit = Notice.rateLimit();
     Entry.Leaving = Entry.Leaving || Notice.leaving();
     Entry.At = Now;
+    Entry.PausedUntil =
+        std::max(Entry.PausedUntil,
+                 Now + std::min<milliseconds>(Notice.pause(), MaxPause));
     return Changed;
   });
 }
@@ -50,8 +53,14 @@
         isExpired(Known->second, Now))
       return upstream_condition();
     const entry &Entry = Known->second;
-    return upstream_condition(Entry.RateLimit, Now - Entry.At <= ReportAge,
-                              Entry.Leaving);
+    upstream_condition::fields Condition;
+    Condition.RateLimit = Entry.RateLimit;
+    Condition.LimitConfirmed = Now - Entry.At <= ReportAge;
+    Condition.Leaving = Entry.Leaving;
+    if (Now < Entry.PausedUntil)
+      Condition.PauseLeft =
+          std::chrono::ceil<milliseconds>(Entry.PausedUntil - Now);
+    return upstream_condition(Condition);
   });
 }
 
--- a/unittests/Adapter/GatewayProcessTest.cpp
+++ b/unittests/Adapter/GatewayProcessTest.cpp
@@ -352,6 +352,49 @@
   EXPECT_EQ(2U, Counts.size());
 }
 
+TEST_F(gateway_process_test, upstreamsThatAnnounceToLeave_getNoNewRequests) {
+  setUpstreamAction([](int, const http_request &, http_responder &Responder,
+                       boost::asio::yield_context) {
+    Responder.send(withHeader(okResponse("fine"), "Server-Leaving", "1"));
+  });
+  EXPECT_EQ(200, call("idempotent")->status());
+  EXPECT_EQ(200, call("idempotent")->status());
+  EXPECT_EQ(503, call("idempotent")->status());
+  EXPECT_EQ(2, requests());
+}
+
+TEST_F(gateway_process_test, upstreamsThatAskForAPause_getNoRequestsMeanwhile) {
+  setUpstreamAction([](int, const http_request &, http_responder &Responder,
+                       boost::asio::yield_context) {
+    Responder.send(
+        http_response(503,
+                      http_headers({{"Bluebellkeel-Not-Executed", "1"},
+                                    {"Retry-After", "2"}}),
+                      ""));
+  });
+  EXPECT_EQ(503, call("idempotent")->status());
+  auto Response = call("idempotent");
+  EXPECT_EQ(503, Response->status());
+  EXPECT_GT(std::stod(Response->headers().get("Retry-After")), 1);
+  EXPECT_EQ(2, requests());
+  setUpstreamAction(nullptr);
+  EXPECT_TRUE(waitFor([this] { return call("idempotent")->status() == 200; }));
+}
+
+TEST_F(gateway_process_test, oddNotices_neitherEndTheProcessNorTheService) {
+  for (const char *Value : {"0", "-1", "nan", "1e999", "x", ""}) {
+    setUpstreamAction([Value](int, const http_request &,
+                              http_responder &Responder,
+                              boost::asio::yield_context) {
+      Responder.send(
+          withHeader(withHeader(okResponse("fine"), "Server-Limit", Value),
+                     "Server-Leaving", Value));
+    });
+    for (int I = 0; I < 5; ++I)
+      EXPECT_EQ(200, call("idempotent")->status()) << Value;
+  }
+}
+
 TEST_F(gateway_process_test, completedRollOut_statusIsAppendedToTheLog) {
   Store.put("keyed.op", "rollout/desk",
             R"({"service":"desk","target":"v2","duration_s":1})");
--- a/unittests/Relay/UpstreamNoticeTest.cpp
+++ b/unittests/Relay/UpstreamNoticeTest.cpp
@@ -18,6 +18,12 @@
     for (int I = 0; I < 50; ++I)
       run("/again/x");
   }
+  /// Lets the upstream turn requests away and ask for a pause.
+  void pause(const std::string &Id, milliseconds Time) {
+    scriptOf(Id).Status = 503;
+    scriptOf(Id).NotRun = true;
+    scriptOf(Id).Notice.Pause = Time;
+  }
   upstream_script &scriptOf(const std::string &Id) {
     return Upstreams.Defaults[upstream_id(Id)];
   }
@@ -71,3 +77,49 @@
   runMany();
   EXPECT_EQ(1U, attemptsAt("u1"));
 }
+
+TEST_F(upstream_notice_test, upstreamThatAsksForAPause_getsNothingMeanwhile) {
+  Registry.remove(upstream_id("u2"));
+  Registry.remove(upstream_id("u3"));
+  pause("u1", milliseconds(3000));
+  run("/again/x");
+  Clock.advance(milliseconds(2999));
+  // Another response, to an earlier request, does not end the pause.
+  Notices.note(upstream_incarnation(upstream_id("u1"), 1), upstream_notice());
+  run("/again/x");
+  EXPECT_EQ(1U, attemptsAt("u1"));
+  Clock.advance(milliseconds(1));
+  run("/again/x");
+  EXPECT_EQ(2U, attemptsAt("u1"));
+}
+
+TEST_F(upstream_notice_test, allUpstreamsPaused_refusalSaysWhenToComeBack) {
+  for (const char *Id : {"u1", "u2", "u3"})
+    pause(Id, milliseconds(3000));
+  EXPECT_EQ(503, run("/once/x").Status);
+  EXPECT_EQ(3U, Upstreams.Attempts.size());
+  Clock.advance(milliseconds(500));
+  auto Caller = run("/once/x");
+  EXPECT_EQ(3U, Upstreams.Attempts.size());
+  EXPECT_EQ(503, Caller.Status);
+  EXPECT_EQ(refusal_reason::UpstreamsLimited, Caller.Reason);
+  EXPECT_GE(Caller.RetryAfter, milliseconds(2500));
+}
+
+TEST_F(upstream_notice_test, endlessPause_endsAfterTheMaximum) {
+  for (const char *Id : {"u1", "u2", "u3"})
+    pause(Id, milliseconds(86400000));
+  EXPECT_EQ(503, run("/once/x").Status);
+  Upstreams.Defaults.clear();
+  Clock.advance(notice_tracker::MaxPause);
+  EXPECT_EQ(200, run("/once/x").Status);
+}
+
+TEST_F(upstream_notice_test, pause_isNotPassedOnToPeers) {
+  pause("u1", milliseconds(3000));
+  runMany();
+  notice_tracker Peer(Clock);
+  Peer.merge(Notices.report());
+  EXPECT_FALSE(
+      Peer.conditionOf(upstream_incarnation(upstream_id("u1"), 1)).pauseLeft());
+}
