Soak: runners that name limits, leave or ask for pauses

The stand-in of an upstream says of itself what the soak tells it and notes each arrival; notice_check holds the arrivals against the users' rules (LIMIT, DRAIN, BUDGET). The faults come from a generator of their own, so that a seed's other faults stay as they were.

No more than 40 violations are printed.

--- a/test/Soak/FaultKind.h
+++ b/test/Soak/FaultKind.h
@@ -16,6 +16,12 @@
   PauseStore,
   /// The store never answers the reads that are waiting.
   DropReads,
+  /// A runner names a limit in its responses.
+  LimitRunner,
+  /// A runner says that it leaves, and is then replaced.
+  LeaveRunner,
+  /// A runner turns requests away and asks for a pause.
+  RefuseRequests,
 };
 
 } // namespace bluebellkeel
--- a/test/Soak/FaultSchedule.cpp
+++ b/test/Soak/FaultSchedule.cpp
@@ -9,6 +9,20 @@
 static constexpr int MinFaultMs = 300;
 static constexpr int MaxFaultMs = 4000;
 static constexpr int ReadDrops = 2;
+/// Added to the seed, so that a seed's other faults stay as they were before
+/// these kinds existed.
+static constexpr std::uint64_t NoticeSeed = 1000003;
+
+static milliseconds lengthOf(fault_kind Kind) {
+  switch (Kind) {
+  case fault_kind::LimitRunner:
+    return milliseconds(9000);
+  case fault_kind::LeaveRunner:
+    return milliseconds(4000);
+  default:
+    return milliseconds(2500);
+  }
+}
 
 fault_schedule::fault_schedule(std::uint64_t Seed, milliseconds Length,
                                int Gateways, int Runners) {
@@ -39,5 +53,14 @@
     Faults.emplace_back(Start, milliseconds(0), fault_kind::DropReads, 0,
                         link_mode::Pass);
   }
+  std::mt19937_64 NoticeRandom(Seed + NoticeSeed);
+  for (auto Kind : {fault_kind::LimitRunner, fault_kind::LimitRunner,
+                    fault_kind::LeaveRunner, fault_kind::RefuseRequests}) {
+    milliseconds Start(static_cast<int>(
+        NoticeRandom() % static_cast<std::uint64_t>(Length.count())));
+    int Target =
+        static_cast<int>(NoticeRandom() % static_cast<std::uint64_t>(Runners));
+    Faults.emplace_back(Start, lengthOf(Kind), Kind, Target, link_mode::Pass);
+  }
   std::sort(Faults.begin(), Faults.end());
 }
--- a/test/Soak/Main.cpp
+++ b/test/Soak/Main.cpp
@@ -2,6 +2,7 @@
 #include "absl/flags/flag.h"
 #include "absl/flags/parse.h"
 #include "absl/flags/usage.h"
+#include <algorithm>
 #include <atomic>
 #include <csignal>
 #include <filesystem>
@@ -44,8 +45,12 @@
   }
   for (const auto &Fault : Run.faults())
     std::cout << "  " << Fault.text() << "\n";
-  for (const auto &Line : Violations)
-    std::cout << "  BROKEN " << Line << "\n";
+  constexpr std::size_t MaxPrinted = 40;
+  std::size_t Printed = std::min(MaxPrinted, Violations.size());
+  for (std::size_t I = 0; I < Printed; ++I)
+    std::cout << "  BROKEN " << Violations[I] << "\n";
+  if (Printed < Violations.size())
+    std::cout << "  and " << Violations.size() - Printed << " more\n";
   std::cout << "  logs in " << Folder << "\n";
   return 1;
 }
--- a/test/Soak/SoakCheck.cpp
+++ b/test/Soak/SoakCheck.cpp
@@ -1,5 +1,6 @@
 #include "SoakCheck.h"
 #include "ExecutionCountCheck.h"
+#include "NoticeCheck.h"
 #include "RecoveryCheck.h"
 #include "RefusalCheck.h"
 #include "ResponseCheck.h"
@@ -19,6 +20,7 @@
   Checks.push_back(std::make_unique<settings_check>());
   Checks.push_back(std::make_unique<retry_budget_check>());
   Checks.push_back(std::make_unique<shutdown_check>());
+  Checks.push_back(std::make_unique<notice_check>());
   Checks.push_back(std::make_unique<recovery_check>());
   return Checks;
 }
--- a/test/Soak/SoakEnvironment.cpp
+++ b/test/Soak/SoakEnvironment.cpp
@@ -200,7 +200,8 @@
       std::make_unique<child_process>(std::vector<std::string>{
           STANDIN_PATH, "runner", "--id=r" + std::to_string(Index),
           "--listen=" + address(FirstRunnerPort + Index).text(),
-          "--ledger=" + Folder + "/ledger", "--work_ms=150"});
+          "--ledger=" + Folder + "/ledger",
+          "--arrivals=" + Folder + "/arrivals", "--work_ms=150"});
   list(Index);
 }
 
@@ -220,6 +221,39 @@
   RunnerLinks.at(index(Runner))->set(Mode);
 }
 
+void soak_environment::setNotice(int Index, const std::string &Query) {
+  NoticeClient.send(address(FirstRunnerPort + Index),
+                    http_request("POST", "/notice?" + Query, {}, ""));
+}
+
+/// Returns the value of "Name=Value"; empty if \p Text has another name.
+static std::string valueOf(const std::string &Text, const std::string &Name) {
+  return Text.rfind(Name + "=", 0) == 0 ? Text.substr(Name.size() + 1) : "";
+}
+
+std::vector<runner_arrival>
+soak_environment::arrivals(milliseconds RunStart) const {
+  std::vector<runner_arrival> Arrivals;
+  std::ifstream File(Folder + "/arrivals");
+  std::int64_t UnixMs = 0;
+  runner_arrival::fields Arrival;
+  std::string Limit;
+  std::string Leaving;
+  std::string Pause;
+  while (File >> UnixMs >> Arrival.Process >> Arrival.Request >> Limit >>
+         Leaving >> Pause) {
+    Arrival.At = milliseconds(UnixMs) - RunStart;
+    std::string Rate = valueOf(Limit, "limit");
+    Arrival.Limit =
+        Rate.empty() ? std::nullopt : std::optional<double>(std::stod(Rate));
+    Arrival.Leaving = valueOf(Leaving, "leaving") == "1";
+    std::string PauseMs = valueOf(Pause, "pause_ms");
+    Arrival.Pause = milliseconds(PauseMs.empty() ? 0 : std::stol(PauseMs));
+    Arrivals.emplace_back(Arrival);
+  }
+  return Arrivals;
+}
+
 std::map<std::string, int> soak_environment::runs() const {
   std::map<std::string, int> Runs;
   std::ifstream RunLog(Folder + "/ledger");
--- a/test/Soak/SoakEnvironment.h
+++ b/test/Soak/SoakEnvironment.h
@@ -3,6 +3,7 @@
 
 #include "FaultProxy.h"
 #include "Processes/ChildProcess.h"
+#include "RunnerArrival.h"
 #include "bluebellkeel/Core/NetworkAddress.h"
 #include "bluebellkeel/Core/Time.h"
 #include "bluebellkeel/Http/HttpClient.h"
@@ -47,6 +48,10 @@
   bool gatewayStarted(int Index) const;
 
   void startRunner(int Index);
+  /// Sets what the runner says of itself in its responses.
+  ///
+  /// \param Query fields of the stand-in's /notice request; empty for nothing.
+  void setNotice(int Index, const std::string &Query);
   void signalRunner(int Index, int Signal);
   void killRunner(int Index);
 
@@ -64,6 +69,10 @@
   bool configure(int Version);
   /// Returns how often runners started each request, by request id.
   std::map<std::string, int> runs() const;
+  /// Returns the arrivals at all runners.
+  ///
+  /// \param RunStart Unix time of the start of the run.
+  std::vector<runner_arrival> arrivals(milliseconds RunStart) const;
 
 private:
   std::string gatewayLog(int Index) const;
@@ -82,6 +91,9 @@
   const std::string Host;
   thread_pool &Pool;
   http_client Client{http_timeouts(seconds(1), seconds(2), seconds(2))};
+  /// Does not wait long for runners that are paused.
+  http_client NoticeClient{
+      http_timeouts(milliseconds(100), milliseconds(200), milliseconds(200))};
   std::unique_ptr<child_process> Store;
   std::array<std::unique_ptr<child_process>, Gateways> GatewayProcesses;
   std::array<std::unique_ptr<child_process>, Runners> RunnerProcesses;
--- a/test/Soak/SoakFault.cpp
+++ b/test/Soak/SoakFault.cpp
@@ -6,18 +6,16 @@
 bool soak_fault::affectsGateway(int Gateway) const {
   if (Kind == fault_kind::PauseStore)
     return true;
-  // A dropped read must go unnoticed.
-  if (Kind == fault_kind::DropReads)
-    return false;
-  return Target == Gateway && Kind != fault_kind::PauseRunner &&
-         Kind != fault_kind::KillRunner && Kind != fault_kind::RunnerLink;
+  return Target == Gateway &&
+         (Kind == fault_kind::PauseGateway || Kind == fault_kind::KillGateway ||
+          Kind == fault_kind::StopGateway || Kind == fault_kind::StoreLink);
 }
 
 std::string soak_fault::text() const {
-  static constexpr std::array<const char *, 9> Kinds = {
-      "pause gateway", "kill gateway", "stop gateway",
-      "pause runner",  "kill runner",  "store link",
-      "runner link",   "pause store",  "drop reads"};
+  static constexpr std::array<const char *, 12> Kinds = {
+      "pause gateway", "kill gateway", "stop gateway", "pause runner",
+      "kill runner",   "store link",   "runner link",  "pause store",
+      "drop reads",    "limit runner", "leave runner", "refuse requests"};
   static constexpr std::array<const char *, 6> Modes = {
       "pass", "delay", "reset", "lose requests", "lose answers", "silent"};
   std::string Text = std::to_string(Start.count()) + " to " +
--- a/test/Soak/SoakFault.h
+++ b/test/Soak/SoakFault.h
@@ -26,6 +26,13 @@
   int target() const { return Target; }
   /// Mode of a link fault; unused by other kinds.
   link_mode mode() const { return Mode; }
+  /// Returns the fault with the times at which it actually began and ended.
+  soak_fault beganAt(milliseconds Time) const {
+    return soak_fault(Time, Length, Kind, Target, Mode);
+  }
+  soak_fault endedAt(milliseconds Time) const {
+    return soak_fault(Start, Time - Start, Kind, Target, Mode);
+  }
   /// True if the fault affects \p Gateway, its link to the store, or the store.
   bool affectsGateway(int Gateway) const;
   std::string text() const;
--- a/test/Soak/SoakHistory.h
+++ b/test/Soak/SoakHistory.h
@@ -2,6 +2,7 @@
 #define TEST_SOAK_SOAKHISTORY_H
 
 #include "GatewayExit.h"
+#include "RunnerArrival.h"
 #include "SoakAttempt.h"
 #include "SoakFault.h"
 #include <map>
@@ -16,6 +17,7 @@
   std::vector<soak_attempt> AttemptsAfterFaults;
   /// Number of times that upstreams started to run each request.
   std::map<std::string, int> Runs;
+  std::vector<runner_arrival> Arrivals;
   std::vector<soak_fault> Faults;
   /// Time since the start of the run at which the store confirmed each version
   /// of the configuration.
--- a/test/Soak/SoakRun.cpp
+++ b/test/Soak/SoakRun.cpp
@@ -40,9 +40,18 @@
 soak_run::~soak_run() { Pool.stop(); }
 
 void soak_run::fillTimeline() {
-  for (const auto &Fault : Schedule.faults()) {
-    Timeline.emplace(Fault.start(), [this, &Fault] { begin(Fault); });
-    Timeline.emplace(Fault.end(), [this, &Fault] { end(Fault); });
+  // A call to a store that is paused delays what comes after it, so that the
+  // checks need the actual times.
+  for (auto &Fault : History.Faults) {
+    milliseconds End = Fault.end();
+    Timeline.emplace(Fault.start(), [this, &Fault] {
+      Fault = Fault.beganAt(now());
+      begin(Fault);
+    });
+    Timeline.emplace(End, [this, &Fault] {
+      end(Fault);
+      Fault = Fault.endedAt(now());
+    });
   }
   for (auto At = ConfigureInterval; At < FaultTime; At += ConfigureInterval)
     Timeline.emplace(At, [this] { configure(); });
@@ -53,6 +62,8 @@
   if (!Environment.start())
     return {"the gateways were not ready in time"};
   RunStart = std::chrono::steady_clock::now();
+  RunStartUnix = std::chrono::duration_cast<milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch());
   History.Versions[1] = milliseconds(0);
   fillTimeline();
   startCallers();
@@ -128,6 +139,12 @@
     return Environment.signalStore(SIGSTOP);
   case fault_kind::DropReads:
     return Environment.dropReads();
+  case fault_kind::LimitRunner:
+    return Environment.setNotice(Fault.target(), "limit=4.5");
+  case fault_kind::LeaveRunner:
+    return Environment.setNotice(Fault.target(), "leaving=1");
+  case fault_kind::RefuseRequests:
+    return Environment.setNotice(Fault.target(), "pause_ms=1500");
   }
 }
 
@@ -154,9 +171,21 @@
     return Environment.signalStore(SIGCONT);
   case fault_kind::DropReads:
     return;
+  case fault_kind::LimitRunner:
+  case fault_kind::RefuseRequests:
+    return Environment.setNotice(Fault.target(), "");
+  case fault_kind::LeaveRunner:
+    return replaceRunner(Fault.target());
   }
 }
 
+void soak_run::replaceRunner(int Runner) {
+  if (RunnerDown[Runner])
+    return;
+  Environment.killRunner(Runner);
+  Environment.startRunner(Runner);
+}
+
 void soak_run::beginStop(int Gateway) {
   if (stateOf(Gateway) != process_state::Running)
     return;
@@ -215,6 +244,7 @@
   History.Attempts = Log.all();
   History.AttemptsAfterFaults = AfterFaultsLog.all();
   History.Runs = Environment.runs();
+  History.Arrivals = Environment.arrivals(RunStartUnix);
   std::vector<std::string> Lines;
   for (const auto &Check : allSoakChecks()) {
     auto Found = Check->violations(History);
--- a/test/Soak/SoakRun.h
+++ b/test/Soak/SoakRun.h
@@ -46,6 +46,8 @@
   void beginStop(int Gateway);
   void killGateway(int Gateway);
   void restartGateway(int Gateway);
+  /// Ends the runner and starts another process under its id.
+  void replaceRunner(int Runner);
   void watchProcesses();
   bool allRunning() const;
   void configure();
@@ -63,6 +65,8 @@
   attempt_log Log;
   attempt_log AfterFaultsLog;
   std::chrono::steady_clock::time_point RunStart;
+  /// Unix time of RunStart.
+  milliseconds RunStartUnix{0};
   std::atomic<bool> Stop{false};
   std::atomic<int> Version{1};
   std::atomic<int> ActiveCallers{0};
--- a/utils/Platform/Main.cpp
+++ b/utils/Platform/Main.cpp
@@ -10,6 +10,8 @@
 
 ABSL_FLAG(std::string, ledger, "",
           "runner: file that gets a line for each request that it runs");
+ABSL_FLAG(std::string, arrivals, "",
+          "runner: file that gets a line for each request that arrives");
 ABSL_FLAG(std::uint32_t, work_ms, 0,
           "runner: duration of a request that is not a stream");
 
@@ -21,6 +23,7 @@
   if (Kind == "runner")
     return std::make_unique<runner_standin>(
         upstream_id(absl::GetFlag(FLAGS_id)), absl::GetFlag(FLAGS_ledger),
+        absl::GetFlag(FLAGS_arrivals),
         milliseconds(absl::GetFlag(FLAGS_work_ms)));
   return nullptr;
 }
