Log when all keys of a topic are read

After a store had come back from a copy, the logs did not tell whether reads failed, returned nothing or returned records that were ignored. The line log/all_keys_read has the offset that was known, the end of what was read and the number of records.

--- a/include/bluebellkeel/Journal.h
+++ b/include/bluebellkeel/Journal.h
@@ -25,6 +25,7 @@
 #include "bluebellkeel/Journal/LogFreshness.h"
 #include "bluebellkeel/Journal/LogPage.h"
 #include "bluebellkeel/Journal/LogRecord.h"
+#include "bluebellkeel/Journal/PollResult.h"
 #include "bluebellkeel/Journal/RecordLog.h"
 #include "bluebellkeel/Journal/RecordedOutcome.h"
 #include "bluebellkeel/Journal/SettingsFollower.h"
--- a/include/bluebellkeel/Journal/KeyedFollower.h
+++ b/include/bluebellkeel/Journal/KeyedFollower.h
@@ -5,6 +5,7 @@
 #include "bluebellkeel/Journal/KeyedLog.h"
 #include "bluebellkeel/Journal/KeyedView.h"
 #include "bluebellkeel/Journal/LogFreshness.h"
+#include "bluebellkeel/Journal/PollResult.h"
 
 namespace bluebellkeel {
 
@@ -19,7 +20,8 @@
   /// Reads the topic once: all keys on the first call and after retention
   /// dropped records, otherwise the new records, waiting at most \p Wait for
   /// the first.
-  tl::expected<void, journal_error> poll(keyed_log &Log, milliseconds Wait);
+  tl::expected<poll_result, journal_error> poll(keyed_log &Log,
+                                                milliseconds Wait);
 
 private:
   keyed_topic Topic;
--- /dev/null
+++ b/include/bluebellkeel/Journal/PollResult.h
@@ -0,0 +1,31 @@
+#ifndef BLUEBELLKEEL_JOURNAL_POLLRESULT_H
+#define BLUEBELLKEEL_JOURNAL_POLLRESULT_H
+
+#include "bluebellkeel/Core/Comparable.h"
+#include "bluebellkeel/Core/LogOffset.h"
+#include <tuple>
+
+namespace bluebellkeel {
+
+/// What one read of a topic returned.
+class poll_result : public comparable<poll_result> {
+public:
+  poll_result(bool AllKeys, std::size_t Records, log_offset End)
+      : AllKeys(AllKeys), Records(Records), End(End) {}
+
+  /// True if all keys were read instead of the new records.
+  bool allKeys() const { return AllKeys; }
+  std::size_t records() const { return Records; }
+  /// Offset up to which the records are complete.
+  log_offset end() const { return End; }
+  auto key() const { return std::tie(AllKeys, Records, End); }
+
+private:
+  bool AllKeys;
+  std::size_t Records;
+  log_offset End;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_JOURNAL_POLLRESULT_H
--- a/lib/Gateway/GatewayRuntime.cpp
+++ b/lib/Gateway/GatewayRuntime.cpp
@@ -166,6 +166,8 @@
       continue;
     }
     Backoff = FailureBackoff;
+    if (Read->allKeys())
+      Availability.allKeysRead(Before, *Read);
     if (Availability.succeeded(View.end()) && MayHaveExpired)
       Context.Updater.logReconnected();
     startServingWhenReady();
--- a/lib/Gateway/TopicAvailabilityMonitor.cpp
+++ b/lib/Gateway/TopicAvailabilityMonitor.cpp
@@ -26,6 +26,16 @@
   return true;
 }
 
+void topic_availability_monitor::allKeysRead(log_offset Known,
+                                             const poll_result &Read) {
+  event_line Line("log", "all_keys_read");
+  Line.add("topic", toString(Topic))
+      .add("known_offset", toField(Known))
+      .add("offset", toField(Read.end()))
+      .add("records", static_cast<std::int64_t>(Read.records()));
+  Log.write(Line);
+}
+
 void topic_availability_monitor::failed(journal_error Error,
                                         monotonic_time RequestedAt,
                                         log_offset End,
--- a/lib/Gateway/TopicAvailabilityMonitor.h
+++ b/lib/Gateway/TopicAvailabilityMonitor.h
@@ -6,6 +6,7 @@
 #include "bluebellkeel/Core/TimeSource.h"
 #include "bluebellkeel/Journal/JournalError.h"
 #include "bluebellkeel/Journal/KeyedTopic.h"
+#include "bluebellkeel/Journal/PollResult.h"
 #include <optional>
 
 namespace bluebellkeel {
@@ -21,6 +22,10 @@
   /// Records a successful read, after which the view reaches \p End. Returns
   /// true if the topic was lost before.
   bool succeeded(log_offset End);
+  /// Logs that all keys were read, after the view had reached \p Known. This
+  /// happens at the start and where the log does not have what follows \p
+  /// Known.
+  void allKeysRead(log_offset Known, const poll_result &Read);
   /// Records a failed read that was requested at \p RequestedAt. The view
   /// reaches \p End and was believed to be complete \p Age ago; empty if never.
   void failed(journal_error Error, monotonic_time RequestedAt, log_offset End,
--- a/lib/Journal/KeyedFollower.cpp
+++ b/lib/Journal/KeyedFollower.cpp
@@ -1,4 +1,5 @@
 #include "bluebellkeel/Journal/KeyedFollower.h"
+#include <utility>
 
 using namespace bluebellkeel;
 
@@ -12,8 +13,8 @@
   return Waited ? RequestedAt + Wait : RequestedAt;
 }
 
-tl::expected<void, journal_error> keyed_follower::poll(keyed_log &Log,
-                                                       milliseconds Wait) {
+tl::expected<poll_result, journal_error>
+keyed_follower::poll(keyed_log &Log, milliseconds Wait) {
   monotonic_time RequestedAt = Clock.monotonicNow();
   auto Page =
       Synced ? Log.read(Topic, View.end(), Wait) : Log.readLatest(Topic);
@@ -30,6 +31,6 @@
   Freshness.noteLogRead(
       Synced ? completeAsOf(*Page, RequestedAt, Wait, Clock.monotonicNow())
              : RequestedAt);
-  Synced = true;
-  return {};
+  bool AllKeys = !std::exchange(Synced, true);
+  return poll_result(AllKeys, Page->records().size(), Page->end());
 }
