--- a/unittests/Adapter/GatewayProcessTest.cpp
+++ b/unittests/Adapter/GatewayProcessTest.cpp
@@ -306,6 +306,52 @@
       waitFor([this] { return call("idempotent", "other")->status() == 200; }));
 }
 
+TEST_F(gateway_process_test,
+       storeRestoredFromCopy_newConfigurationTakesEffectWithinTwoSeconds) {
+  auto Copy = Store.takeCopy();
+  putConfiguration(3, 10000, {"key", "second"});
+  putConfiguration(4, 10000, {"key", "third"});
+  EXPECT_TRUE(
+      waitFor([this] { return call("idempotent", "third")->status() == 200; }));
+  Store.restore(Copy);
+  putConfiguration(4, 10000, {"key", "third"});
+  EXPECT_EQ(200, call("idempotent", "third")->status());
+  putConfiguration(7, 10000, {"other"});
+  auto Start = std::chrono::steady_clock::now();
+  EXPECT_TRUE(waitFor([this] { return call("idempotent")->status() == 401; }));
+  EXPECT_LT(std::chrono::steady_clock::now() - Start, milliseconds(2000));
+}
+
+TEST_F(gateway_process_test, storeRestoredFromCopy_olderSettingsAreNotInForce) {
+  auto Copy = Store.takeCopy();
+  putConfiguration(3, 10000, {"other"});
+  EXPECT_TRUE(waitFor([this] { return call("idempotent")->status() == 401; }));
+  Store.restore(Copy);
+  absl::Notification Never;
+  for (int I = 0; I < 30; ++I) {
+    EXPECT_EQ(401, call("idempotent")->status());
+    Never.WaitForNotificationWithTimeout(absl::Milliseconds(100));
+  }
+}
+
+TEST_F(gateway_process_test,
+       storeRestoredFromCopy_laterRegistrationsTakeEffectWithinTwoSeconds) {
+  auto Copy = Store.takeCopy();
+  for (int Sequence = 2; Sequence < 9; ++Sequence) {
+    Store.put("keyed.servers", "u1", registration(1, "ready", Sequence));
+    Store.put("keyed.servers", "u2", registration(2, "ready", Sequence));
+  }
+  absl::Notification Never;
+  Never.WaitForNotificationWithTimeout(absl::Milliseconds(500));
+  Store.restore(Copy);
+  Never.WaitForNotificationWithTimeout(absl::Milliseconds(500));
+  Store.put("keyed.servers", "u1", registration(1, "draining", 10));
+  Store.put("keyed.servers", "u2", registration(2, "draining", 10));
+  auto Start = std::chrono::steady_clock::now();
+  EXPECT_TRUE(waitFor([this] { return call("idempotent")->status() == 503; }));
+  EXPECT_LT(std::chrono::steady_clock::now() - Start, milliseconds(2000));
+}
+
 TEST_F(gateway_process_test, storeUnavailable_instanceKeepsServing) {
   Store.setFault(store_standin::fault::Busy);
   EXPECT_EQ(200, call("idempotent")->status());
--- a/utils/Platform/StoreStandin.cpp
+++ b/utils/Platform/StoreStandin.cpp
@@ -1,7 +1,9 @@
 #include "StoreStandin.h"
 #include "RecordFrames.h"
+#include "WireNames.h"
 #include "absl/strings/escaping.h"
 #include "bluebellkeel/Http/Await.h"
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 using namespace bluebellkeel;
@@ -14,7 +16,58 @@
 void store_standin::put(const std::string &Topic, const std::string &Key,
                         const std::string &Value) {
   absl::MutexLock Lock(&Mutex);
-  Topics[Topic].Records.emplace_back(Key, Value);
+  addTo(Topics[Topic], Key, Value);
+}
+
+void store_standin::addTo(topic &Topic, const std::string &Key,
+                          const std::string &Value) {
+  Topic.Records.emplace_back(Key, Value);
+  Topic.WrittenAt.push_back(std::chrono::steady_clock::now());
+}
+
+void store_standin::truncate(topic &Topic, std::size_t Size) {
+  if (Size >= Topic.Records.size())
+    return;
+  Topic.Records.resize(Size);
+  Topic.WrittenAt.resize(Size);
+  Topic.First = std::min(Topic.First, Size);
+}
+
+store_standin::copy_sizes store_standin::takeCopy() const {
+  absl::MutexLock Lock(&Mutex);
+  copy_sizes Copy;
+  for (const auto &[Name, Topic] : Topics)
+    Copy[Name] = Topic.Records.size();
+  return Copy;
+}
+
+void store_standin::restore(const copy_sizes &Copy) {
+  absl::MutexLock Lock(&Mutex);
+  ++Era;
+  for (auto &[Name, Topic] : Topics) {
+    auto Kept = Copy.find(Name);
+    truncate(Topic, Kept == Copy.end() ? 0 : Kept->second);
+  }
+}
+
+void store_standin::restoreFrom(milliseconds Time) {
+  absl::MutexLock Lock(&Mutex);
+  ++Era;
+  monotonic_time CopiedAt = std::chrono::steady_clock::now() - Time;
+  for (auto &[Name, Topic] : Topics) {
+    auto Lost = std::upper_bound(Topic.WrittenAt.begin(), Topic.WrittenAt.end(),
+                                 CopiedAt);
+    truncate(Topic, static_cast<std::size_t>(Lost - Topic.WrittenAt.begin()));
+  }
+}
+
+http_response store_standin::respond(int Status,
+                                     const std::string &Body) const {
+  absl::MutexLock Lock(&Mutex);
+  return http_response(
+      Status,
+      http_headers().with(std::string(wire::StoreEra), std::to_string(Era)),
+      Body);
 }
 
 void store_standin::compact(const std::string &Topic) {
@@ -67,7 +120,7 @@
     ActiveFault = Fault;
   }
   if (ActiveFault == fault::Busy) {
-    Responder.send(http_response(503, http_headers(), ""));
+    Responder.send(respond(503, ""));
     return;
   }
   if (ActiveFault == fault::Silent) {
@@ -77,13 +130,16 @@
   }
   if (Request.path() == "/put") {
     put(Request.query("topic"), Request.query("key"), Request.body());
-    Responder.send(http_response(200, http_headers(), ""));
+    Responder.send(respond(200, ""));
   } else if (Request.path() == "/drop-reads") {
     dropWaitingReads(Request.query("topic"));
-    Responder.send(http_response(200, http_headers(), ""));
+    Responder.send(respond(200, ""));
+  } else if (Request.path() == "/restore") {
+    restoreFrom(milliseconds(std::stol(Request.query("back_ms"))));
+    Responder.send(respond(200, ""));
   } else if (Request.path() == "/newest-value") {
     std::string Value = newest(Request.query("topic"), Request.query("key"));
-    Responder.send(http_response(200, http_headers(), Value));
+    Responder.send(respond(200, Value));
   } else if (Request.path() == "/bluebellkeel/log-append")
     append(Request, Responder);
   else if (Request.path() == "/bluebellkeel/log-read")
@@ -107,12 +163,12 @@
     Conflict = !At.empty() && At != std::to_string(Offset);
     if (!Conflict) {
       for (const auto &Record : Page->records())
-        Topic.Records.emplace_back(Record.name(), Record.value());
+        addTo(Topic, Record.name(), Record.value());
     }
     Lost = Fault == fault::AnswersLost;
   }
   if (Conflict) {
-    Responder.send(http_response(412, http_headers(), "{}"));
+    Responder.send(respond(412, "{}"));
     return;
   }
   if (Lost) {
@@ -120,7 +176,7 @@
     return;
   }
   nlohmann::json ResponseJson = {{"offset", Offset}, {"end", Offset + 1}};
-  Responder.send(http_response(200, http_headers(), ResponseJson.dump()));
+  Responder.send(respond(200, ResponseJson.dump()));
 }
 
 std::string store_standin::recordsFrom(const std::string &Topic,
@@ -143,10 +199,11 @@
   bool Trimmed = false;
   {
     absl::MutexLock Lock(&Mutex);
-    Trimmed = From < Topics[Topic].First;
+    const topic &Read = Topics[Topic];
+    Trimmed = From < Read.First || From > Read.Records.size();
   }
   if (Trimmed) {
-    Responder.send(http_response(410, http_headers(), "{\"first\":0}"));
+    Responder.send(respond(410, "{\"first\":0}"));
     return;
   }
   std::string Wait = Request.query("wait_timeout_ms");
@@ -187,5 +244,5 @@
   }
   nlohmann::json ResponseJson = {
       {"items", std::move(Items)}, {"has_more", false}, {"end", End}};
-  Responder.send(http_response(200, http_headers(), ResponseJson.dump()));
+  Responder.send(respond(200, ResponseJson.dump()));
 }
--- a/utils/Platform/StoreStandin.h
+++ b/utils/Platform/StoreStandin.h
@@ -3,6 +3,7 @@
 
 #include "absl/base/thread_annotations.h"
 #include "absl/synchronization/mutex.h"
+#include "bluebellkeel/Core/Time.h"
 #include "bluebellkeel/Http/HttpHandler.h"
 #include <cstdint>
 #include <map>
@@ -20,6 +21,7 @@
   /// five seconds without a response, and AnswersLost performs an append and
   /// then closes the connection without a response.
   enum class fault { None, Busy, Silent, AnswersLost };
+  using copy_sizes = std::map<std::string, std::size_t>;
 
   void put(const std::string &Topic, const std::string &Key,
            const std::string &Value);
@@ -30,6 +32,13 @@
   /// Never answers the reads of \p Topic that are waiting now; their
   /// connections stay open.
   void dropWaitingReads(const std::string &Topic);
+  /// Returns how many records each topic holds, for restore().
+  copy_sizes takeCopy() const;
+  /// Loses what was written after \p Copy was taken and raises the era. Offsets
+  /// are given out again.
+  void restore(const copy_sizes &Copy);
+  /// Loses what was written in the last \p Time and raises the era.
+  void restoreFrom(milliseconds Time);
   /// Returns the newest value of \p Key, or an empty string if there is none.
   std::string newest(const std::string &Topic, const std::string &Key) const;
   /// Returns the number of HTTP requests received so far.
@@ -41,6 +50,8 @@
 private:
   struct topic {
     std::vector<std::pair<std::string, std::string>> Records;
+    /// Time at which each record was written.
+    std::vector<monotonic_time> WrittenAt;
     /// Lowest offset that can be read.
     std::size_t First = 0;
     /// Number of calls of dropWaitingReads(); a read that began before the
@@ -48,6 +59,10 @@
     std::uint64_t Drops = 0;
   };
 
+  void addTo(topic &Topic, const std::string &Key, const std::string &Value);
+  void truncate(topic &Topic, std::size_t Size);
+  /// Returns a response with the era in its header.
+  http_response respond(int Status, const std::string &Body) const;
   void append(const http_request &Request, http_responder &Responder);
   void read(const http_request &Request, http_responder &Responder,
             boost::asio::yield_context Yield);
@@ -61,6 +76,7 @@
   std::map<std::string, topic> Topics ABSL_GUARDED_BY(Mutex);
   fault Fault ABSL_GUARDED_BY(Mutex) = fault::None;
   int Calls ABSL_GUARDED_BY(Mutex) = 0;
+  std::uint64_t Era ABSL_GUARDED_BY(Mutex) = 1;
 };
 
 } // namespace bluebellkeel
