Count positions in the log by the era of the store

Cause: records were ordered by their offset in the log. A restored log gives offsets out again, so its records counted as known, and reads began where the old log had ended. Class: a number that orders things only within one life of its source is compared across lives. It stood in the views of all topics, in what peers tell each other of how far they are and send, and in the order of roll-outs.

Change: log_position holds the era, which the store names in each response, and the offset. Positions of a later era are newer than all of earlier ones, so records, deletions, peers' views and orders compare as before. A peer's view of an earlier era does not make this one fresh.

Ruled out by the logs: records brought back by peers.

--- a/include/bluebellkeel/Core.h
+++ b/include/bluebellkeel/Core.h
@@ -11,6 +11,7 @@
 #include "bluebellkeel/Core/Identifier.h"
 #include "bluebellkeel/Core/InstanceId.h"
 #include "bluebellkeel/Core/LogOffset.h"
+#include "bluebellkeel/Core/LogPosition.h"
 #include "bluebellkeel/Core/NetworkAddress.h"
 #include "bluebellkeel/Core/RandomSource.h"
 #include "bluebellkeel/Core/RecentSet.h"
--- a/include/bluebellkeel/Journal/JournalError.h
+++ b/include/bluebellkeel/Journal/JournalError.h
@@ -20,6 +20,8 @@
   /// The log no longer ends at the offset that the append requires; nothing was
   /// appended.
   Conflict,
+  /// The response is from before the log was restored from a copy.
+  OldEra,
 };
 
 std::string_view toString(journal_error Error);
--- a/include/bluebellkeel/Journal/KeyedFollower.h
+++ b/include/bluebellkeel/Journal/KeyedFollower.h
@@ -17,13 +17,17 @@
                  const time_source &Clock)
       : Topic(Topic), View(View), Freshness(Freshness), Clock(Clock) {}
 
-  /// Reads the topic once: all keys on the first call and after retention
-  /// dropped records, otherwise the new records, waiting at most \p Wait for
-  /// the first.
+  /// Reads the topic once: all keys on the first call, after retention dropped
+  /// records and after the log was restored from a copy, otherwise the new
+  /// records, waiting at most \p Wait for the first.
   tl::expected<poll_result, journal_error> poll(keyed_log &Log,
                                                 milliseconds Wait);
 
 private:
+  /// Reads the new records, or all keys if Synced is false on return.
+  tl::expected<keyed_page, journal_error> readPage(keyed_log &Log,
+                                                   milliseconds Wait);
+
   keyed_topic Topic;
   keyed_view &View;
   log_freshness &Freshness;
--- a/include/bluebellkeel/Journal/KeyedLog.h
+++ b/include/bluebellkeel/Journal/KeyedLog.h
@@ -20,13 +20,14 @@
   virtual tl::expected<keyed_page, journal_error>
   readLatest(keyed_topic Topic) = 0;
   /// Returns the records after \p After; waits at most \p Wait for the first.
-  /// Returns journal_error::Trimmed when the log no longer keeps them.
+  /// Returns journal_error::Trimmed when the log does not have them; a page of
+  /// another era when it was restored since.
   virtual tl::expected<keyed_page, journal_error>
-  read(keyed_topic Topic, log_offset After, milliseconds Wait) = 0;
-  /// Appends one record and returns its offset. With \p At, appends only if the
-  /// topic still ends at that offset, and otherwise returns
+  read(keyed_topic Topic, const log_position &After, milliseconds Wait) = 0;
+  /// Appends one record and returns its position. With \p At, appends only if
+  /// the topic still ends at that offset, and otherwise returns
   /// journal_error::Conflict.
-  virtual tl::expected<log_offset, journal_error>
+  virtual tl::expected<log_position, journal_error>
   append(keyed_topic Topic, const std::string &Key, const std::string &Value,
          std::optional<log_offset> At) = 0;
 };
--- a/include/bluebellkeel/Journal/KeyedRecord.h
+++ b/include/bluebellkeel/Journal/KeyedRecord.h
@@ -2,7 +2,7 @@
 #define BLUEBELLKEEL_JOURNAL_KEYEDRECORD_H
 
 #include "bluebellkeel/Core/Comparable.h"
-#include "bluebellkeel/Core/LogOffset.h"
+#include "bluebellkeel/Core/LogPosition.h"
 #include <string>
 #include <tuple>
 
@@ -11,20 +11,20 @@
 /// A record that replaces earlier records of its key.
 class keyed_record : public comparable<keyed_record> {
 public:
-  keyed_record(std::string Key, std::string Value, log_offset Offset)
-      : Key(std::move(Key)), Value(std::move(Value)), Offset(Offset) {}
+  keyed_record(std::string Key, std::string Value, log_position Position)
+      : Key(std::move(Key)), Value(std::move(Value)), Position(Position) {}
 
   const std::string &name() const { return Key; }
   /// Empty if the key was deleted.
   const std::string &value() const { return Value; }
   bool isDeleted() const { return Value.empty(); }
-  log_offset offset() const { return Offset; }
-  auto key() const { return std::tie(Key, Value, Offset); }
+  log_position position() const { return Position; }
+  auto key() const { return std::tie(Key, Value, Position); }
 
 private:
   std::string Key;
   std::string Value;
-  log_offset Offset;
+  log_position Position;
 };
 
 } // namespace bluebellkeel
--- a/include/bluebellkeel/Journal/KeyedView.h
+++ b/include/bluebellkeel/Journal/KeyedView.h
@@ -24,11 +24,11 @@
   /// lacks, unless their record is newer than the page.
   void replace(const keyed_page &Page);
 
-  /// Returns the offset up to which the view is complete.
-  log_offset end() const;
-  /// Returns the records newer than \p After, ordered by offset, including
+  /// Returns the position up to which the view is complete.
+  log_position end() const;
+  /// Returns the records newer than \p After, ordered by position, including
   /// those of deleted keys; all records if some of these deletions are unknown.
-  keyed_page since(log_offset After) const;
+  keyed_page since(log_position After) const;
   /// Returns the newest record of \p Key, which may be a deletion; empty if
   /// there is none.
   std::optional<keyed_record> find(const std::string &Key) const;
@@ -43,10 +43,10 @@
   absl::Mutex NotifyMutex ABSL_ACQUIRED_BEFORE(Mutex);
   mutable absl::Mutex Mutex;
   std::map<std::string, keyed_record> Records ABSL_GUARDED_BY(Mutex);
-  log_offset End ABSL_GUARDED_BY(Mutex);
-  /// Offset after which every deletion is known. A page with all keys does not
-  /// tell which keys were deleted before its end.
-  log_offset DeletionsKnownAfter ABSL_GUARDED_BY(Mutex);
+  log_position End ABSL_GUARDED_BY(Mutex);
+  /// Position after which every deletion is known. A page with all keys does
+  /// not tell which keys were deleted before its end.
+  log_position DeletionsKnownAfter ABSL_GUARDED_BY(Mutex);
 };
 
 } // namespace bluebellkeel
--- a/include/bluebellkeel/Peer/ViewState.h
+++ b/include/bluebellkeel/Peer/ViewState.h
@@ -2,7 +2,7 @@
 #define BLUEBELLKEEL_PEER_VIEWSTATE_H
 
 #include "bluebellkeel/Core/Comparable.h"
-#include "bluebellkeel/Core/LogOffset.h"
+#include "bluebellkeel/Core/LogPosition.h"
 #include "bluebellkeel/Core/Time.h"
 #include <optional>
 #include <tuple>
@@ -15,15 +15,15 @@
 public:
   view_state() = default;
   /// \param Age empty if the view was never known to be complete.
-  view_state(log_offset End, std::optional<milliseconds> Age)
+  view_state(log_position End, std::optional<milliseconds> Age)
       : End(End), Age(Age) {}
 
-  log_offset end() const { return End; }
+  log_position end() const { return End; }
   const std::optional<milliseconds> &age() const { return Age; }
   auto key() const { return std::tie(End, Age); }
 
 private:
-  log_offset End;
+  log_position End;
   std::optional<milliseconds> Age;
 };
 
--- a/include/bluebellkeel/Peer/ViewSynchronizer.h
+++ b/include/bluebellkeel/Peer/ViewSynchronizer.h
@@ -26,7 +26,7 @@
   /// Returns the state of this instance's view.
   view_state state() const;
   /// Returns the records after \p After for a peer.
-  view_answer answer(log_offset After) const;
+  view_answer answer(const log_position &After) const;
 
   /// Compares the view of \p Peer with this one, and fetches the records that
   /// this one lacks if the log is silent.
--- a/lib/Gateway/DigestExchanger.cpp
+++ b/lib/Gateway/DigestExchanger.cpp
@@ -78,7 +78,8 @@
   event_line Line("peers", "records_fetched");
   Line.add("topic", toString(Topic))
       .add("count", static_cast<std::int64_t>(Page.records().size()))
-      .add("offset", static_cast<std::int64_t>(Page.end().value()));
+      .add("era", static_cast<std::int64_t>(Page.end().era()))
+      .add("offset", static_cast<std::int64_t>(Page.end().offset().value()));
   Context.Log.write(Line);
   propagateChanges(Topic);
 }
--- a/lib/Gateway/GatewayRuntime.cpp
+++ b/lib/Gateway/GatewayRuntime.cpp
@@ -141,7 +141,7 @@
       awaitTime(Yield, std::min(Lifetime, PeerDataCheckInterval));
       continue;
     }
-    log_offset Before = View.end();
+    log_position Before = View.end();
     monotonic_time RequestedAt = Context.Clock.monotonicNow();
     std::uint64_t ChangesBefore = Context.Registry.changes();
     bool WasLost = Availability.lost();
@@ -168,6 +168,8 @@
     Backoff = FailureBackoff;
     if (Read->allKeys())
       Availability.allKeysRead(Before, *Read);
+    if (Before.era() > 0 && View.end().era() > Before.era())
+      Availability.restored(Before, View.end());
     if (Availability.succeeded(View.end()) && MayHaveExpired)
       Context.Updater.logReconnected();
     startServingWhenReady();
@@ -211,7 +213,7 @@
   Context.Metrics.setSettingsAge(
       Age ? static_cast<double>(Age->count()) / MillisPerSecond : Never);
   Context.Metrics.setSettingsAppliedOffset(
-      static_cast<double>(SettingsView.end().value()));
+      static_cast<double>(SettingsView.end().offset().value()));
 }
 
 void gateway_runtime::impl::registerSelf(asio::yield_context Yield) {
--- a/lib/Gateway/TopicAvailabilityMonitor.cpp
+++ b/lib/Gateway/TopicAvailabilityMonitor.cpp
@@ -2,8 +2,8 @@
 
 using namespace bluebellkeel;
 
-static std::int64_t toField(log_offset Offset) {
-  return static_cast<std::int64_t>(Offset.value());
+static std::int64_t toField(const log_position &Position) {
+  return static_cast<std::int64_t>(Position.offset().value());
 }
 
 std::int64_t
@@ -12,7 +12,7 @@
       .count();
 }
 
-bool topic_availability_monitor::succeeded(log_offset End) {
+bool topic_availability_monitor::succeeded(log_position End) {
   if (!LostAt)
     return false;
   event_line Line("log", "dependency_regained");
@@ -26,7 +26,7 @@
   return true;
 }
 
-void topic_availability_monitor::allKeysRead(log_offset Known,
+void topic_availability_monitor::allKeysRead(log_position Known,
                                              const poll_result &Read) {
   event_line Line("log", "all_keys_read");
   Line.add("topic", toString(Topic))
@@ -36,9 +36,20 @@
   Log.write(Line);
 }
 
+void topic_availability_monitor::restored(const log_position &Known,
+                                          const log_position &End) {
+  event_line Line("log", "restored");
+  Line.add("topic", toString(Topic))
+      .add("known_era", static_cast<std::int64_t>(Known.era()))
+      .add("known_offset", toField(Known))
+      .add("era", static_cast<std::int64_t>(End.era()))
+      .add("offset", toField(End));
+  Log.write(Line);
+}
+
 void topic_availability_monitor::failed(journal_error Error,
                                         monotonic_time RequestedAt,
-                                        log_offset End,
+                                        log_position End,
                                         std::optional<milliseconds> Age) {
   ++FailedReads;
   if (LostAt)
--- a/lib/Gateway/TopicAvailabilityMonitor.h
+++ b/lib/Gateway/TopicAvailabilityMonitor.h
@@ -2,7 +2,7 @@
 #define BLUEBELLKEEL_LIB_GATEWAY_TOPICAVAILABILITYMONITOR_H
 
 #include "bluebellkeel/Core/EventLog.h"
-#include "bluebellkeel/Core/LogOffset.h"
+#include "bluebellkeel/Core/LogPosition.h"
 #include "bluebellkeel/Core/TimeSource.h"
 #include "bluebellkeel/Journal/JournalError.h"
 #include "bluebellkeel/Journal/KeyedTopic.h"
@@ -21,14 +21,17 @@
 
   /// Records a successful read, after which the view reaches \p End. Returns
   /// true if the topic was lost before.
-  bool succeeded(log_offset End);
+  bool succeeded(log_position End);
   /// Logs that all keys were read, after the view had reached \p Known. This
   /// happens at the start and where the log does not have what follows \p
   /// Known.
-  void allKeysRead(log_offset Known, const poll_result &Read);
+  void allKeysRead(log_position Known, const poll_result &Read);
+  /// Logs that the log was restored from a copy: the view reached \p Known, and
+  /// now follows a later era.
+  void restored(const log_position &Known, const log_position &End);
   /// Records a failed read that was requested at \p RequestedAt. The view
   /// reaches \p End and was believed to be complete \p Age ago; empty if never.
-  void failed(journal_error Error, monotonic_time RequestedAt, log_offset End,
+  void failed(journal_error Error, monotonic_time RequestedAt, log_position End,
               std::optional<milliseconds> Age);
   bool lost() const { return LostAt.has_value(); }
 
--- a/lib/Journal/JournalError.cpp
+++ b/lib/Journal/JournalError.cpp
@@ -16,6 +16,8 @@
     return "queue_full";
   case journal_error::Conflict:
     return "conflict";
+  case journal_error::OldEra:
+    return "old_era";
   }
   return "";
 }
--- a/lib/Journal/KeyedFollower.cpp
+++ b/lib/Journal/KeyedFollower.cpp
@@ -13,15 +13,25 @@
   return Waited ? RequestedAt + Wait : RequestedAt;
 }
 
+tl::expected<keyed_page, journal_error>
+keyed_follower::readPage(keyed_log &Log, milliseconds Wait) {
+  if (Synced) {
+    auto Page = Log.read(Topic, View.end(), Wait);
+    bool Restored = Page && Page->end().era() > View.end().era();
+    bool Trimmed = !Page && Page.error() == journal_error::Trimmed;
+    if (!Restored && !Trimmed)
+      return Page;
+    Synced = false;
+  }
+  return Log.readLatest(Topic);
+}
+
 tl::expected<poll_result, journal_error>
 keyed_follower::poll(keyed_log &Log, milliseconds Wait) {
   monotonic_time RequestedAt = Clock.monotonicNow();
-  auto Page =
-      Synced ? Log.read(Topic, View.end(), Wait) : Log.readLatest(Topic);
-  if (!Page && Page.error() == journal_error::Trimmed) {
-    Synced = false;
-    Page = Log.readLatest(Topic);
-  }
+  auto Page = readPage(Log, Wait);
+  if (Page && Page->end().era() < View.end().era())
+    return tl::unexpected(journal_error::OldEra);
   if (!Page)
     return tl::unexpected(Page.error());
   if (Synced)
--- a/lib/Journal/KeyedView.cpp
+++ b/lib/Journal/KeyedView.cpp
@@ -8,12 +8,12 @@
   if (Known == Records.end()) {
     // The view is complete up to End, so a key that it lacks was deleted before
     // then. Only a peer that is behind still has its record.
-    if (Record.offset() <= End)
+    if (Record.position() <= End)
       return false;
     Records.emplace(Record.name(), Record);
     return true;
   }
-  if (Known->second.offset() >= Record.offset())
+  if (Known->second.position() >= Record.position())
     return false;
   Known->second = Record;
   return true;
@@ -51,8 +51,8 @@
     for (const auto &[Key, Record] : Records) {
       if (Present.count(Key) > 0 || Record.isDeleted())
         continue;
-      // Reading the page began at its end offset, so newer records stay.
-      if (Record.offset() <= Page.end())
+      // Reading the page began at its end, so newer records stay.
+      if (Record.position() <= Page.end())
         All.emplace_back(Key, "", Page.end());
     }
     if (Page.end() > End)
@@ -61,22 +61,22 @@
   applyRecords(keyed_page(std::move(All), Page.end()));
 }
 
-log_offset keyed_view::end() const {
+log_position keyed_view::end() const {
   absl::MutexLock Lock(&Mutex);
   return End;
 }
 
-keyed_page keyed_view::since(log_offset After) const {
+keyed_page keyed_view::since(log_position After) const {
   absl::MutexLock Lock(&Mutex);
   bool All = After < DeletionsKnownAfter;
   std::vector<keyed_record> Newer;
   for (const auto &[Key, Record] : Records) {
-    if (All || Record.offset() > After)
+    if (All || Record.position() > After)
       Newer.push_back(Record);
   }
   std::sort(Newer.begin(), Newer.end(),
             [](const keyed_record &L, const keyed_record &R) {
-              return L.offset() < R.offset();
+              return L.position() < R.position();
             });
   return keyed_page(std::move(Newer), End,
                     All ? keyed_page::scope::AllKeys
--- a/lib/Peer/DigestJson.cpp
+++ b/lib/Peer/DigestJson.cpp
@@ -65,7 +65,8 @@
   return {{"s", Order.service().text()},
           {"v", Order.target().text()},
           {"d", static_cast<std::uint64_t>(Order.duration().count())},
-          {"o", Order.offset().value()},
+          {"o", Order.position().offset().value()},
+          {"oe", Order.position().era()},
           {"e", static_cast<std::uint64_t>(Evidence.elapsed().count())},
           {"st", static_cast<std::uint64_t>(Evidence.stage())},
           {"p", Evidence.published()},
@@ -73,14 +74,20 @@
           {"to", toCompactJson(Evidence.others())}};
 }
 
+/// Returns the era, which earlier releases do not send.
+static std::uint64_t eraFrom(field_reader &Fields, const char *Name) {
+  return Fields.optional(Name).is_null() ? 0 : Fields.number(Name);
+}
+
 static roll_out_evidence evidenceFrom(const json &Json, field_reader &Outer) {
   field_reader Fields(Json);
   roll_out_evidence::fields Evidence;
   service_id Service(Fields.text("s"));
   version_id Target(Fields.text("v"));
   milliseconds Duration(Fields.number("d"));
-  Evidence.Order =
-      roll_out_order(Service, Target, Duration, log_offset(Fields.number("o")));
+  log_offset Offset(Fields.number("o"));
+  Evidence.Order = roll_out_order(Service, Target, Duration,
+                                  log_position(eraFrom(Fields, "oe"), Offset));
   Evidence.Elapsed = milliseconds(Fields.number("e"));
   std::uint64_t Stage = Fields.number("st");
   if (Stage > static_cast<std::uint64_t>(roll_out_stage::RolledBack))
@@ -138,8 +145,10 @@
          {"a", static_cast<std::uint64_t>(LivenessReport.age().count())},
          {"l", LivenessReport.state() == instance_state::Live}});
   json Json = {{"i", toJson(Body.sender())},
-               {"so", Body.settings().end().value()},
-               {"uo", Body.upstreams().end().value()},
+               {"so", Body.settings().end().offset().value()},
+               {"se", Body.settings().end().era()},
+               {"uo", Body.upstreams().end().offset().value()},
+               {"ue", Body.upstreams().end().era()},
                {"l", std::move(Loads)},
                {"r", std::move(RollOuts)},
                {"c", std::move(Crashes)},
@@ -266,18 +275,19 @@
   return milliseconds(Fields.number(Name));
 }
 
-static view_state viewStateFrom(field_reader &Fields, const char *EndName,
-                                const char *AgeName) {
+static view_state viewStateFrom(field_reader &Fields, const char *EraName,
+                                const char *EndName, const char *AgeName) {
   log_offset End(Fields.number(EndName));
-  return view_state(End, viewAgeFrom(Fields, AgeName));
+  return view_state(log_position(eraFrom(Fields, EraName), End),
+                    viewAgeFrom(Fields, AgeName));
 }
 
 body_result bluebellkeel::digestFromJson(const json &Json) {
   field_reader Fields(Json);
   instance_digest::fields Digest;
   Digest.Sender = recordFrom(Fields.optional("i"), Fields);
-  Digest.Settings = viewStateFrom(Fields, "so", "a");
-  Digest.Upstreams = viewStateFrom(Fields, "uo", "b");
+  Digest.Settings = viewStateFrom(Fields, "se", "so", "a");
+  Digest.Upstreams = viewStateFrom(Fields, "ue", "uo", "b");
   Digest.Loads = loadsFrom(Fields);
   for (const auto &Item : Fields.array("r"))
     Digest.RollOuts.push_back(evidenceFrom(Item, Fields));
@@ -294,7 +304,8 @@
 
 json bluebellkeel::viewQueryToJson(const view_query &Body) {
   return {{"t", static_cast<std::uint64_t>(Body.topic())},
-          {"o", Body.after().value()}};
+          {"e", Body.after().era()},
+          {"o", Body.after().offset().value()}};
 }
 
 static keyed_topic topicFrom(field_reader &Fields) {
@@ -310,9 +321,10 @@
   field_reader Fields(Json);
   keyed_topic Topic = topicFrom(Fields);
   log_offset After(Fields.number("o"));
+  std::uint64_t Era = eraFrom(Fields, "e");
   if (Fields.failed())
     return tl::unexpected(Fields.error());
-  return peer_body(view_query(Topic, After));
+  return peer_body(view_query(Topic, log_position(Era, After)));
 }
 
 json bluebellkeel::viewAnswerToJson(const view_answer &Body) {
@@ -320,9 +332,10 @@
   for (const auto &Record : Body.page().records())
     Records.push_back({{"k", Record.name()},
                        {"v", Record.value()},
-                       {"o", Record.offset().value()}});
+                       {"o", Record.position().offset().value()}});
   json Json = {{"t", static_cast<std::uint64_t>(Body.topic())},
-               {"e", Body.page().end().value()},
+               {"e", Body.page().end().offset().value()},
+               {"era", Body.page().end().era()},
                {"r", std::move(Records)}};
   if (Body.page().holdsAllKeys())
     Json["all"] = true;
@@ -335,6 +348,7 @@
   field_reader Fields(Json);
   keyed_topic Topic = topicFrom(Fields);
   log_offset End(Fields.number("e"));
+  std::uint64_t Era = eraFrom(Fields, "era");
   std::vector<keyed_record> Records;
   for (const auto &Item : Fields.array("r")) {
     field_reader Record(Item);
@@ -343,7 +357,8 @@
     log_offset Offset(Record.number("o"));
     if (Record.failed())
       Fields.fail(Record.error().message());
-    Records.emplace_back(Key, Value, Offset);
+    // All records of a view are of the era of its end.
+    Records.emplace_back(Key, Value, log_position(Era, Offset));
   }
   // Earlier releases send neither of these fields.
   bool All = !Fields.optional("all").is_null() && Fields.flag("all");
@@ -351,6 +366,7 @@
   if (Fields.failed())
     return tl::unexpected(Fields.error());
   auto Scope = All ? keyed_page::scope::AllKeys : keyed_page::scope::Changes;
-  return peer_body(
-      view_answer(Topic, keyed_page(std::move(Records), End, Scope), Age));
+  return peer_body(view_answer(
+      Topic, keyed_page(std::move(Records), log_position(Era, End), Scope),
+      Age));
 }
--- a/lib/Peer/ViewSynchronizer.cpp
+++ b/lib/Peer/ViewSynchronizer.cpp
@@ -17,7 +17,7 @@
   return view_state(View.end(), Age);
 }
 
-view_answer view_synchronizer::answer(log_offset After) const {
+view_answer view_synchronizer::answer(const log_position &After) const {
   auto Age = Freshness.age(Clock.monotonicNow());
   return view_answer(Topic, View.since(After), Age);
 }
@@ -25,8 +25,10 @@
 void view_synchronizer::compare(const instance_record &Peer,
                                 const view_state &State,
                                 std::optional<monotonic_time> AskedAt) {
-  if (State.end() <= View.end()) {
-    if (AskedAt)
+  log_position End = View.end();
+  if (State.end() <= End) {
+    // A view of an earlier era says nothing about the restored log.
+    if (AskedAt && State.end().era() == End.era())
       noteComplete(*AskedAt, State.age());
     return;
   }
--- a/lib/Policy/RollOutTracker.cpp
+++ b/lib/Policy/RollOutTracker.cpp
@@ -24,7 +24,7 @@
   Shards.withShard(Order.service().text(), [&](state &Shard) {
     auto Known = Shard.Entries.find(Order.service());
     if (Known != Shard.Entries.end() &&
-        Known->second.Order.offset() >= Order.offset())
+        Known->second.Order.position() >= Order.position())
       return;
     entry Entry;
     Entry.Order = Order;
--- a/unittests/Journal/KeyedViewTest.cpp
+++ b/unittests/Journal/KeyedViewTest.cpp
@@ -29,7 +29,7 @@
     ++LatestReads;
     return LatestResult;
   }
-  result read(keyed_topic /*Topic*/, log_offset After,
+  result read(keyed_topic /*Topic*/, const log_position &After,
               milliseconds /*Wait*/) override {
     ReadAfter = After;
     if (WhileWaiting)
@@ -38,7 +38,7 @@
     Reads.pop_front();
     return Result;
   }
-  tl::expected<log_offset, journal_error>
+  tl::expected<log_position, journal_error>
   append(keyed_topic /*Topic*/, const std::string & /*Key*/,
          const std::string & /*Value*/,
          std::optional<log_offset> /*At*/) override {
@@ -48,7 +48,7 @@
   int LatestReads = 0;
   result LatestResult;
   std::deque<result> Reads;
-  log_offset ReadAfter;
+  log_position ReadAfter;
   /// Called before read() returns.
   std::function<void()> WhileWaiting;
 };
--- a/unittests/Peer/DigestTest.cpp
+++ b/unittests/Peer/DigestTest.cpp
@@ -29,8 +29,9 @@
 
 TEST_F(digest_test, digest_encodedAndDecoded_isEqual) {
   roll_out_evidence::fields Evidence;
-  Evidence.Order = roll_out_order(service_id("s"), version_id("v"),
-                                  milliseconds(24000), log_offset(3));
+  Evidence.Order =
+      roll_out_order(service_id("s"), version_id("v"), milliseconds(24000),
+                     log_position(2, log_offset(3)));
   Evidence.Elapsed = milliseconds(700);
   Evidence.Stage = roll_out_stage::RolledBack;
   Evidence.Published = true;
@@ -39,7 +40,7 @@
       event_intervals().with(milliseconds(40), 1).with(milliseconds(90), 20));
   instance_digest::fields Fields;
   Fields.Sender = Record;
-  Fields.Settings = view_state(log_offset(7), milliseconds(9));
+  Fields.Settings = view_state(log_position(2, log_offset(7)), milliseconds(9));
   Fields.Upstreams = view_state(log_offset(8), std::nullopt);
   Fields.Loads = {instance_load(upstream_id("u"), 2, 300)};
   Fields.RollOuts = {roll_out_evidence(Evidence)};
@@ -65,7 +66,8 @@
 }
 
 TEST_F(digest_test, viewMessages_encodedAndDecoded_areEqual) {
-  peer_body Query = view_query(keyed_topic::Upstreams, log_offset(4));
+  peer_body Query =
+      view_query(keyed_topic::Upstreams, log_position(2, log_offset(4)));
   EXPECT_EQ(Query, encodeAndDecode(Query, instance_id("b")));
   peer_body Answer =
       view_answer(keyed_topic::Settings,
@@ -74,11 +76,12 @@
                              log_offset(6)),
                   std::nullopt);
   EXPECT_EQ(Answer, encodeAndDecode(Answer, instance_id("b")));
-  peer_body Whole =
-      view_answer(keyed_topic::Upstreams,
-                  keyed_page({keyed_record("k", "{\"v\":1}", log_offset(5))},
-                             log_offset(6), keyed_page::scope::AllKeys),
-                  milliseconds(7));
+  peer_body Whole = view_answer(
+      keyed_topic::Upstreams,
+      keyed_page(
+          {keyed_record("k", "{\"v\":1}", log_position(2, log_offset(5)))},
+          log_position(2, log_offset(6)), keyed_page::scope::AllKeys),
+      milliseconds(7));
   EXPECT_EQ(Whole, encodeAndDecode(Whole, instance_id("b")));
 }
 
--- a/unittests/Peer/ViewSynchronizerTest.cpp
+++ b/unittests/Peer/ViewSynchronizerTest.cpp
@@ -142,3 +142,23 @@
             Synchronizer.answer(log_offset(4)));
   EXPECT_EQ(stateOf(5, 400), Synchronizer.state());
 }
+
+TEST_F(view_synchronizer_test, peerOfAnEarlierEra_saysNothingAboutTheAge) {
+  View.replace(keyed_page({}, log_position(1, log_offset(2))));
+  Synchronizer.compare(Peer, stateOf(9, 100), Clock.monotonicNow());
+  EXPECT_EQ(std::nullopt, age());
+  EXPECT_TRUE(Link.Queries.empty());
+}
+
+TEST_F(view_synchronizer_test, peerOfALaterEra_recordsAreFetched) {
+  Synchronizer.compare(
+      Peer, view_state(log_position(1, log_offset(2)), milliseconds(0)),
+      std::nullopt);
+  ASSERT_EQ(1U, Link.Queries.size());
+  Link.answer(view_answer(keyed_topic::Upstreams,
+                          keyed_page({}, log_position(1, log_offset(2)),
+                                     keyed_page::scope::AllKeys),
+                          milliseconds(0)));
+  EXPECT_EQ(log_position(1, log_offset(2)), View.end());
+  EXPECT_TRUE(View.find("k")->isDeleted());
+}
--- a/utils/Platform/StoreStandin.cpp
+++ b/utils/Platform/StoreStandin.cpp
@@ -219,8 +219,7 @@
     }
     Body = recordsFrom(Topic, From);
   }
-  Responder.send(http_response(200, http_headers(),
-                               Body.empty() ? std::string(16, '\0') : Body));
+  Responder.send(respond(200, Body.empty() ? std::string(16, '\0') : Body));
 }
 
 void store_standin::listNewest(const http_request &Request,
