Hold what a restored log brings back until it had time to be written again

With the era in positions all records of a restored log count as newer, also those of the copy that are older than what is in force: an ended evacuation or a replaced order to roll out takes effect again, and what the copy lacks ends, until the operators have written it again.

Cause: nothing in a copy's record tells that it is older; the position only tells where it stands in the new log. Class: taking a newer source for newer content.

Change: when a view passes to a later era, a record that differs from the value in force, or lacks, is passed on to the listener after 2 s unless something replaces it before. Records whose values tell which is newer (configurations by version, registrations by start and number) are passed on at once. Records written after the restore take effect at once.

--- a/lib/Gateway/GatewayRuntime.cpp
+++ b/lib/Gateway/GatewayRuntime.cpp
@@ -267,6 +267,8 @@
         Context.Log.write(Line);
       }
     }
+    for (keyed_view *View : {&SettingsView, &UpstreamsView, &InstancesView})
+      View->settle(Context.Clock.monotonicNow());
     removeLapsedUpstreams();
     updateMetrics();
     awaitTime(Yield, PeriodicTaskInterval);
--- a/lib/Journal/KeyedView.cpp
+++ b/lib/Journal/KeyedView.cpp
@@ -28,19 +28,62 @@
 
 void keyed_view::applyRecords(const keyed_page &Page) {
   absl::MutexLock NotifyLock(&NotifyMutex);
+  bool Restored = Page.end().era() > end().era();
   for (const auto &Record : Page.records()) {
     bool Newer = false;
+    std::optional<std::string> Before;
     {
       absl::MutexLock Lock(&Mutex);
+      auto Known = Records.find(Record.name());
+      if (Known != Records.end())
+        Before = Known->second.value();
       Newer = insertIfNewer(Record);
     }
     if (Newer)
-      Listener.onRecordChanged(Record);
+      passOn(Record, Before.value_or(Record.value()), Restored);
   }
   absl::MutexLock Lock(&Mutex);
   End = std::max(End, Page.end());
 }
 
+/// Passes \p Record on to the listener, or holds it if it may be older than the
+/// value \p Before.
+void keyed_view::passOn(const keyed_record &Record, const std::string &Before,
+                        bool Restored) {
+  auto Found = Held.find(Record.name());
+  bool IsHeld = Found != Held.end();
+  const std::string &InForce = IsHeld ? Found->second.InForce : Before;
+  bool MayBeOlder =
+      Restored && Record.value() != InForce &&
+      (Record.isDeleted() || !Listener.ordersByValue(Record.name()));
+  bool StillHeld = IsHeld && Found->second.Record.value() == Record.value();
+  if (MayBeOlder || (StillHeld && !Restored)) {
+    held_record Hold{Record, InForce, std::nullopt};
+    if (!Restored)
+      Hold.Since = Found->second.Since;
+    Held.insert_or_assign(Record.name(), std::move(Hold));
+    return;
+  }
+  Held.erase(Record.name());
+  Listener.onRecordChanged(Record);
+}
+
+void keyed_view::settle(monotonic_time Now) {
+  absl::MutexLock NotifyLock(&NotifyMutex);
+  for (auto It = Held.begin(); It != Held.end();) {
+    held_record &Hold = It->second;
+    if (!Hold.Since)
+      Hold.Since = Now;
+    if (Now - *Hold.Since < RestoreGrace) {
+      ++It;
+      continue;
+    }
+    keyed_record Record = Hold.Record;
+    It = Held.erase(It);
+    Listener.onRecordChanged(Record);
+  }
+}
+
 void keyed_view::replace(const keyed_page &Page) {
   std::map<std::string, const keyed_record *> Present;
   for (const auto &Record : Page.records())
--- a/unittests/Journal/KeyedViewTest.cpp
+++ b/unittests/Journal/KeyedViewTest.cpp
@@ -17,6 +17,9 @@
   void onRecordChanged(const keyed_record &Record) override {
     Records.push_back(Record);
   }
+  bool ordersByValue(const std::string & /*Key*/) const override {
+    return false;
+  }
   std::vector<keyed_record> Records;
 };
 
--- a/unittests/Journal/RestoredLogTest.cpp
+++ b/unittests/Journal/RestoredLogTest.cpp
@@ -9,9 +9,17 @@
 
 namespace {
 
-class noop_listener final : public keyed_listener {
+/// Keeps the value in force of each key. Keys that begin with "v" hold versions
+/// that only grow.
+class recording_listener final : public keyed_listener {
 public:
-  void onRecordChanged(const keyed_record & /*Record*/) override {}
+  void onRecordChanged(const keyed_record &Record) override {
+    InForce[Record.name()] = Record.value();
+  }
+  bool ordersByValue(const std::string &Key) const override {
+    return Key[0] == 'v';
+  }
+  std::map<std::string, std::string> InForce;
 };
 
 /// A log in memory that can be restored from a copy.
@@ -85,8 +93,9 @@
     auto Found = View.find(Key);
     return Found ? Found->value() : "";
   }
+  std::string inForce(const std::string &Key) { return Listener.InForce[Key]; }
 
-  noop_listener Listener;
+  recording_listener Listener;
   keyed_view View{Listener};
   log_freshness Freshness;
   keyed_follower Follower;
@@ -94,6 +103,11 @@
 
 class restored_log_test : public testing::Test {
 protected:
+  void settleAfter(milliseconds Time) {
+    Clock.advance(Time);
+    Reader.View.settle(Clock.monotonicNow());
+  }
+
   manual_clock Clock;
   restorable_log Log;
   log_reader Reader{Clock};
@@ -164,6 +178,90 @@
   EXPECT_EQ(Peer.View.end(), Reader.View.end());
 }
 
+TEST_F(restored_log_test, olderRecordOfTheCopy_isNotInForceAtOnce) {
+  Log.write("order", "A");
+  Log.write("order", "B");
+  Reader.poll(Log);
+  Log.restore(1);
+  Reader.poll(Log);
+  settleAfter(milliseconds(0));
+  EXPECT_EQ("B", Reader.inForce("order"));
+  Log.write("order", "B");
+  Reader.poll(Log);
+  settleAfter(keyed_view::RestoreGrace);
+  EXPECT_EQ("B", Reader.inForce("order"));
+}
+
+TEST_F(restored_log_test, recordLostByTheRestore_staysInForceForAWhile) {
+  Log.write("order", "A");
+  Reader.poll(Log);
+  Log.restore(0);
+  Reader.poll(Log);
+  settleAfter(milliseconds(0));
+  EXPECT_EQ("A", Reader.inForce("order"));
+  settleAfter(keyed_view::RestoreGrace);
+  EXPECT_EQ("", Reader.inForce("order"));
+}
+
+TEST_F(restored_log_test, recordWrittenAfterTheRestore_isInForceAtOnce) {
+  Log.write("order", "A");
+  Log.write("order", "B");
+  Reader.poll(Log);
+  Log.restore(1);
+  Reader.poll(Log);
+  Log.write("order", "C");
+  Reader.poll(Log);
+  EXPECT_EQ("C", Reader.inForce("order"));
+  settleAfter(keyed_view::RestoreGrace);
+  EXPECT_EQ("C", Reader.inForce("order"));
+}
+
+TEST_F(restored_log_test, recordThatIsNotWrittenAgain_givesWayToTheCopy) {
+  Log.write("order", "A");
+  Log.write("order", "B");
+  Reader.poll(Log);
+  Log.restore(1);
+  Reader.poll(Log);
+  settleAfter(milliseconds(0));
+  settleAfter(keyed_view::RestoreGrace);
+  EXPECT_EQ("A", Reader.inForce("order"));
+}
+
+TEST_F(restored_log_test, recordOrderedByItsValue_isInForceAtOnce) {
+  Log.write("v", "1");
+  Log.write("v", "2");
+  Reader.poll(Log);
+  Log.restore(0);
+  Log.write("v", "3");
+  Reader.poll(Log);
+  EXPECT_EQ("3", Reader.inForce("v"));
+}
+
+TEST_F(restored_log_test, secondRestore_comparesWithWhatIsInForce) {
+  Log.write("order", "A");
+  Log.write("order", "B");
+  Reader.poll(Log);
+  Log.restore(1);
+  Reader.poll(Log);
+  settleAfter(milliseconds(0));
+  Log.restore(1);
+  Reader.poll(Log);
+  EXPECT_EQ("B", Reader.inForce("order"));
+}
+
+TEST_F(restored_log_test, peersDeletion_doesNotEndTheWaitForALostRecord) {
+  log_reader Peer(Clock);
+  Log.write("order", "A");
+  Reader.poll(Log);
+  Peer.poll(Log);
+  Log.restore(0);
+  Reader.poll(Log);
+  Log.write("other", "1");
+  Peer.poll(Log);
+  Reader.View.apply(Peer.View.since(Reader.View.end()));
+  EXPECT_EQ("A", Reader.inForce("order"));
+}
+
 RC_GTEST_FIXTURE_PROP(restored_log_test,
                       anyRestoresRestartsAndFetches_viewsFollowTheLog, ()) {
   constexpr std::size_t Count = 3;
--- a/unittests/Peer/ViewSynchronizerTest.cpp
+++ b/unittests/Peer/ViewSynchronizerTest.cpp
@@ -30,6 +30,9 @@
 class noop_keyed_listener final : public keyed_listener {
 public:
   void onRecordChanged(const keyed_record & /*Record*/) override {}
+  bool ordersByValue(const std::string & /*Key*/) const override {
+    return false;
+  }
 };
 
 class counting_view_listener final : public view_listener {
