Continue a roll-out whose order is written again after a restore

Cause: an order is identified by its position in the log, which is another one once the operators have written it again.

Change: an order of the same service, target and duration at a position of another era is the same order; it keeps its start, stage and evidence, and takes the new position. Evidence of peers that have not seen the restore yet counts.

Result: three tests of roll_out_tracker_test failed before and pass.

--- a/include/bluebellkeel/Policy/RollOutOrder.h
+++ b/include/bluebellkeel/Policy/RollOutOrder.h
@@ -24,6 +24,14 @@
   milliseconds duration() const { return Duration; }
   /// Position of the order in the log; a later order replaces an earlier one.
   const log_position &position() const { return Position; }
+  /// True if \p Other is this order, perhaps written again after the log was
+  /// restored from a copy.
+  bool isSameAs(const roll_out_order &Other) const {
+    bool SameContent = std::tie(Service, Target, Duration) ==
+                       std::tie(Other.Service, Other.Target, Other.Duration);
+    return SameContent && (Position == Other.Position ||
+                           Position.era() != Other.Position.era());
+  }
   auto key() const { return std::tie(Service, Target, Duration, Position); }
 
 private:
--- a/include/bluebellkeel/Policy/RollOutTracker.h
+++ b/include/bluebellkeel/Policy/RollOutTracker.h
@@ -30,7 +30,7 @@
   void reconfigure(roll_out_limits Newer) { Limits.set(Newer); }
 
   /// Starts the roll-out of \p Order; ignores an order that is not newer than
-  /// the known one.
+  /// the known one. An order that was written again continues.
   void noteOrder(const roll_out_order &Order);
   /// Removes the order for \p Service after the operators withdrew it; a
   /// running roll-out is rolled back.
--- a/lib/Policy/RollOutTracker.cpp
+++ b/lib/Policy/RollOutTracker.cpp
@@ -23,9 +23,15 @@
 void roll_out_tracker::noteOrder(const roll_out_order &Order) {
   Shards.withShard(Order.service().text(), [&](state &Shard) {
     auto Known = Shard.Entries.find(Order.service());
-    if (Known != Shard.Entries.end() &&
-        Known->second.Order.position() >= Order.position())
-      return;
+    if (Known != Shard.Entries.end()) {
+      roll_out_order &KnownOrder = Known->second.Order;
+      if (KnownOrder.position() >= Order.position())
+        return;
+      if (KnownOrder.isSameAs(Order)) {
+        KnownOrder = Order;
+        return;
+      }
+    }
     entry Entry;
     Entry.Order = Order;
     Entry.StartedAt = Clock.monotonicNow();
@@ -196,7 +202,8 @@
   const service_id &Service = Evidence.order().service();
   Shards.withShard(Service.text(), [&](state &Shard) {
     auto Known = Shard.Entries.find(Service);
-    if (Known == Shard.Entries.end() || Known->second.Order != Evidence.order())
+    if (Known == Shard.Entries.end() ||
+        !Known->second.Order.isSameAs(Evidence.order()))
       return;
     entry &Entry = Known->second;
     Entry.StartedAt = std::min(Entry.StartedAt, Now - Evidence.elapsed());
--- a/unittests/Policy/RollOutTrackerTest.cpp
+++ b/unittests/Policy/RollOutTrackerTest.cpp
@@ -20,6 +20,10 @@
     Tracker.noteOrder(
         roll_out_order(Service, V2, Duration, log_offset(Offset)));
   }
+  void orderAgainInEra(std::uint64_t Era) {
+    Tracker.noteOrder(roll_out_order(Service, V2, Duration,
+                                     log_position(Era, log_offset(1))));
+  }
   static assignment_key session(int Index) {
     return assignment_key::ofSession("s" + std::to_string(Index));
   }
@@ -337,3 +341,44 @@
   constexpr int AllowedMoves = 3;
   RC_ASSERT(Moved <= AllowedMoves);
 }
+
+TEST_F(roll_out_tracker_test, orderWrittenAgainAfterARestore_continues) {
+  Clock.advance(Duration / 2);
+  orderAgainInEra(1);
+  EXPECT_GT(countSessionsOnNewVersion(), 0);
+  Clock.advance(Duration / 2);
+  EXPECT_EQ(Requests, countOnNewVersion());
+}
+
+TEST_F(roll_out_tracker_test, rolledBackOrderWrittenAgain_staysRolledBack) {
+  noteFailures(40);
+  ASSERT_EQ(0, countOnNewVersion());
+  orderAgainInEra(1);
+  EXPECT_EQ(0, countOnNewVersion());
+  EXPECT_FALSE(Tracker.usable(Service, V2));
+}
+
+TEST_F(roll_out_tracker_test, otherOrderAfterARestore_beginsAnew) {
+  Clock.advance(Duration);
+  ASSERT_EQ(Requests, countOnNewVersion());
+  Tracker.noteOrder(roll_out_order(Service, version_id("v3"), Duration,
+                                   log_position(1, log_offset(1))));
+  EXPECT_LT(Requests * (1 - TrialShare), countOnNewVersion());
+  EXPECT_GT(Requests, countOnNewVersion());
+}
+
+TEST_F(roll_out_tracker_test, sameOrderInTheSameEra_beginsAnew) {
+  Clock.advance(Duration);
+  orderRollOut(2);
+  EXPECT_LT(countOnNewVersion(), Requests * TrialShare);
+}
+
+TEST_F(roll_out_tracker_test, evidenceOfAPeerBeforeTheRestore_counts) {
+  roll_out_tracker Peer(Limits, Clock);
+  Peer.noteOrder(roll_out_order(Service, V2, Duration, log_offset(1)));
+  for (int I = 0; I < 40; ++I)
+    Peer.noteResponse(Service, V2, /*Good=*/false);
+  orderAgainInEra(1);
+  Tracker.merge(instance_id("peer"), Peer.evidence());
+  EXPECT_EQ(0, countOnNewVersion());
+}
