Publish the status of a roll-out again that a restore lost

Cause: a status that was once seen published counted as published for good. Class: an acknowledgement outlives what it acknowledged.

Change: when an order is read again in a later era, its status counts as unpublished; the instance that is first for the service reads the log and writes what is missing. What a peer, or a page of statuses, says of an earlier era proves nothing. The delays of the other instances begin anew.

--- a/include/bluebellkeel/Policy/RollOutStatusLog.h
+++ b/include/bluebellkeel/Policy/RollOutStatusLog.h
@@ -17,7 +17,8 @@
   /// Appends \p Status if the log still ends at \p End, so that a writer that
   /// was paused after its read changes nothing. Returns false if the append was
   /// not done, or if its outcome is unknown.
-  virtual bool append(const roll_out_status &Status, log_offset End) = 0;
+  virtual bool append(const roll_out_status &Status,
+                      const log_position &End) = 0;
 };
 
 } // namespace bluebellkeel
--- a/include/bluebellkeel/Policy/RollOutStatusPublisher.h
+++ b/include/bluebellkeel/Policy/RollOutStatusPublisher.h
@@ -27,6 +27,7 @@
 private:
   std::size_t rankOf(const service_id &Service,
                      const std::vector<instance_id> &Instances) const;
+  void forgetPublished(const std::vector<roll_out_status> &Unpublished);
   bool due(const roll_out_status &Status,
            const std::vector<instance_id> &Instances);
 
--- a/include/bluebellkeel/Policy/RollOutTracker.h
+++ b/include/bluebellkeel/Policy/RollOutTracker.h
@@ -35,8 +35,9 @@
   /// Removes the order for \p Service after the operators withdrew it; a
   /// running roll-out is rolled back.
   void withdraw(const service_id &Service);
-  /// Records a status that is in the log.
-  void noteStatus(const roll_out_status &Status);
+  /// Records a status that is in the log in \p Era. One of an era before that
+  /// of the order may have been lost since.
+  void noteStatus(const roll_out_status &Status, std::uint64_t Era);
   /// Records that \p Version was in the first list of upstreams; such a version
   /// needs no order.
   void noteEstablished(const service_id &Service, const version_id &Version);
--- a/lib/Policy/RollOutStatusPublisher.cpp
+++ b/lib/Policy/RollOutStatusPublisher.cpp
@@ -23,6 +23,17 @@
   return Now - Found->second >= Rank * TakeoverDelay;
 }
 
+/// A status that a restored log loses is due anew, so that again one instance
+/// after another takes over.
+void roll_out_status_publisher::forgetPublished(
+    const std::vector<roll_out_status> &Unpublished) {
+  for (auto It = FirstSeenAt.begin(); It != FirstSeenAt.end();) {
+    bool Known = std::find(Unpublished.begin(), Unpublished.end(), It->first) !=
+                 Unpublished.end();
+    It = Known ? std::next(It) : FirstSeenAt.erase(It);
+  }
+}
+
 /// True if the log already contains this stage of the roll-out or a later one.
 static bool isPublished(const roll_out_status_page &Page,
                         const roll_out_status &Status) {
@@ -37,17 +48,19 @@
 std::vector<roll_out_status>
 roll_out_status_publisher::run(const std::vector<instance_id> &Instances) {
   std::vector<roll_out_status> Written;
-  for (const auto &Status : Tracker.unpublished()) {
+  auto Unpublished = Tracker.unpublished();
+  forgetPublished(Unpublished);
+  for (const auto &Status : Unpublished) {
     if (!due(Status, Instances))
       continue;
     auto Page = Log.readStatuses();
     if (!Page)
       continue;
     for (const auto &Known : Page->statuses())
-      Tracker.noteStatus(Known);
+      Tracker.noteStatus(Known, Page->end().era());
     if (isPublished(*Page, Status) || !Log.append(Status, Page->end()))
       continue;
-    Tracker.noteStatus(Status);
+    Tracker.noteStatus(Status, Page->end().era());
     Written.push_back(Status);
   }
   return Written;
--- a/lib/Policy/RollOutTracker.cpp
+++ b/lib/Policy/RollOutTracker.cpp
@@ -29,6 +29,8 @@
         return;
       if (KnownOrder.isSameAs(Order)) {
         KnownOrder = Order;
+        // The restored log may have lost the status.
+        Known->second.Published.reset();
         return;
       }
     }
@@ -52,14 +54,16 @@
   });
 }
 
-void roll_out_tracker::noteStatus(const roll_out_status &Status) {
+void roll_out_tracker::noteStatus(const roll_out_status &Status,
+                                  std::uint64_t Era) {
   Shards.withShard(Status.service().text(), [&](state &Shard) {
     auto Known = Shard.Entries.find(Status.service());
     if (Known == Shard.Entries.end() ||
         Known->second.Order.target() != Status.target())
       return;
     entry &Entry = Known->second;
-    if (!Entry.Published || *Entry.Published < Status.stage())
+    bool Current = Era >= Entry.Order.position().era();
+    if (Current && (!Entry.Published || *Entry.Published < Status.stage()))
       Entry.Published = Status.stage();
     if (Status.stage() > Entry.Stage)
       setStage(Shard, Entry, Status.stage());
@@ -210,7 +214,9 @@
     Entry.Peers[Peer] = {Evidence.target(), Evidence.others()};
     if (Evidence.stage() > Entry.Stage)
       setStage(Shard, Entry, Evidence.stage());
-    if (Evidence.published() &&
+    bool Current =
+        Evidence.order().position().era() >= Entry.Order.position().era();
+    if (Current && Evidence.published() &&
         (!Entry.Published || *Entry.Published < Evidence.stage()))
       Entry.Published = Evidence.stage();
   });
--- a/unittests/Policy/RollOutStatusPublisherTest.cpp
+++ b/unittests/Policy/RollOutStatusPublisherTest.cpp
@@ -14,19 +14,21 @@
   std::optional<roll_out_status_page> readStatuses() override {
     if (Down)
       return std::nullopt;
-    roll_out_status_page Page(Written, log_offset(Written.size()));
+    roll_out_status_page Page(Written,
+                              log_position(Era, log_offset(Written.size())));
     if (AfterRead)
       AfterRead();
     return Page;
   }
-  bool append(const roll_out_status &Status, log_offset End) override {
-    if (Down || End != log_offset(Written.size()))
+  bool append(const roll_out_status &Status, const log_position &End) override {
+    if (Down || End.offset() != log_offset(Written.size()))
       return false;
     Written.push_back(Status);
     return true;
   }
 
   std::vector<roll_out_status> Written;
+  std::uint64_t Era = 0;
   bool Down = false;
   std::function<void()> AfterRead;
 };
@@ -52,6 +54,24 @@
     return Ids.size();
   }
 
+  /// Loses all statuses but the first \p Kept; the operators write their order
+  /// again.
+  void restore(std::size_t Kept) {
+    ++Log.Era;
+    Log.Written.erase(Log.Written.begin() + static_cast<std::ptrdiff_t>(Kept),
+                      Log.Written.end());
+    for (auto &Tracker : Trackers)
+      Tracker->noteOrder(roll_out_order(Service, V2, milliseconds(24000),
+                                        log_position(Log.Era, log_offset(1))));
+  }
+  void runAll(int Rounds) {
+    for (int Round = 0; Round < Rounds; ++Round) {
+      for (auto &Publisher : Publishers)
+        Publisher->run(Ids);
+      Clock.advance(milliseconds(400));
+    }
+  }
+
   manual_clock Clock;
   roll_out_limits Limits{0.15};
   service_id Service{"engines"};
@@ -124,3 +144,40 @@
   Log.Down = false;
   EXPECT_LT(indexOfWriter(), Ids.size());
 }
+
+TEST_F(roll_out_status_publisher_test, statusLostByARestore_isWrittenAgain) {
+  runAll(10);
+  Clock.advance(milliseconds(24000));
+  runAll(10);
+  ASSERT_EQ(2U, Log.Written.size());
+  restore(1);
+  runAll(10);
+  ASSERT_EQ(2U, Log.Written.size());
+  EXPECT_EQ(roll_out_stage::Complete, Log.Written[1].stage());
+}
+
+TEST_F(roll_out_status_publisher_test, statusThatTheCopyHolds_isNotRepeated) {
+  runAll(10);
+  restore(1);
+  runAll(10);
+  EXPECT_EQ(1U, Log.Written.size());
+}
+
+TEST_F(roll_out_status_publisher_test, afterARestore_oneInstanceWritesAtOnce) {
+  runAll(10);
+  restore(0);
+  int Reads = 0;
+  Log.AfterRead = [&Reads] { ++Reads; };
+  for (auto &Publisher : Publishers)
+    Publisher->run(Ids);
+  EXPECT_EQ(1U, Log.Written.size());
+  EXPECT_EQ(1, Reads);
+}
+
+TEST_F(roll_out_status_publisher_test, peerBeforeTheRestore_provesNoStatus) {
+  runAll(10);
+  auto Old = Trackers[0]->evidence();
+  restore(0);
+  Trackers[1]->merge(Ids[0], Old);
+  EXPECT_EQ(1U, Trackers[1]->unpublished().size());
+}
--- a/unittests/Policy/RollOutTrackerTest.cpp
+++ b/unittests/Policy/RollOutTrackerTest.cpp
@@ -198,7 +198,7 @@
   Clock.advance(Duration);
   ASSERT_EQ(1U, Tracker.unpublished().size());
   EXPECT_EQ(roll_out_stage::Complete, Tracker.unpublished()[0].stage());
-  Tracker.noteStatus(Tracker.unpublished()[0]);
+  Tracker.noteStatus(Tracker.unpublished()[0], /*Era=*/0);
   EXPECT_TRUE(Tracker.unpublished().empty());
 }
 
