--- a/include/bluebellkeel/Relay/ResponseHead.h
+++ b/include/bluebellkeel/Relay/ResponseHead.h
@@ -57,8 +57,8 @@
   auto key() const {
     return std::tie(Content.Status, Content.Headers, Content.Verified,
                     Content.NotRun, Content.FromOtherUpstream,
-                    Content.DelimitedByClose, Content.Confidence,
-                    Content.Queue, Content.Notice);
+                    Content.DelimitedByClose, Content.Confidence, Content.Queue,
+                    Content.Notice);
   }
 
 private:
