Register an instance again that a restored log lacks

After a restore an instance that had registered within the lost seconds was in no listing of the log until its process ended. Instances that start later learn the others from there: without peers in common they would not share upstreams' limits nor advise callers.

Change: an instance reads the registrations again once another topic shows a later era, and appends its own if it is missing. A lost registration of another one is no longer taken as its departure: the instance stays alive as long as it is seen (live_instances::noteUnregistered).

--- a/include/bluebellkeel/Membership/LiveInstances.h
+++ b/include/bluebellkeel/Membership/LiveInstances.h
@@ -41,8 +41,9 @@
   /// instance's state. Ignored for unknown instances and when a later contact
   /// is known.
   void recordReport(const liveness_report &LivenessReport);
-  /// Removes an instance that is no longer registered in the log.
-  void remove(const instance_id &Id);
+  /// Records that the instance is no longer registered in the log. It is
+  /// forgotten once it has been silent for ForgetAfter.
+  void noteUnregistered(const instance_id &Id);
 
   /// Returns all known instances. Forgets instances that are not registered and
   /// were neither seen nor mentioned for ForgetAfter.
--- a/lib/Gateway/GatewayRuntime.cpp
+++ b/lib/Gateway/GatewayRuntime.cpp
@@ -26,6 +26,10 @@
 /// instances that start at the same time have registered.
 static constexpr milliseconds FirstInstancesReadDelay{600};
 
+/// Interval at which the wait between two of these reads checks whether the log
+/// was restored.
+static constexpr milliseconds RestoreCheckInterval{1000};
+
 static constexpr milliseconds DigestInterval{700};
 static constexpr milliseconds PeriodicTaskInterval{400};
 
@@ -57,6 +61,8 @@
   void followSettings(asio::yield_context Yield);
   void followUpstreams(asio::yield_context Yield);
   void registerSelf(asio::yield_context Yield);
+  bool isRegistered() const;
+  void awaitInstancesRead(asio::yield_context Yield, milliseconds Delay) const;
   void followInstances(asio::yield_context Yield);
   void exchangeDigests(asio::yield_context Yield);
   void runPeriodicTasks(asio::yield_context Yield);
@@ -238,13 +244,34 @@
     if (Read) {
       Context.Instances.noteRegistrationsRead();
       Availability.succeeded(InstancesView.end());
-    } else
+    } else {
       Availability.failed(Read.error(), RequestedAt, InstancesView.end(),
                           InstancesAge.age(Context.Clock.monotonicNow()));
-    awaitTime(Yield, Schedule.instancesDelay(/*ReadFailed=*/!Read));
+    }
+    // A restored log may have lost the registration.
+    if (Read && !isRegistered()) {
+      registerSelf(Yield);
+      awaitTime(Yield, FirstInstancesReadDelay);
+      continue;
+    }
+    awaitInstancesRead(Yield, Schedule.instancesDelay(/*ReadFailed=*/!Read));
   }
 }
 
+bool gateway_runtime::impl::isRegistered() const {
+  auto Own = InstancesView.find(Context.Settings.Instance.text());
+  return Own && !Own->isDeleted();
+}
+
+/// Waits for \p Delay, or until another topic shows that the log was restored.
+void gateway_runtime::impl::awaitInstancesRead(asio::yield_context Yield,
+                                               milliseconds Delay) const {
+  auto End = Context.Clock.monotonicNow() + Delay;
+  while (Context.Clock.monotonicNow() < End &&
+         SettingsView.end().era() <= InstancesView.end().era())
+    awaitTime(Yield, std::min(Delay, RestoreCheckInterval));
+}
+
 void gateway_runtime::impl::exchangeDigests(asio::yield_context Yield) {
   while (true) {
     Exchanger.exchangeWithPeers();
--- a/lib/Membership/LiveInstances.cpp
+++ b/lib/Membership/LiveInstances.cpp
@@ -50,8 +50,12 @@
   });
 }
 
-void live_instances::remove(const instance_id &Id) {
-  Entries.withShard(Id.text(), [&](entry_map &Shard) { Shard.erase(Id); });
+void live_instances::noteUnregistered(const instance_id &Id) {
+  Entries.withShard(Id.text(), [&](entry_map &Shard) {
+    auto Known = Shard.find(Id);
+    if (Known != Shard.end())
+      Known->second.Registered = false;
+  });
 }
 
 std::vector<instance_record> live_instances::knownInstances() {
--- a/unittests/Adapter/GatewayProcessTest.cpp
+++ b/unittests/Adapter/GatewayProcessTest.cpp
@@ -352,6 +352,18 @@
   EXPECT_LT(std::chrono::steady_clock::now() - Start, milliseconds(2000));
 }
 
+TEST_F(gateway_process_test, storeRestoredFromCopy_instanceRegistersAgain) {
+  auto Registered = [this] {
+    return !Store.newest("keyed.instances", "edge-1").empty();
+  };
+  EXPECT_TRUE(waitFor(Registered));
+  auto Copy = Store.takeCopy();
+  Copy.erase("keyed.instances");
+  Store.restore(Copy);
+  EXPECT_FALSE(Registered());
+  EXPECT_TRUE(waitFor(Registered));
+}
+
 TEST_F(gateway_process_test, storeUnavailable_instanceKeepsServing) {
   Store.setFault(store_standin::fault::Busy);
   EXPECT_EQ(200, call("idempotent")->status());
--- a/unittests/Membership/LiveInstancesTest.cpp
+++ b/unittests/Membership/LiveInstancesTest.cpp
@@ -147,3 +147,12 @@
   Instances.recordContact(record("a"));
   EXPECT_EQ(3U, Instances.rateSharers().instances().size());
 }
+
+TEST_F(live_instances_test, instanceNoLongerRegistered_staysAliveWhileSeen) {
+  Instances.recordRegistration(record("a"));
+  Instances.recordContact(record("a"));
+  Instances.noteUnregistered(instance_id("a"));
+  EXPECT_EQ(1U, Instances.alive().size());
+  Clock.advance(live_instances::ForgetAfter + milliseconds(1));
+  EXPECT_TRUE(Instances.knownInstances().empty());
+}
