Reject registrations whose numbers are out of range

Here an entry with seq 2^64-1 was taken, and all later registrations of that upstream counted as older, for good. cold_left_ms of 1e300 was converted to an integer, which is undefined, and slots were cut to 32 bits. A host of any bytes became an address that the directory's JSON cannot hold.

Change: numbers of registrations have upper bounds; an entry outside them names no upstream, as any malformed one, and is logged. Hosts are visible ASCII. Very deep nesting and ports out of range were rejected before; tests hold that now.

--- a/include/bluebellkeel/Codec/FieldReader.h
+++ b/include/bluebellkeel/Codec/FieldReader.h
@@ -17,7 +17,11 @@
 
   std::string text(const char *Name);
   std::uint64_t number(const char *Name);
+  /// Returns a whole number from 0 to \p Max.
+  std::uint64_t numberUpTo(const char *Name, std::uint64_t Max);
   double real(const char *Name);
+  /// Returns a number from 0 to \p Max.
+  double realUpTo(const char *Name, double Max);
   bool flag(const char *Name);
   /// Returns the array, or an empty array on error.
   const nlohmann::json &array(const char *Name);
--- a/include/bluebellkeel/Core/NetworkAddress.h
+++ b/include/bluebellkeel/Core/NetworkAddress.h
@@ -19,7 +19,8 @@
       : Host(std::move(Host)), Port(Port) {}
 
   /// Parses `host:port`. Returns std::nullopt if \p Text does not have that
-  /// form or if the port is 0.
+  /// form, if the host has characters other than visible ASCII or if the port
+  /// is 0.
   static std::optional<network_address> parse(std::string_view Text);
 
   const std::string &host() const { return Host; }
--- a/lib/Codec/FieldReader.cpp
+++ b/lib/Codec/FieldReader.cpp
@@ -38,11 +38,29 @@
   return Found ? Found->get<std::uint64_t>() : 0;
 }
 
+std::uint64_t field_reader::numberUpTo(const char *Name, std::uint64_t Max) {
+  std::uint64_t Value = number(Name);
+  if (Value <= Max)
+    return Value;
+  fail(std::string(Name) + ": expected at most " + std::to_string(Max) +
+       ", found " + std::to_string(Value));
+  return 0;
+}
+
 double field_reader::real(const char *Name) {
   const json *Found = find(Name, "a number", &json::is_number);
   return Found ? Found->get<double>() : 0;
 }
 
+double field_reader::realUpTo(const char *Name, double Max) {
+  double Value = real(Name);
+  if (Value >= 0 && Value <= Max)
+    return Value;
+  fail(std::string(Name) + ": expected 0 to " + std::to_string(Max) +
+       ", found " + std::to_string(Value));
+  return 0;
+}
+
 bool field_reader::flag(const char *Name) {
   const json *Found = find(Name, "true or false", &json::is_boolean);
   return Found && Found->get<bool>();
--- a/unittests/Adapter/StoreRecordsTest.cpp
+++ b/unittests/Adapter/StoreRecordsTest.cpp
@@ -128,6 +128,49 @@
   }
 }
 
+TEST_F(store_records_test, registrationWithNumberOutOfRange_isRejected) {
+  for (auto [From, To] : std::vector<std::pair<std::string, std::string>>{
+           {"\"slots\":64", "\"slots\":4294967360"},
+           {"\"cold_left_ms\":250", "\"cold_left_ms\":1e300"},
+           {"\"cold_left_ms\":250", "\"cold_left_ms\":-1"},
+           {"\"cold_left_ms\":250", "\"cold_left_ms\":1e999"},
+           {"\"seq\":4", "\"seq\":18446744073709551615"},
+           {"1785798316334", "9223372036854775808"},
+           {"10.0.0.9:8080", "10.0.0.9:65536"},
+           {"10.0.0.9:8080", "10.0.0.9:0"},
+           {"10.0.0.9:8080", "10.0.0.9 :8080"},
+           {"10.0.0.9:8080", "10.0.0.\xff:8080"}}) {
+    std::string Text = Registration;
+    Text.replace(Text.find(From), From.size(), To);
+    EXPECT_FALSE(readRegistration("i", Text)) << To;
+  }
+}
+
+TEST_F(store_records_test, registrationNestedVeryDeeply_isRejected) {
+  constexpr std::size_t Depth = 200000;
+  EXPECT_FALSE(readRegistration("i", std::string(Depth, '[')));
+  std::string Text = Registration;
+  const std::string Models = "\"models\":[]";
+  Text.replace(Text.find(Models), Models.size(),
+               "\"models\":" + std::string(Depth, '[') +
+                   std::string(Depth, ']'));
+  EXPECT_FALSE(readRegistration("i", Text));
+}
+
+TEST_F(store_records_test,
+       registrationWithSequenceOutOfRange_laterOnesAreHeeded) {
+  auto WithSequence = [](const std::string &Sequence) {
+    std::string Text = Registration;
+    return Text.replace(Text.find("\"seq\":4"), 7, "\"seq\":" + Sequence);
+  };
+  Upstreams.onRecordChanged(record("i-1", Registration, 1));
+  Upstreams.onRecordChanged(
+      record("i-1", WithSequence("18446744073709551615"), 2));
+  EXPECT_EQ(0U, Context.Registry.serving(service_id("one")).size());
+  Upstreams.onRecordChanged(record("i-1", WithSequence("5"), 3));
+  EXPECT_EQ(1U, Context.Registry.serving(service_id("one")).size());
+}
+
 TEST_F(store_records_test, malformedRegistration_removesOnlyThatUpstream) {
   Upstreams.onRecordChanged(record("i-1", Registration, 1));
   Upstreams.onRecordChanged(record("i-2", Registration, 2));
--- a/unittests/Core/NetworkAddressTest.cpp
+++ b/unittests/Core/NetworkAddressTest.cpp
@@ -15,7 +15,7 @@
 }
 
 TEST_F(network_address_test, parse_malformedText_returnsNullopt) {
-  for (const char *Text :
-       {"", ":1", "host", "host:", "host:0", "host:65536", "host:1x"})
+  for (const char *Text : {"", ":1", "host", "host:", "host:0", "host:65536",
+                           "host:1x", "ho st:1", "host\n:1", "\xff\xfe:1"})
     EXPECT_FALSE(network_address::parse(Text)) << Text;
 }
--- a/unittests/Peer/PeerCodecTest.cpp
+++ b/unittests/Peer/PeerCodecTest.cpp
@@ -56,6 +56,15 @@
   }
 }
 
+TEST_F(peer_codec_test, recordThatIsNoUtf8_encodedAndDecoded_isEqual) {
+  keyed_record Odd("\xff key", std::string("\xfe\x00\x80", 3), log_offset(4));
+  peer_body Body(view_answer(keyed_topic::Upstreams,
+                             keyed_page({Odd}, log_offset(4)), std::nullopt));
+  auto Decoded = decodeAsRecipient(Codec.encode(envelope(Body)));
+  ASSERT_TRUE(Decoded);
+  EXPECT_TRUE(envelope(Body) == *Decoded);
+}
+
 TEST_F(peer_codec_test, message_signedWithOtherKey_isRejected) {
   hmac_signer Other("another key for tests");
   std::string Bytes = peer_codec(Other).encode(envelope(heartbeat_query()));
