Read the rest of a list past an odd key or an unreadable record

Reported by other operators: machines that read the list of upstreams stopped following it after one odd entry of another writer. Here the key of a page's last record went into the target of the next read as it was: a key with a space, '&' or '#' made a request that the store refuses or answers for another topic. One record that could not be decoded made the whole page malformed, so that no later one was heeded.

The store's stand-in pages its lists now.

--- a/include/bluebellkeel/Http.h
+++ b/include/bluebellkeel/Http.h
@@ -13,6 +13,7 @@
 #include "bluebellkeel/Http/HttpResponse.h"
 #include "bluebellkeel/Http/HttpServer.h"
 #include "bluebellkeel/Http/HttpTimeouts.h"
+#include "bluebellkeel/Http/PercentEncoding.h"
 #include "bluebellkeel/Http/ThreadPool.h"
 
 #endif // BLUEBELLKEEL_HTTP_H
--- a/unittests/Adapter/GatewayProcessTest.cpp
+++ b/unittests/Adapter/GatewayProcessTest.cpp
@@ -364,6 +364,30 @@
   EXPECT_TRUE(waitFor(Registered));
 }
 
+TEST_F(gateway_process_test, oddRegistrationOfAnotherWriter_othersAreFollowed) {
+  std::string TooLarge = registration(1, "ready", 1);
+  TooLarge.replace(TooLarge.find("\"seq\":1"), 7,
+                   "\"seq\":18446744073709551615");
+  for (const std::string &Odd :
+       {std::string(100000, '['), TooLarge, std::string("\xff\xfe\x00", 3),
+        registration(1, "ready", 1).replace(12, 4, ":99999")})
+    Store.put("keyed.servers", "odd", Odd);
+  Store.put("keyed.servers", "u1", registration(1, "draining", 2));
+  Store.put("keyed.servers", "u2", registration(2, "draining", 2));
+  EXPECT_TRUE(waitFor([this] { return call("idempotent")->status() == 503; }));
+  EXPECT_EQ(200, readyStatus());
+}
+
+TEST_F(gateway_process_test, oddKeyOfAnotherWriter_restoredListIsReadWhole) {
+  auto Copy = Store.takeCopy();
+  Store.setPageSize(1);
+  Store.restore(Copy);
+  Store.put("keyed.servers", "odd key&topic=keyed.op#%41\r\n?", "odd");
+  Store.put("keyed.servers", "u1", registration(1, "draining", 2));
+  Store.put("keyed.servers", "u2", registration(2, "draining", 2));
+  EXPECT_TRUE(waitFor([this] { return call("idempotent")->status() == 503; }));
+}
+
 TEST_F(gateway_process_test, storeUnavailable_instanceKeepsServing) {
   Store.setFault(store_standin::fault::Busy);
   EXPECT_EQ(200, call("idempotent")->status());
--- a/unittests/Adapter/StoreRecordsTest.cpp
+++ b/unittests/Adapter/StoreRecordsTest.cpp
@@ -1,4 +1,5 @@
 #include "ConfigurationReader.h"
+#include "NewestPage.h"
 #include "RecordFrames.h"
 #include "RegistrationReader.h"
 #include "SettingsListener.h"
@@ -171,6 +172,31 @@
   EXPECT_EQ(1U, Context.Registry.serving(service_id("one")).size());
 }
 
+TEST_F(store_records_test, newestPage_unreadableItem_isLeftOut) {
+  auto Page = readNewestPage(
+      R"({"items":[{"key":"a","value":"YQ==","offset":0},
+                   {"key":"b","value":"no base64!","offset":1},
+                   {"key":7,"value":"YQ==","offset":2},
+                   {"key":"d","value":"YQ==","offset":-3},
+                   {"key":"e","value":"YQ==","offset":1e300},
+                   "text",
+                   {"key":"g","value":"Yg==","offset":6}],
+          "has_more":true,"end":7})",
+      1);
+  ASSERT_TRUE(Page.has_value());
+  ASSERT_EQ(2U, Page->records().size());
+  EXPECT_EQ("a", Page->records()[0].name());
+  EXPECT_EQ("g", Page->records()[1].name());
+  EXPECT_EQ("g", Page->nextAfter());
+}
+
+TEST_F(store_records_test, newestPage_moreButNoKeyToGoOnFrom_isMalformed) {
+  EXPECT_FALSE(readNewestPage(
+      R"({"items":[{"key":7,"value":"YQ==","offset":2}],
+          "has_more":true,"end":7})",
+      1));
+}
+
 TEST_F(store_records_test, malformedRegistration_removesOnlyThatUpstream) {
   Upstreams.onRecordChanged(record("i-1", Registration, 1));
   Upstreams.onRecordChanged(record("i-2", Registration, 2));
--- a/utils/Platform/StoreStandin.cpp
+++ b/utils/Platform/StoreStandin.cpp
@@ -85,6 +85,11 @@
   ++Topics[Topic].Drops;
 }
 
+void store_standin::setPageSize(std::size_t Keys) {
+  absl::MutexLock Lock(&Mutex);
+  PageSize = Keys;
+}
+
 std::uint64_t store_standin::dropsOf(const std::string &Topic) const {
   absl::MutexLock Lock(&Mutex);
   auto Found = Topics.find(Topic);
@@ -226,6 +231,8 @@
                                http_responder &Responder) {
   nlohmann::json Items = nlohmann::json::array();
   std::size_t End = 0;
+  bool HasMore = false;
+  std::string After = Request.query("after");
   {
     absl::MutexLock Lock(&Mutex);
     const topic &Topic = Topics[Request.query("topic")];
@@ -233,15 +240,20 @@
     std::map<std::string, std::size_t> Latest;
     for (std::size_t I = 0; I < End; ++I)
       Latest[Topic.Records[I].first] = I;
-    for (const auto &[Key, Offset] : Latest) {
+    for (auto It = Latest.upper_bound(After); It != Latest.end(); ++It) {
+      const auto &[Key, Offset] = *It;
       const std::string &Value = Topic.Records[Offset].second;
-      if (!Value.empty())
-        Items.push_back({{"key", Key},
-                         {"value", absl::Base64Escape(Value)},
-                         {"offset", Offset}});
+      if (Value.empty())
+        continue;
+      HasMore = Items.size() == PageSize;
+      if (HasMore)
+        break;
+      Items.push_back({{"key", Key},
+                       {"value", absl::Base64Escape(Value)},
+                       {"offset", Offset}});
     }
   }
   nlohmann::json ResponseJson = {
-      {"items", std::move(Items)}, {"has_more", false}, {"end", End}};
+      {"items", std::move(Items)}, {"has_more", HasMore}, {"end", End}};
   Responder.send(respond(200, ResponseJson.dump()));
 }
--- a/utils/Platform/StoreStandin.h
+++ b/utils/Platform/StoreStandin.h
@@ -39,6 +39,8 @@
   void restore(const copy_sizes &Copy);
   /// Loses what was written in the last \p Time and raises the era.
   void restoreFrom(milliseconds Time);
+  /// Sets how many keys a page of the newest values holds at most.
+  void setPageSize(std::size_t Keys);
   /// Returns the newest value of \p Key, or an empty string if there is none.
   std::string newest(const std::string &Topic, const std::string &Key) const;
   /// Returns the number of HTTP requests received so far.
@@ -77,6 +79,7 @@
   fault Fault ABSL_GUARDED_BY(Mutex) = fault::None;
   int Calls ABSL_GUARDED_BY(Mutex) = 0;
   std::uint64_t Era ABSL_GUARDED_BY(Mutex) = 1;
+  std::size_t PageSize ABSL_GUARDED_BY(Mutex) = 500;
 };
 
 } // namespace bluebellkeel
