Check the kind of a changed route before a request runs again

A configuration that came meanwhile and made the route at-most-once did not prevent the second run; one that made a stream an ordinary request had the next response's whole body written into the stream that had begun, and the stream ended as complete.

Change: after the route was read anew, a request that may have run must still be one that may run again (forward_relay::mayRunAgain, also where a failed attempt and a larger model decide).

Result: forward_relay_test.routeTurnedAtMostOnceWhileRunning_runsOnce and forward_stream_test.routeNoLongerAStreamAfterFirstEvents_isAbandoned failed before and pass. errorOfAnyStatusAfterFirstEvents_isNotForwarded (11 statuses) passed before: a failure never continued a stream.

--- a/include/bluebellkeel/Relay/ForwardRelay.h
+++ b/include/bluebellkeel/Relay/ForwardRelay.h
@@ -55,6 +55,8 @@
   bool hasLargerModel() const;
   bool runsLeft() const { return Progress.Runs < route().attempts(); }
   bool repeatable() const { return route().repeatable(); }
+  /// Returns true if a request that may have run may be sent once more.
+  bool mayRunAgain() const;
   void refuse(refusal_reason Reason);
   void refuse(refusal_reason Reason, milliseconds RetryAfter);
   void refuseWithoutTarget(const no_candidate &Reason);
--- a/lib/Relay/ForwardRelay.cpp
+++ b/lib/Relay/ForwardRelay.cpp
@@ -41,11 +41,20 @@
 std::optional<refusal_reason> forward_relay::revalidate() {
   if (Caller.gone())
     return refusal_reason::CallerGone;
-  auto Reason = Admission.revalidate(Progress.Runs);
-  if (!Reason)
-    ModelIndex = std::min(ModelIndex,
-                          std::max<std::size_t>(1, route().sizes().size()) - 1);
-  return Reason;
+  if (auto Reason = Admission.revalidate(Progress.Runs))
+    return Reason;
+  // The kind of the route may have changed while the request ran.
+  if (Progress.Runs > 0 && !mayRunAgain())
+    return refusal_reason::UpstreamFailed;
+  ModelIndex = std::min(ModelIndex,
+                        std::max<std::size_t>(1, route().sizes().size()) - 1);
+  return std::nullopt;
+}
+
+bool forward_relay::mayRunAgain() const {
+  // Once the response has started, only a stream can be resumed.
+  return repeatable() && runsLeft() &&
+         (!Progress.ResponseStarted || route().kind() == route_kind::Stream);
 }
 
 void forward_relay::sendUntilDone() {
@@ -207,10 +216,7 @@
   bool Retry = definitelyNotRun(Error)
                    ? Progress.Arrivals < MaxArrivals &&
                          Progress.ConnectFailures < MaxConnectFailures
-                   : repeatable() && runsLeft();
-  // Once the response has started, only a stream can be resumed.
-  if (Progress.ResponseStarted && route().kind() != route_kind::Stream)
-    Retry = false;
+                   : mayRunAgain();
   if (!Retry) {
     refuse(definitelyNotRun(Error) ? refusal_reason::NoCapacity
                                    : refusal_reason::UpstreamFailed);
@@ -280,8 +286,7 @@
 /// model, which is possible only while the caller has received none of it.
 bool forward_relay::escalateModel(const upstream_response &Response) {
   if (Progress.ResponseStarted || route().sizes().empty() ||
-      !Response.head().confidence() || !repeatable() || !runsLeft() ||
-      Stream.lastEvent())
+      !Response.head().confidence() || !mayRunAgain() || Stream.lastEvent())
     return false;
   // A crash after the response was dropped would go unnoticed.
   if (Deps.PartCrashes.blame()->suspects(Call->requestPrompt()))
--- a/unittests/Relay/ForwardRelayTest.cpp
+++ b/unittests/Relay/ForwardRelayTest.cpp
@@ -193,6 +193,18 @@
   EXPECT_EQ("", Upstreams.Attempts[1].account().text());
 }
 
+TEST_F(forward_relay_test, routeTurnedAtMostOnceWhileRunning_runsOnce) {
+  upstream_script Failed;
+  Failed.Status = 500;
+  Failed.Before = [this] {
+    configure(9,
+              {forward_route(routeOf("/again/", route_kind::AtMostOnce, 2))});
+  };
+  script({Failed});
+  EXPECT_EQ(502, run("/again/x").Status);
+  EXPECT_EQ(1U, Upstreams.Attempts.size());
+}
+
 TEST_F(forward_relay_test, shorterTimeout_appliesToRunningRequest) {
   upstream_script Slow = failing(attempt_error::FirstByteTimeout);
   Slow.Before = [this] {
--- a/unittests/Relay/ForwardStreamTest.cpp
+++ b/unittests/Relay/ForwardStreamTest.cpp
@@ -188,6 +188,31 @@
   EXPECT_FALSE(Caller.Ended);
 }
 
+TEST_F(forward_stream_test, errorOfAnyStatusAfterFirstEvents_isNotForwarded) {
+  for (int Status : {301, 400, 404, 408, 413, 421, 429, 500, 502, 503, 504}) {
+    upstream_script Error;
+    Error.Status = Status;
+    Error.Pieces = {"HTTP/1.1 503 Busy\r\n\r\n", "sorry\n\n"};
+    script({brokenAfter(1, 2), Error, events(3, 4)});
+    auto Caller = run("/stream/x");
+    EXPECT_EQ(stream(1, 4), Caller.Body) << Status;
+    EXPECT_TRUE(Caller.Ended) << Status;
+  }
+}
+
+TEST_F(forward_stream_test, routeNoLongerAStreamAfterFirstEvents_isAbandoned) {
+  upstream_script Broken = brokenAfter(1, 2);
+  Broken.BeforeRead = [this] {
+    configure(9,
+              {forward_route(routeOf("/stream/", route_kind::Idempotent, 3))});
+  };
+  script({Broken});
+  auto Caller = run("/stream/x");
+  EXPECT_EQ(stream(1, 2), Caller.Body);
+  EXPECT_TRUE(Caller.Abandoned);
+  EXPECT_FALSE(Caller.Ended);
+}
+
 TEST_F(forward_stream_test, resumedStream_staysOnSameVersion) {
   auto Fields = listingOf("new");
   Fields.Version = version_id("v2");
