Take neither a response's head nor an early close for the end of a stream

Errors of the next upstream never continued a stream here. But in a stream that only the end of its connection delimits, the head of a response that the upstream wrote after an event counted as an event without a number and was forwarded; and a resumed stream whose connection closed right after its head ended as complete, since events of the earlier attempt counted.

Change: a block that begins as an HTTP response breaks the stream off; a response delimited by its close that brought no event is broken off, no matter what came before.

--- a/include/bluebellkeel/Relay/StreamEvent.h
+++ b/include/bluebellkeel/Relay/StreamEvent.h
@@ -18,6 +18,9 @@
   const std::optional<std::uint64_t> &number() const { return Number; }
   /// The event, including the empty line that ends it.
   const std::string &bytes() const { return Bytes; }
+  /// True for the head of an HTTP response, which an upstream in trouble may
+  /// write into a stream that only the end of its connection delimits.
+  bool isResponseHead() const { return Bytes.rfind("HTTP/1.", 0) == 0; }
   auto key() const { return std::tie(Number, Bytes); }
 
 private:
--- a/lib/Relay/StreamForwarder.cpp
+++ b/lib/Relay/StreamForwarder.cpp
@@ -1,5 +1,7 @@
 #include "bluebellkeel/Relay/StreamForwarder.h"
 #include "BeginResponse.h"
+#include <algorithm>
+#include <functional>
 
 using namespace bluebellkeel;
 
@@ -33,6 +35,12 @@
     const service_id &Service, const upstream_listing &Upstream,
     const response_head &Head, std::string_view Piece) {
   auto Events = Splitter.feed(Piece);
+  auto Foreign = std::find_if(Events.begin(), Events.end(),
+                              std::mem_fn(&stream_event::isResponseHead));
+  bool Garbled = Foreign != Events.end();
+  Events.erase(Foreign, Events.end());
+  if (Events.empty() && Garbled)
+    return tl::unexpected(attempt_error::Malformed);
   if (Events.empty())
     return {};
   noteEvents(Service, Upstream, Events.size());
@@ -45,9 +53,9 @@
     return tl::unexpected(attempt_error::CallerGone);
   // After the write, since a slow caller is no silence of the upstream.
   Progress.LastEventAt = Deps.Clock.monotonicNow();
-  // A gap cannot be reported to the caller; the missing events are fetched from
+  // Neither can be reported to the caller; the missing events are fetched from
   // another upstream.
-  if (Contiguous.gap())
+  if (Contiguous.gap() || Garbled)
     return tl::unexpected(attempt_error::Malformed);
   return {};
 }
@@ -85,5 +93,6 @@
 /// True if a response that ended without an error is incomplete: an upstream
 /// that breaks off may close its connection as after a whole response.
 bool stream_forwarder::brokenOff(const response_head &Head) const {
-  return Splitter.insideEvent() || (!Version && Head.delimitedByClose());
+  return Splitter.insideEvent() ||
+         (Progress.Events == 0 && Head.delimitedByClose());
 }
--- a/unittests/Relay/ForwardStreamTest.cpp
+++ b/unittests/Relay/ForwardStreamTest.cpp
@@ -200,6 +200,26 @@
   }
 }
 
+TEST_F(forward_stream_test, responseHeadAmongTheEvents_isNotForwarded) {
+  upstream_script Garbled = events(1, 2);
+  Garbled.Pieces.emplace_back(
+      "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 7\r\n\r\nbusy\n\n");
+  Garbled.DelimitedByClose = true;
+  script({Garbled, events(3, 4)});
+  EXPECT_EQ(stream(1, 4), run("/stream/x").Body);
+}
+
+TEST_F(forward_stream_test,
+       resumedStreamClosedBeforeItsFirstEvent_isNotTakenForComplete) {
+  upstream_script Closed;
+  Closed.Pieces = {};
+  Closed.DelimitedByClose = true;
+  script({brokenAfter(1, 2), Closed, events(3, 4)});
+  auto Caller = run("/stream/x");
+  EXPECT_EQ(stream(1, 4), Caller.Body);
+  EXPECT_TRUE(Caller.Ended);
+}
+
 TEST_F(forward_stream_test, routeNoLongerAStreamAfterFirstEvents_isAbandoned) {
   upstream_script Broken = brokenAfter(1, 2);
   Broken.BeforeRead = [this] {
