Show that an earlier refusal is not taken for a request's own

Reported by other operators: a faulty upstream wrote an earlier refusal once more on a kept connection, and callers were told 'not run' for what had run (REFUSED), or it ran twice (TWICE). It does not happen here: each exchange has a connection of its own, and a response that names another request is skipped or, if none follows, leaves the request's state in doubt.

Result: gateway_process_test.refusalOfAnEarlierRequest_isNotTakenForThisOne passes, and fails with the check of the response's request id taken out.

--- a/unittests/Adapter/GatewayProcessTest.cpp
+++ b/unittests/Adapter/GatewayProcessTest.cpp
@@ -541,6 +541,27 @@
   EXPECT_EQ("yours", Response->body());
 }
 
+TEST_F(gateway_process_test, refusalOfAnEarlierRequest_isNotTakenForThisOne) {
+  setUpstreamAction([](int Number, const http_request &,
+                       http_responder &Responder, boost::asio::yield_context) {
+    Responder.send(
+        http_response(503,
+                      http_headers({{"Bluebellkeel-Request-Id", "earlier"},
+                                    {"Bluebellkeel-Not-Executed", "1"},
+                                    {"Retry-After", "5"},
+                                    {"Connection", "keep-alive"}}),
+                      "busy"));
+    if (Number == 1)
+      Responder.send(okResponse("ran"));
+    else
+      Responder.abandon();
+  });
+  EXPECT_EQ("ran", call("non_idempotent")->body());
+  // The request may have run, so that no refusal may say that it has not.
+  EXPECT_EQ(502, call("non_idempotent")->status());
+  EXPECT_EQ(2, requests());
+}
+
 TEST_F(gateway_process_test,
        nonIdempotentRequest_responseLost_returns502AndRunsOnce) {
   setUpstreamAction([](int, const http_request &, http_responder &Responder,
