Soak: a store that returns from a copy

The soak's store is away for 0.7 s and has then lost what was written in the last 4 s, one to three times in each seed; the newest configuration and the runners' registrations are written again. The faults come from a generator of their own, so that a seed's other faults stay as they were.

--- a/test/Soak/FaultKind.h
+++ b/test/Soak/FaultKind.h
@@ -22,6 +22,9 @@
   LeaveRunner,
   /// A runner turns requests away and asks for a pause.
   RefuseRequests,
+  /// The store is away and returns from a copy; what the operator and the
+  /// runners wrote since is then written again.
+  RestoreStore,
 };
 
 } // namespace bluebellkeel
--- a/test/Soak/FaultSchedule.cpp
+++ b/test/Soak/FaultSchedule.cpp
@@ -9,9 +9,11 @@
 static constexpr int MinFaultMs = 300;
 static constexpr int MaxFaultMs = 4000;
 static constexpr int ReadDrops = 2;
+static constexpr std::uint64_t MaxRestores = 3;
 /// Added to the seed, so that a seed's other faults stay as they were before
 /// these kinds existed.
 static constexpr std::uint64_t NoticeSeed = 1000003;
+static constexpr std::uint64_t RestoreSeed = 2000003;
 
 static milliseconds lengthOf(fault_kind Kind) {
   switch (Kind) {
@@ -19,6 +21,8 @@
     return milliseconds(9000);
   case fault_kind::LeaveRunner:
     return milliseconds(4000);
+  case fault_kind::RestoreStore:
+    return milliseconds(700);
   default:
     return milliseconds(2500);
   }
@@ -62,5 +66,13 @@
         static_cast<int>(NoticeRandom() % static_cast<std::uint64_t>(Runners));
     Faults.emplace_back(Start, lengthOf(Kind), Kind, Target, link_mode::Pass);
   }
+  std::mt19937_64 RestoreRandom(Seed + RestoreSeed);
+  auto Restores = RestoreRandom() % MaxRestores + 1;
+  for (std::uint64_t I = 0; I < Restores; ++I) {
+    milliseconds Start(static_cast<int>(
+        RestoreRandom() % static_cast<std::uint64_t>(Length.count())));
+    Faults.emplace_back(Start, lengthOf(fault_kind::RestoreStore),
+                        fault_kind::RestoreStore, 0, link_mode::Pass);
+  }
   std::sort(Faults.begin(), Faults.end());
 }
--- a/test/Soak/SoakEnvironment.cpp
+++ b/test/Soak/SoakEnvironment.cpp
@@ -91,7 +91,20 @@
                   {"cold_left_ms", 0},
                   {"seq", LastListing},
                   {"born", 1785798316334 + LastListing}};
-  put("keyed.servers", "r" + std::to_string(Runner), Listing.dump());
+  std::string Key = "r" + std::to_string(Runner);
+  Listings[Key] = Listing.dump();
+  put("keyed.servers", Key, Listings[Key]);
+}
+
+bool soak_environment::restoreStore(milliseconds Time) {
+  std::string Target = "/restore?back_ms=" + std::to_string(Time.count());
+  auto Response =
+      Client.send(address(StorePort), http_request("POST", Target, {}, ""));
+  if (!Response || Response->status() != 200)
+    return false;
+  for (const auto &[Key, Value] : Listings)
+    put("keyed.servers", Key, Value);
+  return true;
 }
 
 std::string soak_environment::writeSettings(int Index) const {
--- a/test/Soak/SoakEnvironment.h
+++ b/test/Soak/SoakEnvironment.h
@@ -58,6 +58,10 @@
   void signalStore(int Signal) { Store->signal(Signal); }
   /// True if the store has ended, which no fault brings about.
   bool storeEnded() const { return Store->ended(); }
+  /// Lets the store lose what was written in the last \p Time, then writes the
+  /// runners' latest registrations again; returns false if the store did not
+  /// respond.
+  bool restoreStore(milliseconds Time);
   /// Makes the store drop the waiting reads of the settings and the upstreams.
   void dropReads();
 
@@ -103,6 +107,8 @@
   /// Size of each gateway's log at its latest start.
   std::array<std::uintmax_t, Gateways> LogStarts = {};
   int LastListing = 0;
+  /// The latest registration of each runner, by its key.
+  std::map<std::string, std::string> Listings;
 };
 
 } // namespace bluebellkeel
--- a/test/Soak/SoakFault.cpp
+++ b/test/Soak/SoakFault.cpp
@@ -4,7 +4,7 @@
 using namespace bluebellkeel;
 
 bool soak_fault::affectsGateway(int Gateway) const {
-  if (Kind == fault_kind::PauseStore)
+  if (Kind == fault_kind::PauseStore || Kind == fault_kind::RestoreStore)
     return true;
   return Target == Gateway &&
          (Kind == fault_kind::PauseGateway || Kind == fault_kind::KillGateway ||
@@ -12,10 +12,11 @@
 }
 
 std::string soak_fault::text() const {
-  static constexpr std::array<const char *, 12> Kinds = {
+  static constexpr std::array<const char *, 13> Kinds = {
       "pause gateway", "kill gateway", "stop gateway", "pause runner",
       "kill runner",   "store link",   "runner link",  "pause store",
-      "drop reads",    "limit runner", "leave runner", "refuse requests"};
+      "drop reads",    "limit runner", "leave runner", "refuse requests",
+      "restore store"};
   static constexpr std::array<const char *, 6> Modes = {
       "pass", "delay", "reset", "lose requests", "lose answers", "silent"};
   std::string Text = std::to_string(Start.count()) + " to " +
--- a/test/Soak/SoakRun.cpp
+++ b/test/Soak/SoakRun.cpp
@@ -11,6 +11,8 @@
 static constexpr milliseconds Tick{50};
 static constexpr milliseconds ConfigureInterval{1500};
 static constexpr milliseconds CheckInterval{3000};
+/// What a restored store has lost: some configurations and registrations.
+static constexpr milliseconds RestoredTime{4000};
 
 /// Time between the last fault and the final requests: silent connections time
 /// out within three seconds, and upstream health and retry budgets recover
@@ -145,6 +147,8 @@
     return Environment.setNotice(Fault.target(), "leaving=1");
   case fault_kind::RefuseRequests:
     return Environment.setNotice(Fault.target(), "pause_ms=1500");
+  case fault_kind::RestoreStore:
+    return Environment.signalStore(SIGSTOP);
   }
 }
 
@@ -176,9 +180,17 @@
     return Environment.setNotice(Fault.target(), "");
   case fault_kind::LeaveRunner:
     return replaceRunner(Fault.target());
+  case fault_kind::RestoreStore:
+    return restoreStore();
   }
 }
 
+void soak_run::restoreStore() {
+  Environment.signalStore(SIGCONT);
+  if (Environment.restoreStore(RestoredTime))
+    Environment.configure(LastWrittenVersion);
+}
+
 void soak_run::replaceRunner(int Runner) {
   if (RunnerDown[Runner])
     return;
--- a/test/Soak/SoakRun.h
+++ b/test/Soak/SoakRun.h
@@ -51,6 +51,8 @@
   void watchProcesses();
   bool allRunning() const;
   void configure();
+  /// Restores the store from a copy and writes the configuration again.
+  void restoreStore();
   std::vector<std::string> check();
   void sendAfterFaults();
   process_state &stateOf(int Gateway) {
