Wait after a failed read of the registrations of a restored log

Cause: the wait between two of these reads ends when another topic is in a later era, also if the read has just failed.

Result: storeRestoredFromCopy_readsThatFailAreNotRepeatedAtOnce failed before (8,405 calls where 40 are allowed) and passes.

--- a/lib/Gateway/GatewayRuntime.cpp
+++ b/lib/Gateway/GatewayRuntime.cpp
@@ -241,20 +241,21 @@
   while (true) {
     monotonic_time RequestedAt = Context.Clock.monotonicNow();
     auto Read = Follower.poll(*Log, milliseconds(0));
-    if (Read) {
-      Context.Instances.noteRegistrationsRead();
-      Availability.succeeded(InstancesView.end());
-    } else {
+    if (!Read) {
       Availability.failed(Read.error(), RequestedAt, InstancesView.end(),
                           InstancesAge.age(Context.Clock.monotonicNow()));
+      awaitTime(Yield, Schedule.instancesDelay(/*ReadFailed=*/true));
+      continue;
     }
+    Context.Instances.noteRegistrationsRead();
+    Availability.succeeded(InstancesView.end());
     // A restored log may have lost the registration.
-    if (Read && !isRegistered()) {
+    if (!isRegistered()) {
       registerSelf(Yield);
       awaitTime(Yield, FirstInstancesReadDelay);
       continue;
     }
-    awaitInstancesRead(Yield, Schedule.instancesDelay(/*ReadFailed=*/!Read));
+    awaitInstancesRead(Yield, Schedule.instancesDelay(/*ReadFailed=*/false));
   }
 }
 
@@ -263,13 +264,15 @@
   return Own && !Own->isDeleted();
 }
 
-/// Waits for \p Delay, or until another topic shows that the log was restored.
+/// Waits for \p Delay, or until another topic shows that the log was restored
+/// since the instances were read.
 void gateway_runtime::impl::awaitInstancesRead(asio::yield_context Yield,
                                                milliseconds Delay) const {
   auto End = Context.Clock.monotonicNow() + Delay;
-  while (Context.Clock.monotonicNow() < End &&
-         SettingsView.end().era() <= InstancesView.end().era())
+  do
     awaitTime(Yield, std::min(Delay, RestoreCheckInterval));
+  while (Context.Clock.monotonicNow() < End &&
+         SettingsView.end().era() <= InstancesView.end().era());
 }
 
 void gateway_runtime::impl::exchangeDigests(asio::yield_context Yield) {
--- a/unittests/Adapter/GatewayStoreTest.cpp
+++ b/unittests/Adapter/GatewayStoreTest.cpp
@@ -113,6 +113,21 @@
   EXPECT_TRUE(waitFor(Registered));
 }
 
+TEST_F(gateway_process_test,
+       storeRestoredFromCopy_readsThatFailAreNotRepeatedAtOnce) {
+  auto Copy = Store.takeCopy();
+  Store.refuseReads("keyed.instances");
+  Store.restore(Copy);
+  putConfiguration(3, 10000, {"other"});
+  EXPECT_TRUE(waitFor([this] { return call("idempotent")->status() == 401; }));
+  absl::Notification Never;
+  Never.WaitForNotificationWithTimeout(absl::Milliseconds(1500));
+  int Before = Store.calls();
+  Never.WaitForNotificationWithTimeout(absl::Seconds(2));
+  // Two long polls, each followed by another at least 0.1 s later.
+  EXPECT_LE(Store.calls() - Before, 2 * 20);
+}
+
 TEST_F(gateway_process_test, oddRegistrationOfAnotherWriter_othersAreFollowed) {
   std::string TooLarge = registration(1, "ready", 1);
   TooLarge.replace(TooLarge.find("\"seq\":1"), 7,
--- a/utils/Platform/StoreStandin.cpp
+++ b/utils/Platform/StoreStandin.cpp
@@ -80,6 +80,17 @@
   Fault = NewFault;
 }
 
+void store_standin::refuseReads(const std::string &Topic) {
+  absl::MutexLock Lock(&Mutex);
+  Topics[Topic].ReadsRefused = true;
+}
+
+bool store_standin::readsRefused(const std::string &Topic) const {
+  absl::MutexLock Lock(&Mutex);
+  auto Found = Topics.find(Topic);
+  return Found != Topics.end() && Found->second.ReadsRefused;
+}
+
 void store_standin::dropWaitingReads(const std::string &Topic) {
   absl::MutexLock Lock(&Mutex);
   ++Topics[Topic].Drops;
@@ -147,6 +158,8 @@
     Responder.send(respond(200, Value));
   } else if (Request.path() == "/bluebellkeel/log-append")
     append(Request, Responder);
+  else if (readsRefused(Request.query("topic")))
+    Responder.send(respond(503, ""));
   else if (Request.path() == "/bluebellkeel/log-read")
     read(Request, Responder, Yield);
   else
--- a/utils/Platform/StoreStandin.h
+++ b/utils/Platform/StoreStandin.h
@@ -29,6 +29,8 @@
   /// newest value of each key is kept.
   void compact(const std::string &Topic);
   void setFault(fault NewFault);
+  /// Refuses all reads of \p Topic with 503 from now on.
+  void refuseReads(const std::string &Topic);
   /// Never answers the reads of \p Topic that are waiting now; their
   /// connections stay open.
   void dropWaitingReads(const std::string &Topic);
@@ -59,6 +61,7 @@
     /// Number of calls of dropWaitingReads(); a read that began before the
     /// latest one is not answered.
     std::uint64_t Drops = 0;
+    bool ReadsRefused = false;
   };
 
   void addTo(topic &Topic, const std::string &Key, const std::string &Value);
@@ -70,6 +73,7 @@
             boost::asio::yield_context Yield);
   void listNewest(const http_request &Request, http_responder &Responder);
   std::uint64_t dropsOf(const std::string &Topic) const;
+  bool readsRefused(const std::string &Topic) const;
   /// Returns the body of a read from offset \p From; empty if there are no
   /// records yet.
   std::string recordsFrom(const std::string &Topic, std::size_t From) const;
