--- a/unittests/Adapter/GatewayStoreTest.cpp
+++ b/unittests/Adapter/GatewayStoreTest.cpp
@@ -129,12 +129,14 @@
 }
 
 TEST_F(gateway_process_test, oddRegistrationOfAnotherWriter_othersAreFollowed) {
-  std::string TooLarge = registration(1, "ready", 1);
-  TooLarge.replace(TooLarge.find("\"seq\":1"), 7,
-                   "\"seq\":18446744073709551615");
+  auto RegistrationWith = [](const std::string &From, const std::string &To) {
+    std::string Text = registration(1, "ready", 1);
+    return Text.replace(Text.find(From), From.size(), To);
+  };
   for (const std::string &Odd :
-       {std::string(100000, '['), TooLarge, std::string("\xff\xfe\x00", 3),
-        registration(1, "ready", 1).replace(12, 4, ":99999")})
+       {std::string(100000, '['), std::string("\xff\xfe\x00", 3),
+        RegistrationWith("\"seq\":1", "\"seq\":18446744073709551615"),
+        RegistrationWith(address(1).text(), address(1).host() + ":99999")})
     Store.put("keyed.servers", "odd", Odd);
   Store.put("keyed.servers", "u1", registration(1, "draining", 2));
   Store.put("keyed.servers", "u2", registration(2, "draining", 2));
