--- a/review/standins/Deployment.cpp
+++ b/review/standins/Deployment.cpp
@@ -37,7 +37,8 @@
                  std::to_string(Route.ObjectiveMs) +
                  R"(,"gap_slo_ms":1000,"priority":1,"attempts":)" +
                  std::to_string(Route.Attempts) +
-                 R"(,"public":false,"resumable":true,"service":")" +
+                 R"(,"public":false,"resumable":)" +
+                 (Route.Resumable ? "true" : "false") + R"(,"service":")" +
                  Route.Service + R"("})";
     Services[Route.Service] =
         R"({"name":")" + Route.Service +
--- a/review/standins/Deployment.h
+++ b/review/standins/Deployment.h
@@ -20,6 +20,7 @@
   unsigned TimeoutMs;
   unsigned ObjectiveMs;
   unsigned Attempts = 1;
+  bool Resumable = true;
 };
 
 /// A store with a configuration and registered runners, which renew their
