--- a/review/standins/Deployment.cpp
+++ b/review/standins/Deployment.cpp
@@ -56,11 +56,29 @@
 
 void deployment::registerRunner(const runner &Runner,
                                 const std::string &Service) {
+  registerRunner(Runner.id(), Runner.address(), Service);
+}
+
+void deployment::registerRunner(const std::string &Id,
+                                const std::string &Address,
+                                const std::string &Service) {
   std::lock_guard<std::mutex> Lock(Mutex);
-  Registrations[Runner.id()] =
-      R"({"service":")" + Service + R"(","address":")" + Runner.address() +
+  Registrations[Id] =
+      R"({"service":")" + Service + R"(","address":")" + Address +
       R"(","zone":"north","version":"v1","slots":64,"state":"ready","cold_left_ms":0,"seq":)";
-  Store.put("keyed.servers", Runner.id(), Registrations[Runner.id()] + "1}");
+  Store.put("keyed.servers", Id, Registrations[Id] + "1}");
+}
+
+void deployment::dropRunner(const std::string &Id) {
+  static constexpr int SilentRenewals = 3;
+  {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    Registrations.erase(Id);
+  }
+  std::thread([this, Id] {
+    std::this_thread::sleep_for(SilentRenewals * RenewInterval);
+    Store.put("keyed.servers", Id, "");
+  }).detach();
 }
 
 void deployment::renewRegistrations() {
--- a/review/standins/Deployment.h
+++ b/review/standins/Deployment.h
@@ -36,6 +36,11 @@
 
   void configure(const std::vector<route> &Routes);
   void registerRunner(const runner &Runner, const std::string &Service);
+  void registerRunner(const std::string &Id, const std::string &Address,
+                      const std::string &Service);
+  /// Removes the entry of a runner that has crashed, once it has been silent
+  /// for three renewals.
+  void dropRunner(const std::string &Id);
   /// Starts a gateway; ends the case if it does not become ready.
   gateway &startGateway(const std::string &Name, unsigned MemoryMb);
 
