--- a/review/standins/Connection.cpp
+++ b/review/standins/Connection.cpp
@@ -1,6 +1,7 @@
 #include "Connection.h"
 #include <arpa/inet.h>
 #include <array>
+#include <atomic>
 #include <cstdlib>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -191,14 +192,20 @@
 }
 
 std::uint16_t review::freePort() {
-  int Socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in Address = loopback(0);
-  socklen_t Size = sizeof Address;
-  if (::bind(Socket, reinterpret_cast<sockaddr *>(&Address), Size) != 0)
-    return 0;
-  ::getsockname(Socket, reinterpret_cast<sockaddr *>(&Address), &Size);
-  ::close(Socket);
-  return ntohs(Address.sin_port);
+  // Below the ports that the system gives to outgoing connections.
+  constexpr int FirstPort = 12000;
+  constexpr int Ports = 18000;
+  static std::atomic<int> Next{::getpid() * 64 % Ports};
+  while (true) {
+    auto Port = static_cast<std::uint16_t>(FirstPort + Next++ % Ports);
+    int Socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in Address = loopback(Port);
+    bool Free = ::bind(Socket, reinterpret_cast<sockaddr *>(&Address),
+                       sizeof Address) == 0;
+    ::close(Socket);
+    if (Free)
+      return Port;
+  }
 }
 
 std::string review::addressOf(std::uint16_t Port) {
--- a/review/standins/FragileRunner.cpp
+++ b/review/standins/FragileRunner.cpp
@@ -19,10 +19,10 @@
 
 fragile_runner::fragile_runner(std::string Name, deployment &Deployment,
                                std::string Service, std::string DeadlyPart,
-                               observer &Observer)
+                               written Written, observer &Observer)
     : Name(std::move(Name)), Deployment(Deployment),
       Service(std::move(Service)), DeadlyPart(std::move(DeadlyPart)),
-      Observer(Observer), Port(freePort()) {}
+      Written(Written), Observer(Observer), Port(freePort()) {}
 
 void fragile_runner::start() {
   constexpr int Backlog = 128;
@@ -81,6 +81,11 @@
   Observer.onArrival(RequestId, Deadly);
   std::this_thread::sleep_for(PromptTime);
   if (Deadly) {
+    if (Written != written::Nothing)
+      Connection.send(streamHead(Request));
+    if (Written == written::FirstEvent)
+      Connection.send(streamEvent(1));
+    std::this_thread::sleep_for(EventInterval);
     crash(ServedLifetime);
     return;
   }
--- a/review/standins/FragileRunner.h
+++ b/review/standins/FragileRunner.h
@@ -21,8 +21,11 @@
     virtual void onCrash(std::size_t OpenRequests) = 0;
   };
 
+  /// What has been written of an answer when the runner crashes.
+  enum class written { Nothing, Head, FirstEvent };
+
   fragile_runner(std::string Name, deployment &Deployment, std::string Service,
-                 std::string DeadlyPart, observer &Observer);
+                 std::string DeadlyPart, written Written, observer &Observer);
 
   void start();
 
@@ -37,6 +40,7 @@
   deployment &Deployment;
   std::string Service;
   std::string DeadlyPart;
+  written Written;
   observer &Observer;
   std::uint16_t Port;
   std::mutex Mutex;
