--- a/review/build.sh
+++ b/review/build.sh
@@ -3,9 +3,13 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 out=target/review
-mkdir -p "$out"
+mkdir -p "$out/objects"
+compile=(g++ -std=c++17 -O1 -pthread)
+
+printf '%s\n' review/standins/*.cpp |
+  xargs -P "$(nproc)" -I{} sh -c \
+    '"$@" -c {} -o "'"$out"'/objects/$(basename {} .cpp).o"' sh "${compile[@]}"
 for case in review/[0-9]*/; do
-  [ -e "$case/Main.cpp" ] || continue
-  g++ -std=c++17 -O1 -pthread -o "$out/case$(basename "$case")" \
-    "$case/Main.cpp" review/standins/*.cpp
+  "${compile[@]}" -o "$out/case$(basename "$case")" "$case/Main.cpp" \
+    "$out"/objects/*.o
 done
