Block parts of prompts that crash upstreams at any moment of an exchange

Cause: attempt_recorder::noteCrash counted a crash against parts only if the head of the answer had come and no event.

Change: each request that a crash interrupts is noted with those of its parts that were not answered lately. Three requests at three upstreams at three moments block the part with the most crashes; the crashes that it explains speak against no other part. Upstreams that are lost at once are one moment, and without any answer nothing is noted. The rule for the stage between head and first event is unchanged. Digests carry a bounded number of interruptions.

Failed before: crashing_part_test.partThatCrashesAfterTheFirstEvents_isBlocked, partThatCrashesBeforeTheHead_isBlocked, crashingPartAtTheStartOfThePrompt_isBlocked and partThatCrashesInsideABody_ isBlocked.

--- a/include/bluebellkeel/Policy/PartCrashReport.h
+++ b/include/bluebellkeel/Policy/PartCrashReport.h
@@ -2,6 +2,7 @@
 #define BLUEBELLKEEL_POLICY_PARTCRASHREPORT_H
 
 #include "bluebellkeel/Policy/PartCrash.h"
+#include "bluebellkeel/Policy/PartInterruption.h"
 #include "bluebellkeel/Policy/PartSuccess.h"
 
 namespace bluebellkeel {
@@ -11,17 +12,23 @@
 public:
   part_crash_report() = default;
   part_crash_report(std::vector<part_crash> Crashes,
-                    std::vector<part_success> Successes)
-      : Crashes(std::move(Crashes)), Successes(std::move(Successes)) {}
+                    std::vector<part_success> Successes,
+                    std::vector<part_interruption> Interruptions = {})
+      : Crashes(std::move(Crashes)), Successes(std::move(Successes)),
+        Interruptions(std::move(Interruptions)) {}
 
   const std::vector<part_crash> &crashes() const { return Crashes; }
   /// Returns the latest successes of parts that a crash was attributed to.
   const std::vector<part_success> &successes() const { return Successes; }
-  auto key() const { return std::tie(Crashes, Successes); }
+  const std::vector<part_interruption> &interruptions() const {
+    return Interruptions;
+  }
+  auto key() const { return std::tie(Crashes, Successes, Interruptions); }
 
 private:
   std::vector<part_crash> Crashes;
   std::vector<part_success> Successes;
+  std::vector<part_interruption> Interruptions;
 };
 
 } // namespace bluebellkeel
--- a/include/bluebellkeel/Policy/PartCrashTracker.h
+++ b/include/bluebellkeel/Policy/PartCrashTracker.h
@@ -4,8 +4,10 @@
 #include "bluebellkeel/Core/GuardedValue.h"
 #include "bluebellkeel/Core/Sharded.h"
 #include "bluebellkeel/Core/TimeSource.h"
+#include "bluebellkeel/Policy/InterruptionTracker.h"
 #include "bluebellkeel/Policy/PartBlame.h"
 #include "bluebellkeel/Policy/PartCrashReport.h"
+#include <atomic>
 #include <memory>
 
 namespace bluebellkeel {
@@ -14,7 +16,9 @@
 /// instance and its peers saw. No two of the requests with such a part need be
 /// alike, and sound requests share their other parts. A part that crashes
 /// upstreams crashes each of them, so crashes do not speak against a part with
-/// an answer after them or within SuccessLifetime before them. Thread-safe.
+/// an answer after them or within SuccessLifetime before them. A crash is
+/// evidence only while other requests are answered; without any answer nothing
+/// tells a part from the rest. Thread-safe.
 class part_crash_tracker {
 public:
   /// How long crashes count, and thus how long a part stays blocked after its
@@ -27,8 +31,11 @@
   /// Maximum number of crashes, and of successes, tracked per shard.
   static constexpr std::size_t MaxCrashes = 16;
   static constexpr std::size_t MaxSuccesses = 256;
-  /// Maximum number of crashes, and of successes, in a report.
+  /// Maximum number of crashes, of successes and of interruptions in a report,
+  /// and of interruptions that explain why one part is blocked. The latter
+  /// suffice for a peer to block the part, even if several are of one moment.
   static constexpr std::size_t MaxReported = 24;
+  static constexpr std::size_t MaxReportedOfBlockedPart = 8;
 
   explicit part_crash_tracker(const time_source &Clock) : Clock(Clock) {}
 
@@ -37,6 +44,11 @@
   /// repeatedly.
   void noteCrash(const fingerprint &Request,
                  const upstream_incarnation &Upstream, const prompt &Prompt);
+  /// Records that \p Upstream crashed while it had \p Request, which it may or
+  /// may not have begun. The same crash may be recorded repeatedly.
+  void noteInterruption(const fingerprint &Request,
+                        const upstream_incarnation &Upstream,
+                        const prompt &Prompt);
   /// Records a complete answer.
   void noteSuccess(const prompt &Prompt);
   /// Returns what the known crashes say about parts and requests.
@@ -67,9 +79,18 @@
   /// sound.
   std::vector<part_crash> crashes(monotonic_time Now);
   void updateBlame();
+  /// Records the success of a part in a crash's report, for the peers.
+  void announce(const std::string &Part);
+  std::vector<part_interruption> reportedInterruptions();
+  std::vector<part_success> reportedSuccesses();
 
   const time_source &Clock;
   sharded<crash_map> Crashes;
+  interruption_tracker Interruptions{CrashLifetime, Clock};
+  /// Time of the latest answer to a request with shared parts.
+  guarded_value<monotonic_time> LatestAnswer{monotonic_time::min()};
+  /// Number of reports so far; varies which interruptions are in a report.
+  std::atomic<std::uint64_t> Reports{0};
   sharded<success_map> Successes;
   /// Parts whose success peers need to know, with the time of the reason.
   sharded<success_map> Announced;
--- a/lib/Peer/DigestJson.cpp
+++ b/lib/Peer/DigestJson.cpp
@@ -113,6 +113,19 @@
   return Crashes;
 }
 
+static json interruptionsToJson(const part_crash_report &Report) {
+  json Interruptions = json::array();
+  for (const auto &Interruption : Report.interruptions())
+    Interruptions.push_back(
+        {{"p", Interruption.part()},
+         {"i", Interruption.position()},
+         {"f", Interruption.request().text()},
+         {"u", Interruption.upstream().upstream().text()},
+         {"n", Interruption.upstream().number()},
+         {"a", static_cast<std::uint64_t>(Interruption.age().count())}});
+  return Interruptions;
+}
+
 static json successesToJson(const part_crash_report &Report) {
   json Successes = json::array();
   for (const auto &Success : Report.successes())
@@ -158,6 +171,8 @@
     Json["pc"] = crashesToJson(Body.partCrashes());
   if (!Body.partCrashes().successes().empty())
     Json["ps"] = successesToJson(Body.partCrashes());
+  if (!Body.partCrashes().interruptions().empty())
+    Json["pi"] = interruptionsToJson(Body.partCrashes());
   if (!Body.notices().empty())
     Json["un"] = noticesToJson(Body.notices());
   if (Body.settings().age())
@@ -240,7 +255,21 @@
     if (Success.failed())
       Fields.fail(Success.error().message());
   }
-  return part_crash_report(std::move(Crashes), std::move(Successes));
+  std::vector<part_interruption> Interruptions;
+  for (const auto &Item : optionalArray(Fields, "pi")) {
+    field_reader Interruption(Item);
+    std::string Part = Interruption.text("p");
+    std::uint64_t Position = Interruption.number("i");
+    fingerprint Request(Interruption.text("f"));
+    upstream_id Id(Interruption.text("u"));
+    upstream_incarnation Upstream(Id, Interruption.number("n"));
+    Interruptions.emplace_back(Part, Position, Request, Upstream,
+                               ageFrom(Interruption));
+    if (Interruption.failed())
+      Fields.fail(Interruption.error().message());
+  }
+  return part_crash_report(std::move(Crashes), std::move(Successes),
+                           std::move(Interruptions));
 }
 
 static std::vector<liveness_report> livenessReportsFrom(field_reader &Fields) {
--- a/lib/Policy/PartBlame.cpp
+++ b/lib/Policy/PartBlame.cpp
@@ -61,13 +61,20 @@
                 Crashes.end());
 }
 
-part_blame::part_blame(const std::vector<part_crash> &Crashes) {
+part_blame::part_blame(const std::vector<part_crash> &Crashes,
+                       const std::vector<part_interruption> &Interruptions)
+    : Interrupted(Interruptions) {
   for (const auto &Crash : Crashes) {
     if (Crash.parts().empty())
       continue;
     Mentioned.insert(Crash.parts().begin(), Crash.parts().end());
     UpstreamsOfRequest[Crash.request()].insert(Crash.upstream());
   }
+  blockCrashingParts(Crashes);
+  blockInterruptedParts(Crashes);
+}
+
+void part_blame::blockCrashingParts(const std::vector<part_crash> &Crashes) {
   std::vector<part_crash> Unexplained = Crashes;
   evidence_map Evidence = evidenceIn(Unexplained);
   while (auto Part = partToBlock(Evidence)) {
@@ -79,6 +86,33 @@
     RequestsOfPart.emplace(Part, Entry.Requests);
 }
 
+void part_blame::blockInterruptedParts(const std::vector<part_crash> &Crashes) {
+  std::set<upstream_incarnation> Explained;
+  for (const auto &Crash : Crashes) {
+    if (std::any_of(
+            Crash.parts().begin(), Crash.parts().end(),
+            [this](const auto &Part) { return Blocked.count(Part) > 0; }))
+      Explained.insert(Crash.upstream());
+  }
+  Unexplained = Interrupted.without(Explained);
+  for (const auto &Part : Blocked)
+    Unexplained = Unexplained.without(Interrupted.upstreamsOf(Part));
+  while (auto Part = Unexplained.cause()) {
+    Blocked.insert(*Part);
+    Unexplained = Unexplained.without(Interrupted.upstreamsOf(*Part));
+  }
+}
+
+bool part_blame::suspects(const prompt &Prompt) const {
+  if (maxRequestsOf(Prompt) >= SuspectRequests)
+    return true;
+  for (const auto &Part : Prompt.sharedPartIds()) {
+    if (Unexplained.suspects(Part))
+      return true;
+  }
+  return false;
+}
+
 std::optional<std::string> part_blame::blockedPart(const prompt &Prompt) const {
   if (Blocked.empty())
     return std::nullopt;
--- a/lib/Policy/PartCrashTracker.cpp
+++ b/lib/Policy/PartCrashTracker.cpp
@@ -1,4 +1,5 @@
 #include "bluebellkeel/Policy/PartCrashTracker.h"
+#include "bluebellkeel/Core/StableHash.h"
 #include <algorithm>
 
 using namespace bluebellkeel;
@@ -77,15 +78,40 @@
     updateBlame();
 }
 
+void part_crash_tracker::noteInterruption(const fingerprint &Request,
+                                          const upstream_incarnation &Upstream,
+                                          const prompt &Prompt) {
+  monotonic_time Now = Clock.monotonicNow();
+  if (LatestAnswer.get() < Now - SuccessLifetime)
+    return;
+  bool Changed = false;
+  std::uint64_t Position = 0;
+  for (const auto &Part : Prompt.sharedPartIds()) {
+    part_interruption Interruption(Part, Position++, Request, Upstream,
+                                   milliseconds(0));
+    if (!isSound(Part, Now) && Interruptions.note(Interruption))
+      Changed = true;
+  }
+  if (Changed)
+    updateBlame();
+}
+
+void part_crash_tracker::announce(const std::string &Part) {
+  monotonic_time Now = Clock.monotonicNow();
+  Announced.withShard(Part, [&](success_map &Shard) { Shard[Part] = Now; });
+}
+
 void part_crash_tracker::noteSuccess(const prompt &Prompt) {
   monotonic_time Now = Clock.monotonicNow();
   auto Known = blame();
   bool Cleared = false;
   for (const auto &Part : Prompt.sharedPartIds()) {
+    LatestAnswer.set(Now);
     noteSuccessAt(Part, Now);
-    if (!Known->mentions(Part))
+    if (!Known->mentions(Part) && !Known->interrupted(Part))
       continue;
-    Announced.withShard(Part, [&](success_map &Shard) { Shard[Part] = Now; });
+    Interruptions.clear(Part, Now);
+    announce(Part);
     Cleared = true;
   }
   if (Cleared)
@@ -122,9 +148,15 @@
   absl::MutexLock Lock(&UpdateMutex);
   monotonic_time Now = Clock.monotonicNow();
   auto Known = crashes(Now);
-  Blame.set(std::make_shared<const part_blame>(Known));
-  BlameExpiry.set(Known.empty() ? monotonic_time::max()
-                                : Now - Known.back().age() + CrashLifetime);
+  auto Interrupted = Interruptions.interruptions();
+  Blame.set(std::make_shared<const part_blame>(Known, Interrupted));
+  std::optional<milliseconds> Oldest;
+  if (!Known.empty())
+    Oldest = Known.back().age();
+  for (const auto &Interruption : Interrupted)
+    Oldest = std::max(Oldest.value_or(milliseconds(0)), Interruption.age());
+  BlameExpiry.set(Oldest ? Now - *Oldest + CrashLifetime
+                         : monotonic_time::max());
 }
 
 std::shared_ptr<const part_blame> part_crash_tracker::blame() {
@@ -158,6 +190,12 @@
     if (Supports || Crash.age() <= ReportAge)
       Reported.push_back(Crash);
   }
+  return part_crash_report(std::move(Reported), reportedSuccesses(),
+                           reportedInterruptions());
+}
+
+std::vector<part_success> part_crash_tracker::reportedSuccesses() {
+  monotonic_time Now = Clock.monotonicNow();
   std::vector<std::string> Parts;
   Announced.forEachShard([&](success_map &Shard) {
     for (auto It = Shard.begin(); It != Shard.end();) {
@@ -177,7 +215,36 @@
         Sound.emplace_back(Part, ageAt(Now, Found->second));
     });
   }
-  return part_crash_report(std::move(Reported), std::move(Sound));
+  return Sound;
+}
+
+/// Returns the interruptions that peers may lack, first those of the parts with
+/// the most crashes. Of the others each gets its turn, since a peer may have
+/// seen another crash with the same part.
+std::vector<part_interruption> part_crash_tracker::reportedInterruptions() {
+  auto Known = blame();
+  auto All = Interruptions.interruptions();
+  std::map<std::string, std::set<upstream_incarnation>> Upstreams;
+  for (const auto &Interruption : All)
+    Upstreams[Interruption.part()].insert(Interruption.upstream());
+  auto Rank = [&](const part_interruption &Interruption) {
+    return std::pair(Upstreams[Interruption.part()].size(),
+                     -Interruption.age());
+  };
+  std::sort(All.begin(), All.end(),
+            [&](const auto &L, const auto &R) { return Rank(L) > Rank(R); });
+  std::map<std::string, std::size_t> Listed;
+  std::vector<part_interruption> Reported;
+  for (const auto &Interruption : All) {
+    if (Reported.size() >= MaxReported)
+      break;
+    bool Blocked = Known->blockedParts().count(Interruption.part()) > 0;
+    if (Blocked && Listed[Interruption.part()]++ >= MaxReportedOfBlockedPart)
+      continue;
+    if (Blocked || Interruption.age() <= ReportAge)
+      Reported.push_back(Interruption);
+  }
+  return Reported;
 }
 
 void part_crash_tracker::merge(const part_crash_report &Report) {
@@ -185,10 +252,10 @@
   auto Known = blame();
   bool Changed = false;
   for (const auto &Success : Report.successes()) {
-    if (Known->mentions(Success.part())) {
-      Announced.withShard(Success.part(), [&](success_map &Shard) {
-        Shard[Success.part()] = Now;
-      });
+    if (Known->mentions(Success.part()) || Known->interrupted(Success.part())) {
+      Interruptions.clear(Success.part(),
+                          Now - Success.age() + SuccessLifetime);
+      announce(Success.part());
       Changed = true;
     }
     noteSuccessAt(Success.part(), Now - Success.age());
@@ -200,10 +267,15 @@
     Changed = true;
     for (const auto &Part : Crash.parts()) {
       if (isSound(Part, Now - Crash.age()))
-        Announced.withShard(Part,
-                            [&](success_map &Shard) { Shard[Part] = Now; });
+        announce(Part);
     }
   }
+  for (const auto &Interruption : Report.interruptions()) {
+    if (isSound(Interruption.part(), Now - Interruption.age()))
+      announce(Interruption.part());
+    else if (Interruptions.note(Interruption))
+      Changed = true;
+  }
   if (Changed)
     updateBlame();
 }
--- a/lib/Relay/AttemptRecorder.cpp
+++ b/lib/Relay/AttemptRecorder.cpp
@@ -36,8 +36,10 @@
 void attempt_recorder::noteCrash(const upstream_listing &Upstream) const {
   Deps.Crashes.noteCrash(Admission.requestFingerprint(), Upstream.id(),
                          Progress.SentAt);
-  // Only a request that was beginning can have caused the crash by what its
-  // prompt holds; the others merely ran beside it.
+  Deps.PartCrashes.noteInterruption(Admission.requestFingerprint(),
+                                    Upstream.incarnationKey(),
+                                    Call.requestPrompt());
+  // A request that had just begun is the likeliest cause of the crash.
   if (Progress.HeadReceived && !Progress.BodyStarted && !Stream.started())
     Deps.PartCrashes.noteCrash(Admission.requestFingerprint(),
                                Upstream.incarnationKey(), Call.requestPrompt());
--- a/unittests/Peer/DigestTest.cpp
+++ b/unittests/Peer/DigestTest.cpp
@@ -48,7 +48,10 @@
   Fields.PartCrashes = part_crash_report(
       {part_crash(fingerprint("f"), upstream_incarnation(upstream_id("u"), 13),
                   {"p", "q"}, milliseconds(11))},
-      {part_success("p", milliseconds(12))});
+      {part_success("p", milliseconds(12))},
+      {part_interruption("p", 1, fingerprint("f"),
+                         upstream_incarnation(upstream_id("u"), 13),
+                         milliseconds(16))});
   Fields.Notices = {notice_report(upstream_incarnation(upstream_id("u"), 13),
                                   2.5, false, milliseconds(14)),
                     notice_report(upstream_incarnation(upstream_id("v"), 0),
--- a/unittests/Policy/PartCrashTrackerTest.cpp
+++ b/unittests/Policy/PartCrashTrackerTest.cpp
@@ -37,6 +37,19 @@
                               run("u" + std::to_string(Crashes)),
                               promptWith(Shared));
   }
+  /// The crash of a new upstream interrupts a new request with \p Shared, seen
+  /// by \p Index.
+  void interrupt(std::size_t Index, const std::vector<std::string> &Shared) {
+    ++Crashes;
+    interruptAt(Index, Shared, run("u" + std::to_string(Crashes)));
+  }
+  void interruptAt(std::size_t Index, const std::vector<std::string> &Shared,
+                   const upstream_incarnation &Upstream) {
+    ++Interrupted;
+    instance(Index).noteInterruption(
+        fingerprint("i" + std::to_string(Interrupted)), Upstream,
+        promptWith(Shared));
+  }
   bool blocks(std::size_t Index, const std::vector<std::string> &Shared) {
     return instance(Index).blame()->blockedPart(promptWith(Shared)).has_value();
   }
@@ -52,6 +65,7 @@
   manual_clock Clock;
   std::deque<part_crash_tracker> Instances;
   int Crashes = 0;
+  int Interrupted = 0;
 };
 
 } // namespace
@@ -248,6 +262,131 @@
     EXPECT_GE(Success.age(), milliseconds(0));
 }
 
+TEST_F(part_crash_tracker_test,
+       interruptionsByThreeCrashesInTurn_blockTheCommonPart) {
+  for (const char *Other : {"a", "b", "c"}) {
+    EXPECT_FALSE(blocks(0, {"d"}));
+    instance(0).noteSuccess(promptWith({"z"}));
+    interrupt(0, {Other, "d"});
+    Clock.advance(seconds(1));
+  }
+  EXPECT_TRUE(blocks(0, {"d"}));
+  for (const char *Other : {"a", "b", "c"})
+    EXPECT_FALSE(blocks(0, {Other}));
+}
+
+TEST_F(part_crash_tracker_test, interruptionsByCrashesAtOnce_blockNothing) {
+  instance(0).noteSuccess(promptWith({"z"}));
+  for (int I = 0; I < 9; ++I)
+    interrupt(0, {"a"});
+  EXPECT_FALSE(blocks(0, {"a"}));
+}
+
+TEST_F(part_crash_tracker_test, interruptionsOfOneRequest_blockNothing) {
+  for (int I = 0; I < 9; ++I) {
+    instance(0).noteSuccess(promptWith({"z"}));
+    instance(0).noteInterruption(fingerprint("r"), run("u" + std::to_string(I)),
+                                 promptWith({"a"}));
+    Clock.advance(seconds(1));
+  }
+  EXPECT_FALSE(blocks(0, {"a"}));
+}
+
+TEST_F(part_crash_tracker_test, partInterruptedBesideTheCause_isNotBlocked) {
+  for (int I = 0; I < 5; ++I) {
+    instance(0).noteSuccess(promptWith({"z"}));
+    upstream_incarnation Upstream = run("u" + std::to_string(I));
+    interruptAt(0, {"d"}, Upstream);
+    // The seldom used part is interrupted by all but one of the crashes.
+    if (I > 0)
+      interruptAt(0, {"seldom"}, Upstream);
+    Clock.advance(seconds(1));
+  }
+  EXPECT_TRUE(blocks(0, {"d"}));
+  EXPECT_FALSE(blocks(0, {"seldom"}));
+}
+
+TEST_F(part_crash_tracker_test, partInterruptedBesideABegunRequest_isNoCause) {
+  for (int I = 0; I < 5; ++I) {
+    instance(0).noteSuccess(promptWith({"z"}));
+    crash(0, {"d"});
+    interruptAt(0, {"seldom"}, run("u" + std::to_string(Crashes)));
+    Clock.advance(seconds(1));
+  }
+  EXPECT_TRUE(blocks(0, {"d"}));
+  EXPECT_FALSE(blocks(0, {"seldom"}));
+}
+
+TEST_F(part_crash_tracker_test, interruptedPart_thatIsAnswered_startsAnew) {
+  for (int I = 0; I < 9; ++I) {
+    instance(0).noteSuccess(promptWith({"z"}));
+    interrupt(0, {"a"});
+    Clock.advance(seconds(1));
+    if (I % 2 == 1)
+      instance(0).noteSuccess(promptWith({"a"}));
+    Clock.advance(2 * part_crash_tracker::SuccessLifetime);
+  }
+  EXPECT_FALSE(blocks(0, {"a"}));
+}
+
+TEST_F(part_crash_tracker_test,
+       instancesThatSawOneInterruptionEach_allBlockThePart) {
+  for (std::size_t I = 0; I < 100; ++I)
+    instance(I).noteSuccess(promptWith({"z"}));
+  // Each crash interrupts requests at many instances.
+  for (std::size_t I = 0; I < 5; ++I) {
+    interrupt(20 * I, {"z", "d"});
+    upstream_incarnation Upstream = run("u" + std::to_string(Crashes));
+    for (std::size_t Other = 0; Other < 30; ++Other)
+      interruptAt(3 * Other,
+                  {"z", "subject " + std::to_string(100 * I + Other)},
+                  Upstream);
+    exchangeReports(8);
+    Clock.advance(milliseconds(700));
+  }
+  for (int Round = 0; Round < 3; ++Round) {
+    exchangeReports(8);
+    Clock.advance(milliseconds(700));
+  }
+  for (std::size_t I = 0; I < 100; ++I)
+    EXPECT_TRUE(blocks(I, {"x", "d"})) << I;
+}
+
+TEST_F(part_crash_tracker_test, partInterruptedHere_answeredAtAPeer_isCleared) {
+  instance(1).noteSuccess(promptWith({"a"}));
+  for (int I = 0; I < 3; ++I) {
+    instance(0).noteSuccess(promptWith({"z"}));
+    interrupt(0, {"a"});
+    Clock.advance(seconds(1));
+    for (int Round = 0; Round < 2; ++Round)
+      exchangeReports(1);
+  }
+  EXPECT_FALSE(blocks(0, {"a"}));
+  EXPECT_FALSE(blocks(1, {"a"}));
+}
+
+TEST_F(part_crash_tracker_test, instanceStartedLater_learnsTheInterruptions) {
+  for (int I = 0; I < 12; ++I) {
+    instance(0).noteSuccess(promptWith({"z"}));
+    interrupt(0, {"d"});
+    Clock.advance(milliseconds(300));
+  }
+  Clock.advance(seconds(120));
+  instance(1).merge(instance(0).report());
+  EXPECT_TRUE(blocks(1, {"d"}));
+}
+
+TEST_F(part_crash_tracker_test, reportOfManyInterruptions_isBounded) {
+  for (int I = 0; I < 1000; ++I) {
+    instance(0).noteSuccess(promptWith({"z"}));
+    interrupt(0, {"a" + std::to_string(I), "d"});
+    Clock.advance(milliseconds(10));
+  }
+  EXPECT_LE(instance(0).report().interruptions().size(),
+            part_crash_tracker::MaxReported);
+  EXPECT_TRUE(blocks(0, {"d"}));
+}
+
 RC_GTEST_FIXTURE_PROP(part_crash_tracker_test,
                       anyMixOfCrashes_onlyThePartWithoutSuccess_isBlocked, ()) {
   auto Order = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 60));
--- a/unittests/Relay/CrashingPartTest.cpp
+++ b/unittests/Relay/CrashingPartTest.cpp
@@ -45,6 +45,24 @@
     script({crashingAfter(0), crashingAfter(0), crashingAfter(0)});
     return run(callWith(Parts));
   }
+  /// Runs one request per second with the part "deadly", which crashes
+  /// upstreams as \p Crash says, beside sound ones that share its other parts.
+  void runDeadlyBesideSound(const upstream_script &Crash, int Seconds,
+                            const std::vector<std::string> &DeadlyParts) {
+    for (int Second = 0; Second < Seconds; ++Second) {
+      for (int I = 0; I < 4; ++I)
+        runSound({"common", "subject " + std::to_string(I)});
+      script({Crash, Crash, Crash});
+      run(callWith(DeadlyParts));
+      Clock.advance(seconds(1));
+    }
+  }
+  /// Returns true if a new request with \p Parts reaches an upstream.
+  bool isSent(const std::vector<std::string> &Parts) {
+    std::size_t Sent = Upstreams.Attempts.size();
+    runSound(Parts);
+    return Upstreams.Attempts.size() > Sent;
+  }
   recording_caller runSound(const std::vector<std::string> &Parts) {
     script({answering()});
     return run(callWith(Parts));
@@ -174,3 +192,97 @@
   EXPECT_EQ(502, run(Repeated).Status);
   EXPECT_EQ(Sent, Upstreams.Attempts.size());
 }
+
+// Guards against parts that are never blocked since their crashes come after
+// the first event.
+TEST_F(crashing_part_test, partThatCrashesAfterTheFirstEvents_isBlocked) {
+  for (int Events : {1, 3, 12}) {
+    std::string Deadly = "deadly " + std::to_string(Events);
+    runDeadlyBesideSound(crashingAfter(Events), 3, {"common", Deadly});
+    EXPECT_FALSE(isSent({"common", Deadly})) << Events;
+    for (int I = 0; I < 4; ++I)
+      EXPECT_TRUE(isSent({"common", "subject " + std::to_string(I)}));
+  }
+}
+
+// Guards against parts that are never blocked since their crashes come before
+// the first byte.
+TEST_F(crashing_part_test, partThatCrashesBeforeTheHead_isBlocked) {
+  runDeadlyBesideSound(failing(attempt_error::Truncated), 3,
+                       {"common", "deadly"});
+  EXPECT_FALSE(isSent({"common", "deadly"}));
+  EXPECT_TRUE(isSent({"common", "subject 0"}));
+}
+
+TEST_F(crashing_part_test, crashingPartAtTheStartOfThePrompt_isBlocked) {
+  runDeadlyBesideSound(crashingAfter(1), 3, {"deadly", "subject 1"});
+  EXPECT_FALSE(isSent({"deadly", "subject 2"}));
+  EXPECT_TRUE(isSent({"common", "subject 1"}));
+}
+
+// Bodies are buffered, so their first bytes do not reach the caller.
+TEST_F(crashing_part_test, partThatCrashesInsideABody_isBlocked) {
+  for (int Second = 0; Second < 3; ++Second) {
+    runSound({"common"});
+    script({crashingAfter(1), crashingAfter(1)});
+    run(callWith({"common", "deadly"}, "/again/x"));
+    Clock.advance(seconds(1));
+  }
+  EXPECT_FALSE(isSent({"common", "deadly"}));
+}
+
+TEST_F(crashing_part_test, soundRequestsBesideACrash_beginAgainElsewhere) {
+  runDeadlyBesideSound(crashingAfter(1), 2, {"common", "deadly"});
+  for (const char *Part : {"subject 0", "seldom used"}) {
+    script({crashingAfter(2), answering()});
+    EXPECT_EQ(200, run(callWith({"common", Part})).Status);
+  }
+}
+
+// Guards against blame of sound parts when upstreams end by themselves.
+TEST_F(crashing_part_test, upstreamsThatEndByThemselves_blockNoPart) {
+  constexpr int Requests = 600;
+  int Refused = 0;
+  for (int I = 0; I < Requests; ++I) {
+    // Every other part is used by three requests only, some minutes apart.
+    std::string Part = I % 2 == 0 ? "subject " + std::to_string(I % 8)
+                                  : "seldom " + std::to_string(I % 200);
+    if (I % 3 == 0)
+      script({crashingAfter(I % 4), answering()});
+    else if (I % 3 == 1)
+      script({failing(attempt_error::Truncated), answering()});
+    else
+      script({answering()});
+    Refused += run(callWith({"common", Part})).Status == 200 ? 0 : 1;
+    Clock.advance(milliseconds(700));
+  }
+  EXPECT_EQ(0, Refused);
+}
+
+TEST_F(crashing_part_test, upstreamsLostAtOnce_blockNoPart) {
+  for (int Round = 0; Round < 4; ++Round) {
+    runSound({"common"});
+    // Two requests with a part that none answered lately, and no retry of
+    // theirs succeeds.
+    for (int I = 0; I < 2; ++I) {
+      script({crashingAfter(1), crashingAfter(1), crashingAfter(1)});
+      run(callWith({"common", "seldom " + std::to_string(Round)}));
+    }
+    Clock.advance(seconds(15));
+  }
+  for (int Round = 0; Round < 4; ++Round)
+    EXPECT_TRUE(isSent({"common", "seldom " + std::to_string(Round)}));
+}
+
+// Without any answer, nothing tells a part that crashes upstreams from the
+// others.
+TEST_F(crashing_part_test, crashesOfAllRequests_blockNoPart) {
+  runSound({"common"});
+  Clock.advance(seconds(11));
+  for (int Second = 0; Second < 20; ++Second) {
+    script({crashingAfter(1), crashingAfter(1), crashingAfter(1)});
+    run(callWith({"common", "subject"}));
+    Clock.advance(seconds(1));
+  }
+  EXPECT_TRUE(isSent({"common", "subject"}));
+}
