Refuse requests that may outlast a stopping gateway

Cause: while draining only streams were refused, whatever was left of the grace period, and nothing bounded a running request by the end of the process. Ruled out by the record of the case: an early end of the process (7.7 s, as intended) and an answer that was not written (the upstream was still at work).

Change: the serving status says by when every response must be complete. The limit of each running request ends with the process, so that it gets 504, or 503 if it has not run, in place of a closed connection.

Failed before: gateway_process_test.shutDown_requestThatRunsAtItsEnd_getsAn Answer and shutDown_lateRequestThatMayOutlastIt_isRefused.

--- a/include/bluebellkeel/Gateway/GatewayState.h
+++ b/include/bluebellkeel/Gateway/GatewayState.h
@@ -29,6 +29,17 @@
     if (To > Phase)
       Phase = To;
   }
+  /// Begins the stop of this instance.
+  ///
+  /// \param At time by which every response must be complete.
+  void stopBy(monotonic_time At) {
+    absl::MutexLock Lock(&Mutex);
+    StopsAt = At;
+  }
+  std::optional<monotonic_time> stopsAt() const override {
+    absl::MutexLock Lock(&Mutex);
+    return StopsAt;
+  }
   milliseconds settingsAge() const override {
     return Age.age(Clock.monotonicNow()).value_or(milliseconds::max());
   }
@@ -42,6 +53,7 @@
   const time_source &Clock;
   mutable absl::Mutex Mutex;
   serving_phase Phase ABSL_GUARDED_BY(Mutex) = serving_phase::Starting;
+  std::optional<monotonic_time> StopsAt ABSL_GUARDED_BY(Mutex);
 };
 
 } // namespace bluebellkeel
--- a/include/bluebellkeel/Membership/ServingPhase.h
+++ b/include/bluebellkeel/Membership/ServingPhase.h
@@ -12,7 +12,7 @@
   /// Callers are directed to other instances; requests that still arrive are
   /// served.
   Redirecting,
-  /// Only short requests are accepted.
+  /// Only requests that end before the process does are accepted.
   Draining,
   /// No request is accepted any more; the process ends.
   Ended,
--- a/include/bluebellkeel/Relay/ForwardAdmission.h
+++ b/include/bluebellkeel/Relay/ForwardAdmission.h
@@ -12,7 +12,7 @@
 class forward_admission {
 public:
   forward_admission(const forward_dependencies &Deps, const forward_call &Call,
-                    const time_limit &Limit)
+                    const forward_limit &Limit)
       : Deps(Deps), Call(Call), Limit(Limit) {}
 
   /// Checks the call before its first attempt. Returns the reason for a
@@ -41,10 +41,11 @@
   std::optional<refusal_reason> checkRoute();
   std::optional<refusal_reason> checkParts(unsigned Runs) const;
   std::optional<refusal_reason> checkTime(unsigned Runs) const;
+  std::optional<refusal_reason> checkStop() const;
 
   const forward_dependencies &Deps;
   const forward_call &Call;
-  const time_limit &Limit;
+  const forward_limit &Limit;
   /// Owns the objects that Route and ServiceConfig point to.
   std::shared_ptr<const route_table> Table;
   const forward_route *Route = nullptr;
--- a/include/bluebellkeel/Relay/ServingStatus.h
+++ b/include/bluebellkeel/Relay/ServingStatus.h
@@ -3,6 +3,7 @@
 
 #include "bluebellkeel/Core/Time.h"
 #include "bluebellkeel/Membership/ServingPhase.h"
+#include <optional>
 
 namespace bluebellkeel {
 
@@ -13,6 +14,9 @@
   virtual ~serving_status() = default;
 
   virtual serving_phase phase() const = 0;
+  /// Time by which every response must be complete since this instance stops;
+  /// empty while it does not.
+  virtual std::optional<monotonic_time> stopsAt() const = 0;
   /// Time since the configuration was last known to be the newest.
   virtual milliseconds settingsAge() const = 0;
   /// True if the configuration may lack a change that must be in force by now.
--- a/lib/Relay/ForwardAdmission.cpp
+++ b/lib/Relay/ForwardAdmission.cpp
@@ -16,8 +16,8 @@
     return refusal_reason::Draining;
   if (auto Reason = checkRoute())
     return Reason;
-  if (Phase == serving_phase::Draining && Route->kind() == route_kind::Stream)
-    return refusal_reason::Draining;
+  if (auto Reason = checkStop())
+    return Reason;
   RequestFingerprint = fingerprint(std::to_string(
       stableHash(Call.path() + "|" + Account.text() + "|" + Call.body())));
   if (Deps.Crashes.crashesOf(RequestFingerprint) >= CrashLimit)
@@ -34,11 +34,39 @@
     if (auto Reason = checkRoute())
       return Reason;
   }
+  // A request that may have run can't be reported as not run any more; it is
+  // sent again and ends with the process at the latest.
+  if (Runs == 0) {
+    if (auto Reason = checkStop())
+      return Reason;
+  }
   if (auto Reason = checkParts(Runs))
     return Reason;
   return checkTime(Runs);
 }
 
+/// Refuses a request that might still run when this instance ends. The refusal
+/// comes while it is certain that the request has not run, and another instance
+/// serves the request at once.
+std::optional<refusal_reason> forward_admission::checkStop() const {
+  if (Deps.ServingStatus.phase() < serving_phase::Draining)
+    return std::nullopt;
+  monotonic_time StopsAt =
+      Deps.ServingStatus.stopsAt().value_or(monotonic_time::max());
+  if (Route->kind() != route_kind::Stream && Limit.withoutStop() <= StopsAt)
+    return std::nullopt;
+  monotonic_time Now = Deps.Clock.monotonicNow();
+  auto TimeUntil = [Now](monotonic_time At) {
+    return std::chrono::duration_cast<milliseconds>(At - Now).count();
+  };
+  event_line Line("relay", "too_long_for_stop");
+  Line.add("id", Call.id().text())
+      .add("may_take_ms", TimeUntil(Limit.withoutStop()))
+      .add("stops_in_ms", TimeUntil(StopsAt));
+  Deps.Log.write(Line);
+  return refusal_reason::Draining;
+}
+
 /// Refuses a request that would probably crash another upstream.
 std::optional<refusal_reason>
 forward_admission::checkParts(unsigned Runs) const {
--- a/lib/Relay/ForwardLimit.cpp
+++ b/lib/Relay/ForwardLimit.cpp
@@ -4,6 +4,11 @@
 using namespace bluebellkeel;
 
 monotonic_time forward_limit::at() const {
+  auto StopsAt = ServingStatus.stopsAt();
+  return StopsAt ? std::min(*StopsAt, withoutStop()) : withoutStop();
+}
+
+monotonic_time forward_limit::withoutStop() const {
   milliseconds Wait = std::min(MaxWait, Call.deadline().value_or(MaxWait));
   auto Table = Tables.current();
   const forward_route *Route =
--- a/lib/Relay/ForwardRelay.cpp
+++ b/lib/Relay/ForwardRelay.cpp
@@ -21,8 +21,9 @@
                              forward_caller &Caller,
                              std::shared_ptr<const forward_call> Call)
     : Deps(Deps), Upstreams(Upstreams), Caller(Caller), Call(std::move(Call)),
-      Limit(*this->Call, Deps.Tables), Admission(Deps, *this->Call, Limit),
-      Candidates(Deps), Log(Deps, *this->Call, Admission, Progress),
+      Limit(*this->Call, Deps.Tables, Deps.ServingStatus),
+      Admission(Deps, *this->Call, Limit), Candidates(Deps),
+      Log(Deps, *this->Call, Admission, Progress),
       Stream(Deps, Caller, Progress, this->Call->lastEvent()),
       Recorder(Deps, *this->Call, Admission, Progress, Stream) {}
 
--- a/unittests/Adapter/GatewayProcessTest.cpp
+++ b/unittests/Adapter/GatewayProcessTest.cpp
@@ -88,6 +88,44 @@
   Stopper.join();
 }
 
+// Guards against connections that are closed without an answer when the grace
+// period ends.
+TEST_F(gateway_process_test, shutDown_requestThatRunsAtItsEnd_getsAnAnswer) {
+  setUpstreamAction([](int, const http_request &, http_responder &Responder,
+                       boost::asio::yield_context Yield) {
+    awaitTime(Yield, milliseconds(2500));
+    Responder.send(okResponse("too late"));
+  });
+  std::optional<http_response> Response;
+  std::thread Caller([&] { Response = call("non_idempotent"); });
+  EXPECT_TRUE(waitFor([this] { return requests() == 1; }));
+  Gateway->shutDown();
+  Caller.join();
+  ASSERT_TRUE(Response.has_value());
+  EXPECT_EQ(504, Response->status());
+}
+
+// Guards against requests that are admitted late in a shutdown and cut.
+TEST_F(gateway_process_test, shutDown_lateRequestThatMayOutlastIt_isRefused) {
+  setUpstreamAction([](int Number, const http_request &,
+                       http_responder &Responder,
+                       boost::asio::yield_context Yield) {
+    awaitTime(Yield, milliseconds(Number == 1 ? 2500 : 1));
+    Responder.send(okResponse("done"));
+  });
+  std::thread Running([&] { call("non_idempotent"); });
+  EXPECT_TRUE(waitFor([this] { return requests() == 1; }));
+  std::thread Stopper([this] { Gateway->shutDown(); });
+  EXPECT_TRUE(waitFor([this] { return readyStatus() == 503; }));
+  absl::SleepFor(absl::Milliseconds(400));
+  auto Late = call("non_idempotent");
+  ASSERT_TRUE(Late.has_value());
+  EXPECT_EQ(503, Late->status());
+  EXPECT_EQ(1, requests());
+  Running.join();
+  Stopper.join();
+}
+
 TEST_F(gateway_process_test, changedSettingsFile_isReloadedWithoutSignal) {
   const std::string Path = testing::TempDir() + "gateway_process_test.json";
   std::ofstream(Path) << "5";
--- a/unittests/Support/ForwardFixture.h
+++ b/unittests/Support/ForwardFixture.h
@@ -144,10 +144,12 @@
 class settable_serving_status final : public serving_status {
 public:
   serving_phase phase() const override { return Phase; }
+  std::optional<monotonic_time> stopsAt() const override { return StopsAt; }
   milliseconds settingsAge() const override { return Age; }
   bool settingsStale() const override { return Age > MaxAge; }
 
   serving_phase Phase = serving_phase::Serving;
+  std::optional<monotonic_time> StopsAt;
   milliseconds Age{0};
   milliseconds MaxAge{2000};
 };
