Give blocked requests a way back

Cause: only a success at the instance itself cleared a request or a part, and a blocked one never runs there.

A trial runs once.

--- a/include/bluebellkeel/Gateway/GatewayContext.h
+++ b/include/bluebellkeel/Gateway/GatewayContext.h
@@ -54,6 +54,7 @@
   prefix_tracker Prefixes;
   crash_tracker Crashes;
   part_crash_tracker PartCrashes;
+  block_trials BlockTrials;
   retry_window Retries;
   return_schedule Returns;
   cheapest_placement Placement;
--- a/include/bluebellkeel/Peer/InstanceDigest.h
+++ b/include/bluebellkeel/Peer/InstanceDigest.h
@@ -25,6 +25,7 @@
     std::vector<instance_load> Loads;
     std::vector<roll_out_evidence> RollOuts;
     std::vector<crash_notice> Crashes;
+    std::vector<fingerprint> ClearedRequests;
     part_crash_report PartCrashes;
     std::vector<notice_report> Notices;
     std::vector<instance_record> KnownInstances;
@@ -43,6 +44,10 @@
     return Content.RollOuts;
   }
   const std::vector<crash_notice> &crashes() const { return Content.Crashes; }
+  /// Returns requests that succeeded after crashes had been attributed to them.
+  const std::vector<fingerprint> &clearedRequests() const {
+    return Content.ClearedRequests;
+  }
   const part_crash_report &partCrashes() const { return Content.PartCrashes; }
   /// Returns what upstreams said of themselves lately.
   const std::vector<notice_report> &notices() const { return Content.Notices; }
@@ -58,8 +63,9 @@
   auto key() const {
     return std::tie(Content.Sender, Content.Settings, Content.Upstreams,
                     Content.Loads, Content.RollOuts, Content.Crashes,
-                    Content.PartCrashes, Content.Notices,
-                    Content.KnownInstances, Content.LivenessReports);
+                    Content.ClearedRequests, Content.PartCrashes,
+                    Content.Notices, Content.KnownInstances,
+                    Content.LivenessReports);
   }
 
 private:
--- a/include/bluebellkeel/Policy.h
+++ b/include/bluebellkeel/Policy.h
@@ -5,6 +5,7 @@
 #include "bluebellkeel/Policy/AlwaysBestPlanner.h"
 #include "bluebellkeel/Policy/AlwaysCheapestPlanner.h"
 #include "bluebellkeel/Policy/AssignmentKey.h"
+#include "bluebellkeel/Policy/BlockTrials.h"
 #include "bluebellkeel/Policy/CheapestAtTargetPlanner.h"
 #include "bluebellkeel/Policy/CheapestPlacement.h"
 #include "bluebellkeel/Policy/ConfidenceModelSelector.h"
--- a/include/bluebellkeel/Policy/CrashTracker.h
+++ b/include/bluebellkeel/Policy/CrashTracker.h
@@ -30,6 +30,8 @@
   /// Maximum number of requests tracked per shard, separately for crashes and
   /// for successes.
   static constexpr std::size_t MaxEntries = 1024;
+  /// Maximum number of cleared requests reported to peers.
+  static constexpr std::size_t MaxCleared = 24;
 
   explicit crash_tracker(const time_source &Clock) : Clock(Clock) {}
 
@@ -42,6 +44,8 @@
   /// peer may report the same crash repeatedly.
   void notePeerCrash(const fingerprint &Request, const upstream_id &Upstream);
   void noteSuccess(const fingerprint &Request);
+  /// Records that a request was cleared by a success at a peer.
+  void notePeerSuccess(const fingerprint &Request) { noteSuccess(Request); }
   bool blocked(const fingerprint &Request);
   /// True after the first crash. A suspected request runs beside as few others
   /// as possible.
@@ -51,6 +55,9 @@
   /// Returns the requests whose latest crash is at most \p Age old, with every
   /// upstream that crashed with them, for the peers.
   std::vector<std::pair<fingerprint, upstream_id>> recent(milliseconds Age);
+  /// Returns requests with crashes, here or at peers, that were cleared at most
+  /// \p Age ago, for the peers.
+  std::vector<fingerprint> cleared(milliseconds Age);
 
 private:
   struct entry {
@@ -59,6 +66,8 @@
   };
 
   using entry_map = std::map<fingerprint, entry>;
+  /// Time at which each cleared request was last found to concern peers.
+  using cleared_map = std::map<fingerprint, monotonic_time>;
   /// Time of the last crash of each upstream.
   using crash_times = std::map<upstream_id, monotonic_time>;
 
@@ -68,6 +77,7 @@
   };
 
   bool succeededBefore(const fingerprint &Request);
+  void noteCleared(const fingerprint &Request);
   /// Removes the expired entries and, if the shard is still full, the oldest
   /// one.
   static void removeExpired(entry_map &Shard, monotonic_time Now);
@@ -82,6 +92,7 @@
   sharded<entry_map> Entries;
   sharded<crash_times> Times;
   sharded<success_set> Successes;
+  sharded<cleared_map> Cleared;
 };
 
 } // namespace bluebellkeel
--- a/include/bluebellkeel/Relay/ForwardAdmission.h
+++ b/include/bluebellkeel/Relay/ForwardAdmission.h
@@ -39,7 +39,10 @@
 
 private:
   std::optional<refusal_reason> checkRoute();
-  std::optional<refusal_reason> checkParts(unsigned Runs) const;
+  std::optional<refusal_reason> checkCrashes(unsigned Runs);
+  /// Returns what blocks the request from running after \p Runs earlier runs:
+  /// a part of its prompt, or the request itself; empty if nothing does.
+  std::optional<std::string> blockOf(unsigned Runs) const;
   std::optional<refusal_reason> checkTime(unsigned Runs) const;
   std::optional<refusal_reason> checkStop() const;
 
@@ -53,6 +56,8 @@
   account_id Account;
   std::optional<unsigned> Priority;
   fingerprint RequestFingerprint;
+  /// True if the request is sent once although it is blocked.
+  bool IsTrial = false;
 };
 
 } // namespace bluebellkeel
--- a/include/bluebellkeel/Relay/ForwardDependencies.h
+++ b/include/bluebellkeel/Relay/ForwardDependencies.h
@@ -5,6 +5,7 @@
 #include "bluebellkeel/Core/TimeSource.h"
 #include "bluebellkeel/Membership/ClosedDataCentres.h"
 #include "bluebellkeel/Membership/LiveInstances.h"
+#include "bluebellkeel/Policy/BlockTrials.h"
 #include "bluebellkeel/Policy/CrashTracker.h"
 #include "bluebellkeel/Policy/ModelSelector.h"
 #include "bluebellkeel/Policy/PartCrashTracker.h"
@@ -44,6 +45,7 @@
   prefix_tracker &Prefixes;
   crash_tracker &Crashes;
   part_crash_tracker &PartCrashes;
+  block_trials &BlockTrials;
   retry_window &Retries;
   return_schedule &Returns;
   const placement_policy &Placement;
--- a/lib/Gateway/DigestExchanger.cpp
+++ b/lib/Gateway/DigestExchanger.cpp
@@ -25,6 +25,7 @@
   Fields.RollOuts = Context.RollOuts.evidence();
   for (const auto &[Request, Upstream] : Context.Crashes.recent(CrashAge))
     Fields.Crashes.emplace_back(Request, Upstream);
+  Fields.ClearedRequests = Context.Crashes.cleared(CrashAge);
   Fields.PartCrashes = Context.PartCrashes.report();
   Fields.Notices = Context.Notices.report();
   // A few instances are enough for a peer that knows no others, since it
@@ -53,6 +54,8 @@
   Context.RollOuts.merge(Peer, Digest.rollOuts());
   for (const auto &Crash : Digest.crashes())
     Context.Crashes.notePeerCrash(Crash.request(), Crash.upstream());
+  for (const auto &Request : Digest.clearedRequests())
+    Context.Crashes.notePeerSuccess(Request);
   Context.PartCrashes.merge(Digest.partCrashes());
   for (const auto &News : Context.Notices.merge(Digest.notices()))
     logNotice(Peer, News);
--- a/lib/Gateway/GatewayContext.cpp
+++ b/lib/Gateway/GatewayContext.cpp
@@ -30,7 +30,7 @@
       Limits(Settings.Instance, LimitSendersPerRate, LimitAdvance, Clock),
       Centres(Clock), Instances(Clock),
       RollOuts(rollOutLimitsOf(Settings.Reloadable), Clock), Prefixes(Clock),
-      Crashes(Clock), PartCrashes(Clock),
+      Crashes(Clock), PartCrashes(Clock), BlockTrials(Settings.Instance, Clock),
       Retries(retryRulesOf(Settings.Reloadable), Clock), Returns(Clock),
       HeavyLoad(Clock) {}
 
@@ -58,6 +58,7 @@
                               Prefixes,
                               Crashes,
                               PartCrashes,
+                              BlockTrials,
                               Retries,
                               Returns,
                               Placement,
--- a/lib/Peer/DigestJson.cpp
+++ b/lib/Peer/DigestJson.cpp
@@ -167,6 +167,8 @@
                {"c", std::move(Crashes)},
                {"k", std::move(KnownInstances)},
                {"h", std::move(LivenessReports)}};
+  for (const auto &Request : Body.clearedRequests())
+    Json["cc"].push_back(Request.text());
   if (!Body.partCrashes().crashes().empty())
     Json["pc"] = crashesToJson(Body.partCrashes());
   if (!Body.partCrashes().successes().empty())
@@ -215,6 +217,19 @@
   return Fields.optional(Name).is_null() ? Empty : Fields.array(Name);
 }
 
+/// Reads a field that earlier releases do not send.
+static std::vector<fingerprint> clearedRequestsFrom(field_reader &Fields) {
+  std::vector<fingerprint> Requests;
+  for (const auto &Item : optionalArray(Fields, "cc")) {
+    if (!Item.is_string()) {
+      Fields.fail("a cleared request is no string");
+      break;
+    }
+    Requests.emplace_back(Item.get<std::string>());
+  }
+  return Requests;
+}
+
 static milliseconds ageFrom(field_reader &Fields) {
   constexpr std::uint64_t MaxAgeMs = 86400000;
   std::uint64_t Age = Fields.number("a");
@@ -321,6 +336,7 @@
   for (const auto &Item : Fields.array("r"))
     Digest.RollOuts.push_back(evidenceFrom(Item, Fields));
   Digest.Crashes = crashesFrom(Fields);
+  Digest.ClearedRequests = clearedRequestsFrom(Fields);
   Digest.PartCrashes = partCrashesFrom(Fields);
   Digest.Notices = noticesFromJson(optionalArray(Fields, "un"), Fields);
   for (const auto &Item : Fields.array("k"))
--- a/lib/Policy/CrashTracker.cpp
+++ b/lib/Policy/CrashTracker.cpp
@@ -66,14 +66,48 @@
 void crash_tracker::notePeerCrash(const fingerprint &Request,
                                   const upstream_id &Upstream) {
   monotonic_time Now = Clock.monotonicNow();
+  if (succeededBefore(Request)) {
+    noteCleared(Request);
+    return;
+  }
   // A repeated report of a known crash does not extend the restart time.
   if (recordCrash(Request, Upstream, Now))
     noteTime(Upstream, Now);
 }
 
+void crash_tracker::noteCleared(const fingerprint &Request) {
+  monotonic_time Now = Clock.monotonicNow();
+  Cleared.withShard(Request.text(), [&](cleared_map &Shard) {
+    if (Shard.size() >= MaxCleared && Shard.count(Request) == 0)
+      Shard.erase(std::min_element(
+          Shard.begin(), Shard.end(),
+          [](const auto &L, const auto &R) { return L.second < R.second; }));
+    Shard[Request] = Now;
+  });
+}
+
+std::vector<fingerprint> crash_tracker::cleared(milliseconds Age) {
+  monotonic_time Now = Clock.monotonicNow();
+  std::vector<fingerprint> Requests;
+  Cleared.forEachShard([&](cleared_map &Shard) {
+    for (auto It = Shard.begin(); It != Shard.end();) {
+      if (Now - It->second > Age) {
+        It = Shard.erase(It);
+        continue;
+      }
+      if (Requests.size() < MaxCleared)
+        Requests.push_back(It->first);
+      ++It;
+    }
+  });
+  return Requests;
+}
+
 void crash_tracker::noteSuccess(const fingerprint &Request) {
-  Entries.withShard(Request.text(),
-                    [&](entry_map &Shard) { Shard.erase(Request); });
+  std::size_t Erased = Entries.withShard(
+      Request.text(), [&](entry_map &Shard) { return Shard.erase(Request); });
+  if (Erased > 0)
+    noteCleared(Request);
   Successes.withShard(Request.text(),
                       [&](success_set &Shard) { Shard.add(Request); });
 }
--- a/lib/Relay/ForwardAdmission.cpp
+++ b/lib/Relay/ForwardAdmission.cpp
@@ -20,9 +20,7 @@
     return Reason;
   RequestFingerprint = fingerprint(std::to_string(
       stableHash(Call.path() + "|" + Account.text() + "|" + Call.body())));
-  if (Deps.Crashes.crashesOf(RequestFingerprint) >= CrashLimit)
-    return refusal_reason::CrashingRequest;
-  if (auto Reason = checkParts(0))
+  if (auto Reason = checkCrashes(0))
     return Reason;
   return checkTime(0);
 }
@@ -40,7 +38,7 @@
     if (auto Reason = checkStop())
       return Reason;
   }
-  if (auto Reason = checkParts(Runs))
+  if (auto Reason = checkCrashes(Runs))
     return Reason;
   return checkTime(Runs);
 }
@@ -67,21 +65,35 @@
   return refusal_reason::Draining;
 }
 
-/// Refuses a request that would probably crash another upstream.
-std::optional<refusal_reason>
-forward_admission::checkParts(unsigned Runs) const {
+std::optional<std::string> forward_admission::blockOf(unsigned Runs) const {
   const prompt &Prompt = Call.requestPrompt();
   auto Blame = Deps.PartCrashes.blame();
-  auto Blocked = Blame->blockedPart(Prompt);
+  if (auto Part = Blame->blockedPart(Prompt))
+    return "part " + *Part;
   bool RepeatBlocked = Runs > 0 && Blame->blocksRepeat(Prompt);
-  if (!Blocked && !RepeatBlocked && !Blame->blocksRequest(RequestFingerprint))
+  bool Crashed =
+      Runs == 0 && Deps.Crashes.crashesOf(RequestFingerprint) >= CrashLimit;
+  if (RepeatBlocked || Crashed || Blame->blocksRequest(RequestFingerprint))
+    return "request " + RequestFingerprint.text();
+  return std::nullopt;
+}
+
+/// Refuses a request that would probably crash another upstream, unless it is
+/// a trial of the block.
+std::optional<refusal_reason> forward_admission::checkCrashes(unsigned Runs) {
+  auto Block = blockOf(Runs);
+  if (IsTrial ? Runs == 0 : !Block)
     return std::nullopt;
+  IsTrial = Runs == 0 && Deps.BlockTrials.admit(*Block, Deps.senders());
   event_line Line("relay", "crashing_prompt");
   Line.add("id", Call.id().text())
       .add("runs", static_cast<std::int64_t>(Runs))
-      .add("blocked_part", Blocked.value_or(""));
+      .add("block", Block.value_or(""))
+      .add("trial", IsTrial);
   Deps.Log.write(Line);
-  return refusal_reason::CrashingRequest;
+  return IsTrial
+             ? std::nullopt
+             : std::optional<refusal_reason>(refusal_reason::CrashingRequest);
 }
 
 /// Looks up the route, the account and the service in the table.
--- a/unittests/Policy/CrashTrackerTest.cpp
+++ b/unittests/Policy/CrashTrackerTest.cpp
@@ -94,3 +94,31 @@
   Tracker.notePeerCrash(OtherRequest, upstream_id("u5"));
   EXPECT_EQ(0U, Tracker.crashesOf(OtherRequest));
 }
+
+// Guards against requests that stay blocked at one instance although they
+// succeed at all others.
+TEST_F(crash_tracker_test, requestThatSucceedsAtAPeer_isCleared) {
+  crash_tracker Peer(Clock);
+  Peer.noteSuccess(Request);
+  EXPECT_TRUE(Peer.cleared(seconds(6)).empty());
+  for (const char *Upstream : {"u1", "u2", "u3"})
+    crash(Request, Upstream);
+  for (const auto &[Running, Upstream] : Tracker.recent(seconds(6)))
+    Peer.notePeerCrash(Running, Upstream);
+  for (const auto &Cleared : Peer.cleared(seconds(6)))
+    Tracker.notePeerSuccess(Cleared);
+  EXPECT_EQ(0U, Tracker.crashesOf(Request));
+  // The instance that learnt it tells others, for a limited time.
+  EXPECT_EQ(1U, Tracker.cleared(seconds(6)).size());
+  Clock.advance(seconds(7));
+  EXPECT_TRUE(Tracker.cleared(seconds(6)).empty());
+}
+
+TEST_F(crash_tracker_test, reportOfClearedRequests_isBounded) {
+  for (int I = 0; I < 1000; ++I) {
+    fingerprint Other(std::to_string(I));
+    crash(Other, "u");
+    Tracker.noteSuccess(Other);
+  }
+  EXPECT_EQ(crash_tracker::MaxCleared, Tracker.cleared(seconds(6)).size());
+}
--- a/unittests/Relay/CrashingPartTest.cpp
+++ b/unittests/Relay/CrashingPartTest.cpp
@@ -286,3 +286,49 @@
   }
   EXPECT_TRUE(isSent({"common", "subject"}));
 }
+
+// Guards against sound requests that are refused until the crashes expire.
+TEST_F(crashing_part_test, partBlockedWrongly_isFreeAfterATrial) {
+  runDeadlyBesideSound(crashingAfter(1), 3, {"common", "unlucky"});
+  ASSERT_FALSE(isSent({"common", "unlucky"}));
+  Clock.advance(block_trials::FirstDelay);
+  EXPECT_EQ(200, runSound({"common", "unlucky"}).Status);
+  EXPECT_EQ(200, runSound({"common", "unlucky"}).Status);
+}
+
+TEST_F(crashing_part_test, equalRequestBlockedWrongly_isFreeAfterATrial) {
+  auto Repeated = callWith({"common"});
+  auto Run = [&] {
+    Repeated.Arrived = Clock.monotonicNow();
+    return run(Repeated).Status;
+  };
+  // Three upstreams are lost while the request runs.
+  script({crashingAfter(1), crashingAfter(1), crashingAfter(1)});
+  Run();
+  ASSERT_EQ(502, Run());
+  Clock.advance(block_trials::FirstDelay);
+  script({answering(), answering()});
+  EXPECT_EQ(200, Run());
+  EXPECT_EQ(200, Run());
+}
+
+TEST_F(crashing_part_test, trialThatCrashesItsUpstream_isNotRepeated) {
+  auto Repeated = callWith({"common"});
+  for (int Round = 0; Round < 3; ++Round) {
+    Repeated.Arrived = Clock.monotonicNow();
+    script({crashingAfter(1), crashingAfter(1), crashingAfter(1)});
+    run(Repeated);
+    Clock.advance(block_trials::FirstDelay);
+  }
+  EXPECT_EQ(4U, Upstreams.Attempts.size());
+}
+
+TEST_F(crashing_part_test, blockedPart_crashesFewUpstreamsInTrials) {
+  runDeadlyBesideSound(crashingAfter(1), 3, {"common", "deadly"});
+  ASSERT_FALSE(isSent({"common", "deadly"}));
+  std::size_t Before = Upstreams.Attempts.size();
+  constexpr int Seconds = 60;
+  runDeadlyBesideSound(crashingAfter(1), Seconds, {"common", "deadly"});
+  std::size_t Sound = 4UL * Seconds;
+  EXPECT_LE(Upstreams.Attempts.size() - Before - Sound, 3U);
+}
--- a/unittests/Support/ForwardFixture.h
+++ b/unittests/Support/ForwardFixture.h
@@ -279,6 +279,7 @@
   prefix_tracker Prefixes{Clock};
   crash_tracker Crashes{Clock};
   part_crash_tracker PartCrashes{Clock};
+  block_trials BlockTrials{Self, Clock};
   retry_window Retries{retry_rules(0.9, 56, milliseconds(10000)), Clock};
   return_schedule Returns{Clock};
   cheapest_placement Placement;
@@ -286,18 +287,19 @@
   noop_monitor Monitor;
   recording_log Log;
   counting_listener HeavyLoad;
-  forward_dependencies Deps{Self,          data_centre_id("north"),
-                            Clock,         ServingStatus,
-                            Tables,        Registry,
-                            Loads,         Occupancy,
-                            Cold,          Limits,
-                            Notices,       Centres,
-                            Instances,     RollOuts,
-                            Prefixes,      Crashes,
-                            PartCrashes,   Retries,
-                            Returns,       Placement,
-                            ModelSelector, Monitor,
-                            Log,           HeavyLoad};
+  forward_dependencies Deps{Self,        data_centre_id("north"),
+                            Clock,       ServingStatus,
+                            Tables,      Registry,
+                            Loads,       Occupancy,
+                            Cold,        Limits,
+                            Notices,     Centres,
+                            Instances,   RollOuts,
+                            Prefixes,    Crashes,
+                            PartCrashes, BlockTrials,
+                            Retries,     Returns,
+                            Placement,   ModelSelector,
+                            Monitor,     Log,
+                            HeavyLoad};
   scripted_upstreams Upstreams;
   int LastId = 0;
 };
