Bound the bytes that wait for an HTTP parser

Cause: the parser takes the line of a chunk and the trailers only when they are complete, and the buffers of connections to upstreams and of callers' connections had no maximum size.

Change: at most 64 KiB wait, on a caller's connection beside the configured head. An upstream's response then fails as too large, a caller gets 400.

Failed before: client_stream_test.chunkLineWithoutEnd_failsAsTooLarge, trailersWithoutEnd_failAsTooLarge and http_server_limits_test.chunkLine WithoutEnd_closesConnection.

--- a/lib/Http/ClientStream.cpp
+++ b/lib/Http/ClientStream.cpp
@@ -16,6 +16,9 @@
 
 static constexpr std::size_t MaxHeaderBytes = 16UL * 1024;
 static constexpr std::size_t ReadBufferBytes = 16UL * 1024;
+/// Maximum number of received bytes that wait for the parser, which takes the
+/// head, the line of a chunk and the trailers only when they are complete.
+static constexpr std::size_t MaxUnparsedBytes = 64UL * 1024;
 
 /// Limits on what is skipped before the response: interim responses, and the
 /// bytes of a response to another request. A server in trouble may send either
@@ -46,7 +49,7 @@
   asio::yield_context Yield;
   http_timeouts Timeouts;
   beast::tcp_stream Stream;
-  beast::flat_buffer Buffer;
+  beast::flat_buffer Buffer{MaxUnparsedBytes};
   std::optional<http::response_parser<http::buffer_body>> Parser;
   bool Cancelled = false;
 };
@@ -68,7 +71,8 @@
     return http_error::Cancelled;
   if (Code == beast::error::timeout)
     return OnTimeout;
-  if (Code == http::error::header_limit || Code == http::error::body_limit)
+  if (Code == http::error::header_limit || Code == http::error::body_limit ||
+      Code == http::error::buffer_overflow)
     return http_error::TooLarge;
   if (Code == http::error::end_of_stream ||
       Code == http::error::partial_message)
--- a/lib/Http/ServerConnection.cpp
+++ b/lib/Http/ServerConnection.cpp
@@ -11,6 +11,10 @@
 
 static constexpr unsigned Http11 = 11;
 
+/// Maximum number of received bytes, beside a head, that wait for the parser.
+/// It takes the line of a chunk and the trailers only when they are complete.
+static constexpr std::size_t MaxUnparsedBytes = 64UL * 1024;
+
 /// Maximum time to receive a request body; a slow link transfers a megabyte in
 /// that time.
 static constexpr seconds BodyTimeout{60};
@@ -60,6 +64,7 @@
   // Enough for the head and a small body in one read.
   constexpr std::size_t InitialReadBytes = 8192;
   Limits = Source.limits();
+  Buffer.max_size(Limits.headerBytes() + MaxUnparsedBytes);
   if (Buffer.size() > 0)
     return true;
   Stream.expires_after(Limits.idleTime());
@@ -110,6 +115,8 @@
     refuse(413, "body too large");
   else if (Code == http::error::header_limit)
     refuse(431, "header too large");
+  else if (Code == http::error::buffer_overflow)
+    refuse(400, "chunk line or trailers too large");
 }
 
 void server_connection::refuse(int Status, const char *Text) {
--- a/unittests/Http/ClientStreamTest.cpp
+++ b/unittests/Http/ClientStreamTest.cpp
@@ -98,6 +98,34 @@
     return Body.get_future().get();
   }
 
+  /// Serves one connection with \p Response, closes it, and returns the head as
+  /// read by the client.
+  tl::expected<http_response, http_error>
+  readHead(const std::string &Response) {
+    asio::spawn(
+        Pool.context(),
+        [this, Response](asio::yield_context Yield) {
+          tcp::socket Socket(Pool.context());
+          error_code Code;
+          Acceptor.async_accept(Socket, Yield[Code]);
+          std::string Request;
+          asio::async_read_until(Socket, asio::dynamic_buffer(Request),
+                                 "\r\n\r\n", Yield[Code]);
+          asio::async_write(Socket, asio::buffer(Response), Yield[Code]);
+        },
+        asio::detached);
+    std::promise<tl::expected<http_response, http_error>> Head;
+    asio::spawn(
+        Pool.context(),
+        [&](asio::yield_context Yield) {
+          client_stream Stream(
+              Yield, http_timeouts(seconds(1), seconds(20), seconds(20)));
+          Head.set_value(open(Stream));
+        },
+        asio::detached);
+    return Head.get_future().get();
+  }
+
   tl::expected<http_response, http_error> open(client_stream &Stream) {
     network_address Address("127.0.0.1", Acceptor.local_endpoint().port());
     return Stream.open(Address, http_request("GET", "/", http_headers(), ""));
@@ -142,6 +170,56 @@
   EXPECT_LT(SentBytes, MaxSocketBytes);
 }
 
+// Guards against a success with an empty body for a server that stopped in its
+// head.
+TEST_F(client_stream_test, headBrokenOffAtAnyLength_fails) {
+  for (const char *Field : {"Content-Length: 5\r\n",
+                            "Transfer-Encoding: chunked\r\n", "X: y\r\n"}) {
+    std::string Head = std::string("HTTP/1.1 200 OK\r\n") + Field + "\r\n";
+    for (std::size_t Length = 0; Length < Head.size(); ++Length) {
+      auto Broken = readHead(Head.substr(0, Length));
+      ASSERT_FALSE(Broken) << Head.substr(0, Length);
+      EXPECT_EQ(http_error::Closed, Broken.error()) << Head.substr(0, Length);
+    }
+    EXPECT_TRUE(readHead(Head));
+  }
+}
+
+// Guards against a process that runs out of memory for bytes that no parser
+// consumes.
+TEST_F(client_stream_test, chunkLineWithoutEnd_failsAsTooLarge) {
+  run("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;name=",
+      std::string(1000, 'x'), [&](client_stream &Stream) {
+        ASSERT_TRUE(open(Stream));
+        auto Piece = Stream.readSome();
+        ASSERT_FALSE(Piece);
+        EXPECT_EQ(http_error::TooLarge, Piece.error());
+      });
+  EXPECT_LT(SentBytes, MaxSocketBytes);
+}
+
+TEST_F(client_stream_test, trailersWithoutEnd_failAsTooLarge) {
+  run("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "5\r\nbytes\r\n0\r\n",
+      "X-Name: value\r\n", [&](client_stream &Stream) {
+        ASSERT_TRUE(open(Stream));
+        auto Body = Stream.readAll(MaxSocketBytes);
+        ASSERT_FALSE(Body);
+        EXPECT_EQ(http_error::TooLarge, Body.error());
+      });
+  EXPECT_LT(SentBytes, MaxSocketBytes);
+}
+
+TEST_F(client_stream_test, headLineWithoutEnd_failsAsTooLarge) {
+  run("HTTP/1.1 200 OK\r\nX-Name: ", std::string(1000, 'x'),
+      [&](client_stream &Stream) {
+        auto Head = open(Stream);
+        ASSERT_FALSE(Head);
+        EXPECT_EQ(http_error::TooLarge, Head.error());
+      });
+  EXPECT_LT(SentBytes, MaxSocketBytes);
+}
+
 TEST_F(client_stream_test, bytesThatAreNoResponse_failAsMalformed) {
   run("", "no response at all ", [&](client_stream &Stream) {
     auto Head = open(Stream);
--- a/unittests/Http/HttpServerTest.cpp
+++ b/unittests/Http/HttpServerTest.cpp
@@ -208,6 +208,21 @@
   EXPECT_EQ("HTTP/1.1 431", readToEnd(Socket).substr(0, 12));
 }
 
+// Guards against callers that fill the memory with bytes that no parser
+// consumes.
+TEST_F(http_server_limits_test, chunkLineWithoutEnd_closesConnection) {
+  constexpr std::size_t MaxSocketBytes = 16UL * 1024 * 1024;
+  auto Socket = connect();
+  writeText(Socket, "POST /x HTTP/1.1\r\nHost: x\r\n"
+                    "Transfer-Encoding: chunked\r\n\r\n5;name=");
+  const std::string Bytes(10000, 'x');
+  std::size_t Sent = 0;
+  boost::system::error_code Code;
+  while (!Code && Sent < MaxSocketBytes)
+    Sent += boost::asio::write(Socket, boost::asio::buffer(Bytes), Code);
+  EXPECT_TRUE(Code);
+}
+
 TEST_F(http_server_limits_test,
        changedLimit_onOpenConnection_appliesToNextRequest) {
   auto Socket = connect();
