Hold the body of a forwarded request once

Cause: the limit assumes two copies of each body; the server's request, the call, the attempt's request and the message that is written held four.

Change: shared_text, an immutable string whose copies share its bytes, and a message that refers to it.

--- a/include/bluebellkeel/Core.h
+++ b/include/bluebellkeel/Core.h
@@ -18,6 +18,7 @@
 #include "bluebellkeel/Core/RequestId.h"
 #include "bluebellkeel/Core/ServiceId.h"
 #include "bluebellkeel/Core/Sharded.h"
+#include "bluebellkeel/Core/SharedText.h"
 #include "bluebellkeel/Core/Signer.h"
 #include "bluebellkeel/Core/StableHash.h"
 #include "bluebellkeel/Core/SystemClock.h"
--- a/include/bluebellkeel/Http/HttpRequest.h
+++ b/include/bluebellkeel/Http/HttpRequest.h
@@ -1,6 +1,7 @@
 #ifndef BLUEBELLKEEL_HTTP_HTTPREQUEST_H
 #define BLUEBELLKEEL_HTTP_HTTPREQUEST_H
 
+#include "bluebellkeel/Core/SharedText.h"
 #include "bluebellkeel/Http/HttpHeaders.h"
 #include <tuple>
 
@@ -11,7 +12,7 @@
 public:
   http_request() = default;
   http_request(std::string Method, std::string Target, http_headers Headers,
-               std::string Body)
+               shared_text Body)
       : Method(std::move(Method)), Target(std::move(Target)),
         Headers(std::move(Headers)), Body(std::move(Body)) {}
 
@@ -22,14 +23,16 @@
   /// Returns the decoded value of a query parameter; empty if it is absent.
   std::string query(std::string_view Name) const;
   const http_headers &headers() const { return Headers; }
-  const std::string &body() const { return Body; }
+  const std::string &body() const { return Body.text(); }
+  /// Returns the body without copying its bytes.
+  const shared_text &sharedBody() const { return Body; }
   auto key() const { return std::tie(Method, Target, Headers, Body); }
 
 private:
   std::string Method;
   std::string Target;
   http_headers Headers;
-  std::string Body;
+  shared_text Body;
 };
 
 } // namespace bluebellkeel
--- a/include/bluebellkeel/Relay/ForwardCall.h
+++ b/include/bluebellkeel/Relay/ForwardCall.h
@@ -2,6 +2,7 @@
 #define BLUEBELLKEEL_RELAY_FORWARDCALL_H
 
 #include "bluebellkeel/Core/RequestId.h"
+#include "bluebellkeel/Core/SharedText.h"
 #include "bluebellkeel/Core/Time.h"
 #include "bluebellkeel/Policy/Prompt.h"
 #include "bluebellkeel/Relay/HeaderList.h"
@@ -26,7 +27,7 @@
     std::optional<std::uint64_t> LastEvent;
     prompt Prompt;
     header_list Headers;
-    std::string Body;
+    shared_text Body;
     monotonic_time Arrived;
   };
 
@@ -56,7 +57,9 @@
   const prompt &requestPrompt() const { return Content.Prompt; }
   /// Header fields forwarded to the upstream unchanged.
   const header_list &headers() const { return Content.Headers; }
-  const std::string &body() const { return Content.Body; }
+  const std::string &body() const { return Content.Body.text(); }
+  /// Returns the body without copying its bytes.
+  const shared_text &sharedBody() const { return Content.Body; }
   monotonic_time arrived() const { return Content.Arrived; }
   auto key() const {
     return std::tie(Content.Id, Content.Method, Content.Target, Content.Host,
--- a/lib/Http/ClientStream.cpp
+++ b/lib/Http/ClientStream.cpp
@@ -38,7 +38,7 @@
   void cancel();
 
 private:
-  using message = http::request<http::string_body>;
+  using message = http::request<http::span_body<const char>>;
 
   bool connect(const network_address &Address);
   void enableKeepAlive();
@@ -137,11 +137,13 @@
       Message->insert(Name, Value);
   }
   Message->keep_alive(false);
-  Message->body() = Request.body();
+  const std::string &Body = Request.body();
+  Message->body() = beast::span<const char>(Body.data(), Body.size());
   Message->prepare_payload();
-  http::async_write(Stream, *Message,
-                    [Self = shared_from_this(), Message](
-                        const error_code & /*Code*/, std::size_t /*Size*/) {});
+  http::async_write(
+      Stream, *Message,
+      [Self = shared_from_this(), Message, SharedBody = Request.sharedBody()](
+          const error_code & /*Code*/, std::size_t /*Size*/) {});
 }
 
 tl::expected<http_response, http_error>
--- a/unittests/Adapter/RequestReaderTest.cpp
+++ b/unittests/Adapter/RequestReaderTest.cpp
@@ -38,6 +38,14 @@
 
 } // namespace
 
+// Guards against uploads that are held several times each.
+TEST_F(request_reader_test, bodyOfRequest_isNotCopied) {
+  auto Request = requestWith({{"Host", "a.example"}});
+  auto Call = readRequest(Request, monotonic_time());
+  EXPECT_EQ(&Request.body(), &Call.body());
+  EXPECT_EQ(&Request.body(), &writtenAttempt(Call).body());
+}
+
 TEST_F(request_reader_test, requestHeaders_areDecoded) {
   forward_call Call = read({{"Host", "A.Example:8080"},
                             {"Bluebellkeel-Request-Id", "r1"},
