Check requests that reach a stopping gateway in the soak

A request that comes later, runs and gets no answer is now a violation, unless a fault affects its upstream.

--- a/test/Soak/ShutdownCheck.cpp
+++ b/test/Soak/ShutdownCheck.cpp
@@ -38,6 +38,18 @@
                      });
 }
 
+/// True if the gateway read and forwarded \p Attempt after the stop request and
+/// closed its connection without an answer.
+static bool cutLate(const soak_attempt &Attempt, const gateway_exit &Exit,
+                    const soak_history &History) {
+  return Attempt.gateway() == Exit.gateway() &&
+         Attempt.sent() >= Exit.stopRequestedAt() &&
+         Attempt.sent() < Exit.ended() &&
+         Attempt.ended() <= Exit.ended() + Margin && Attempt.status() == 0 &&
+         !Attempt.timedOut() && History.runsOf(Attempt.id()) > 0 &&
+         !runnersAffected(Attempt, History);
+}
+
 static void checkExit(const gateway_exit &Exit, const soak_history &History,
                       std::vector<std::string> &Lines) {
   std::string GatewayName = "gateway " + std::to_string(Exit.gateway());
@@ -48,6 +60,9 @@
   if (Exit.ended() - Exit.stopRequestedAt() > Grace + Margin)
     Lines.push_back(GatewayName + " took longer than the grace period to stop");
   for (const auto &Attempt : History.Attempts) {
+    if (cutLate(Attempt, Exit, History))
+      Lines.push_back(Attempt.id() + " ran and got no answer from " +
+                      GatewayName + ", which was stopping");
     bool Accepted = Attempt.gateway() == Exit.gateway() &&
                     Attempt.sent() + RequestReadTime < Exit.stopRequestedAt() &&
                     Attempt.ended() > Exit.stopRequestedAt() &&
--- a/test/Soak/ShutdownCheck.h
+++ b/test/Soak/ShutdownCheck.h
@@ -5,8 +5,9 @@
 
 namespace bluebellkeel {
 
-/// Checks that a gateway answers all accepted requests after a stop request and
-/// exits in time, and that it never exits without one.
+/// Checks that a gateway answers all accepted requests after a stop request,
+/// also those that come after it, and exits in time, and that it never exits
+/// without one.
 class shutdown_check final : public soak_check {
 public:
   std::vector<std::string>
