--- a/include/bluebellkeel/Policy/InterruptionEvidence.h
+++ b/include/bluebellkeel/Policy/InterruptionEvidence.h
@@ -9,10 +9,10 @@
 
 namespace bluebellkeel {
 
-/// Which parts of prompts the interruptions by crashes speak against. A part
-/// that crashes upstreams is in each of its crashes, whereas several upstreams
-/// that are lost at once interrupt the same parts by chance. So crashes of
-/// about the same time count as one.
+/// Finds the part of prompts that causes crashes, from the requests that the
+/// crashes interrupted. A part that crashes upstreams is in a request of each
+/// of its crashes. Several upstreams that are lost at once interrupt the same
+/// parts by chance, so crashes of about the same time count as one.
 class interruption_evidence : public comparable<interruption_evidence> {
 public:
   /// Number of different requests, runs of upstreams and moments of crashes
@@ -34,7 +34,7 @@
   interruption_evidence
   without(const std::set<upstream_incarnation> &Upstreams) const;
 
-  /// Returns the part that most crashes speak against, if they suffice.
+  /// Returns the part of the most crashes, if they suffice.
   std::optional<std::string> cause() const;
   /// True if any crash interrupted a request with \p Part.
   bool contains(const std::string &Part) const { return Parts.count(Part) > 0; }
--- a/include/bluebellkeel/Policy/PartCrashTracker.h
+++ b/include/bluebellkeel/Policy/PartCrashTracker.h
@@ -16,9 +16,9 @@
 /// instance and its peers saw. No two of the requests with such a part need be
 /// alike, and sound requests share their other parts. A part that crashes
 /// upstreams crashes each of them, so crashes do not speak against a part with
-/// an answer after them or within SuccessLifetime before them. A crash is
-/// evidence only while other requests are answered; without any answer nothing
-/// tells a part from the rest. Thread-safe.
+/// an answer after them or within SuccessLifetime before them. An interruption
+/// is evidence only while other requests are answered; without any answer
+/// nothing distinguishes one part from the others. Thread-safe.
 class part_crash_tracker {
 public:
   /// How long crashes count, and thus how long a part stays blocked after its
@@ -31,10 +31,10 @@
   /// Maximum number of crashes, and of successes, tracked per shard.
   static constexpr std::size_t MaxCrashes = 16;
   static constexpr std::size_t MaxSuccesses = 256;
-  /// Maximum number of crashes, of successes and of interruptions in a report,
-  /// and of interruptions that explain why one part is blocked. The latter
-  /// suffice for a peer to block the part, even if several are of one moment.
+  /// Maximum number of crashes, of successes and of interruptions in a report.
   static constexpr std::size_t MaxReported = 24;
+  /// Maximum number of interruptions of one blocked part in a report. They
+  /// include three moments even if each request ran at three upstreams.
   static constexpr std::size_t MaxReportedOfBlockedPart = 8;
 
   explicit part_crash_tracker(const time_source &Clock) : Clock(Clock) {}
@@ -79,7 +79,7 @@
   /// sound.
   std::vector<part_crash> crashes(monotonic_time Now);
   void updateBlame();
-  /// Records the success of a part in a crash's report, for the peers.
+  /// Includes the latest success of \p Part in the next reports.
   void announce(const std::string &Part);
   std::vector<part_interruption> reportedInterruptions();
   std::vector<part_success> reportedSuccesses();
--- a/lib/Policy/InterruptionEvidence.cpp
+++ b/lib/Policy/InterruptionEvidence.cpp
@@ -34,6 +34,7 @@
   return Requests.size();
 }
 
+/// Returns the number of crashes that are at least CoincidenceTime apart.
 std::size_t interruption_evidence::part_entry::moments() const {
   std::vector<milliseconds> Ages;
   Ages.reserve(Crashes.size());
--- a/lib/Relay/ForwardAdmission.cpp
+++ b/lib/Relay/ForwardAdmission.cpp
@@ -82,6 +82,7 @@
 /// a trial of the block.
 std::optional<refusal_reason> forward_admission::checkCrashes(unsigned Runs) {
   auto Block = blockOf(Runs);
+  // A trial runs once, even if the block has ended meanwhile.
   if (IsTrial ? Runs == 0 : !Block)
     return std::nullopt;
   IsTrial = Runs == 0 && Deps.BlockTrials.admit(*Block, Deps.senders());
