--- a/include/bluebellkeel/Http.h
+++ b/include/bluebellkeel/Http.h
@@ -15,6 +15,7 @@
 #include "bluebellkeel/Http/HttpServer.h"
 #include "bluebellkeel/Http/HttpTimeouts.h"
 #include "bluebellkeel/Http/PercentEncoding.h"
+#include "bluebellkeel/Http/StatusClass.h"
 #include "bluebellkeel/Http/StoppableServer.h"
 #include "bluebellkeel/Http/ThreadPool.h"
 
--- a/lib/Http/ClientStream.cpp
+++ b/lib/Http/ClientStream.cpp
@@ -1,4 +1,5 @@
 #include "bluebellkeel/Http/ClientStream.h"
+#include "bluebellkeel/Http/StatusClass.h"
 #include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/cancellation_signal.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -36,7 +37,7 @@
 public:
   impl(asio::yield_context Yield, http_timeouts Timeouts)
       : Yield(Yield), Timeouts(Timeouts), Stream(Yield.get_executor()),
-        IdleTimer(Yield.get_executor()) {}
+        IdleTimer(Yield.get_executor()), WriteTimer(Yield.get_executor()) {}
 
   tl::expected<http_response, http_error> open(const network_address &Address,
                                                const http_request &Request);
@@ -51,6 +52,8 @@
   void enableKeepAlive();
   void limitUnacknowledged();
   void startWrite(const network_address &Address, const http_request &Request);
+  void onWritten(const error_code &Code);
+  bool sentWholeRequest();
   tl::expected<http_response, http_error> readHead();
   void readBodyPart(error_code &Code);
   void onIdleTimeout(std::uint64_t Read);
@@ -66,6 +69,10 @@
   asio::cancellation_signal ReadEnd;
   /// Changes when a read of the body begins and when it ends.
   std::uint64_t LastRead = 0;
+  /// The result of writing the request; empty while it is being written.
+  std::optional<error_code> WriteResult;
+  /// Ends when the request is written.
+  asio::steady_timer WriteTimer;
   bool Cancelled = false;
 };
 
@@ -144,8 +151,8 @@
 }
 
 /// Writes concurrently with reading, since a response may arrive before a long
-/// body is sent. Write errors are ignored; the response shows whether the
-/// request was received.
+/// body is sent. A response with a length or in chunks shows by itself whether
+/// it is whole; for others sentWholeRequest() tells.
 void client_stream::impl::startWrite(const network_address &Address,
                                      const http_request &Request) {
   constexpr unsigned Http11 = 11;
@@ -164,10 +171,31 @@
   const std::string &Body = Request.body();
   Message->body() = beast::span<const char>(Body.data(), Body.size());
   Message->prepare_payload();
-  http::async_write(
-      Stream, *Message,
-      [Self = shared_from_this(), Message, SharedBody = Request.sharedBody()](
-          const error_code & /*Code*/, std::size_t /*Size*/) {});
+  http::async_write(Stream, *Message,
+                    [Self = shared_from_this(), Message,
+                     SharedBody = Request.sharedBody()](const error_code &Code,
+                                                        std::size_t /*Size*/) {
+                      Self->onWritten(Code);
+                    });
+}
+
+void client_stream::impl::onWritten(const error_code &Code) {
+  WriteResult = Code;
+  WriteTimer.cancel();
+}
+
+/// Returns true if the request was written without an error. Otherwise the end
+/// of the connection may be a reset: the system reports it once, and the
+/// concurrent write may have taken it from the read.
+bool client_stream::impl::sentWholeRequest() {
+  /// The write ends at once unless the other end takes no more bytes.
+  constexpr milliseconds WriteEndTimeout{500};
+  if (!WriteResult) {
+    error_code Ignored;
+    WriteTimer.expires_after(WriteEndTimeout);
+    WriteTimer.async_wait(Yield[Ignored]);
+  }
+  return WriteResult && !*WriteResult;
 }
 
 tl::expected<http_response, http_error>
@@ -188,8 +216,8 @@
 }
 
 tl::expected<http_response, http_error> client_stream::impl::readHead() {
-  constexpr unsigned FirstFinalStatus = 200;
   int InterimResponses = 0;
+  status_class Class = status_class::Interim;
   do {
     if (InterimResponses++ > MaxInterimResponses)
       return tl::unexpected(http_error::Malformed);
@@ -200,7 +228,10 @@
     http::async_read_header(Stream, Buffer, *Parser, Yield[Code]);
     if (Code)
       return tl::unexpected(errorOf(Code, http_error::FirstByteTimeout));
-  } while (Parser->get().result_int() < FirstFinalStatus);
+    Class = classOfStatus(Parser->get().result_int());
+  } while (Class == status_class::Interim);
+  if (Class == status_class::Invalid)
+    return tl::unexpected(http_error::Malformed);
   std::vector<http_headers::field> Fields;
   for (const auto &Field : Parser->get())
     Fields.emplace_back(std::string(Field.name_string()),
@@ -271,6 +302,9 @@
     if (!Piece.empty())
       return Piece;
   }
+  if (Parser->need_eof() && !sentWholeRequest())
+    return tl::unexpected(Cancelled ? http_error::Cancelled
+                                    : http_error::Closed);
   return std::string();
 }
 
