Read how long work takes at an upstream now (demands)

The fourth figure of the load header was not read. queue_report and upstream_load carry it; load_tracker uses it for 0.8 s, then the upstream counts as working at its usual speed. Nothing decides by it yet.

--- a/include/bluebellkeel/Upstream/LoadTracker.h
+++ b/include/bluebellkeel/Upstream/LoadTracker.h
@@ -19,6 +19,10 @@
 public:
   /// Time for which a report from a peer or an upstream is used.
   static constexpr milliseconds ReportLifetime{2000};
+  /// Time for which a reported speed is used; later the upstream counts as
+  /// working at its usual speed. Other users of its machine come and go many
+  /// times per second.
+  static constexpr milliseconds TimeFactorLifetime{800};
   /// Half-life of the suspicion that a failure adds.
   static constexpr milliseconds SuspicionHalfLife{1500};
 
@@ -58,6 +62,7 @@
     std::map<instance_id, peer_share> Peers;
     std::uint32_t ReportedRunning = 0;
     std::uint32_t ReportedWaiting = 0;
+    std::optional<double> ReportedTimeFactor;
     monotonic_time ReportedAt;
     double Suspicion = 0;
     monotonic_time SuspectedAt;
@@ -66,6 +71,8 @@
   using entry_map = std::map<upstream_id, entry>;
 
   static double decayedSuspicion(const entry &Entry, monotonic_time Now);
+  static std::optional<double> timeFactorOf(const entry &Entry,
+                                            monotonic_time Now);
 
   const time_source &Clock;
   sharded<entry_map> Entries;
--- a/include/bluebellkeel/Upstream/UpstreamLoad.h
+++ b/include/bluebellkeel/Upstream/UpstreamLoad.h
@@ -3,6 +3,7 @@
 
 #include "bluebellkeel/Core/Comparable.h"
 #include <cstdint>
+#include <optional>
 #include <tuple>
 
 namespace bluebellkeel {
@@ -12,9 +13,10 @@
 public:
   upstream_load() = default;
   upstream_load(double Running, double Prefill, double Waiting,
-                double Suspicion)
+                double Suspicion,
+                std::optional<double> TimeFactor = std::nullopt)
       : Running(Running), Prefill(Prefill), Waiting(Waiting),
-        Suspicion(Suspicion) {}
+        Suspicion(Suspicion), TimeFactor(TimeFactor) {}
 
   /// Running requests of all instances, as far as known.
   double running() const { return Running; }
@@ -24,13 +26,19 @@
   double waiting() const { return Waiting; }
   /// Weight of recent failures; decays within seconds.
   double suspicion() const { return Suspicion; }
-  auto key() const { return std::tie(Running, Prefill, Waiting, Suspicion); }
+  /// How long work takes there, relative to the usual time, according to a
+  /// recent report; empty if the upstream does not report it.
+  const std::optional<double> &timeFactor() const { return TimeFactor; }
+  auto key() const {
+    return std::tie(Running, Prefill, Waiting, Suspicion, TimeFactor);
+  }
 
 private:
   double Running = 0;
   double Prefill = 0;
   double Waiting = 0;
   double Suspicion = 0;
+  std::optional<double> TimeFactor;
 };
 
 } // namespace bluebellkeel
--- a/lib/Upstream/LoadTracker.cpp
+++ b/lib/Upstream/LoadTracker.cpp
@@ -35,6 +35,7 @@
     entry &Entry = Shard[Upstream];
     Entry.ReportedRunning = Report.running();
     Entry.ReportedWaiting = Report.waiting();
+    Entry.ReportedTimeFactor = Report.timeFactor();
     Entry.ReportedAt = Now;
   });
 }
@@ -46,6 +47,16 @@
   return Entry.Suspicion * std::exp2(-HalfLives);
 }
 
+std::optional<double> load_tracker::timeFactorOf(const entry &Entry,
+                                                 monotonic_time Now) {
+  constexpr double Usual = 1;
+  if (!Entry.ReportedTimeFactor)
+    return std::nullopt;
+  return Now - Entry.ReportedAt <= TimeFactorLifetime
+             ? *Entry.ReportedTimeFactor
+             : Usual;
+}
+
 void load_tracker::noteFailure(const upstream_id &Upstream, double Weight) {
   monotonic_time Now = Clock.monotonicNow();
   Entries.withShard(Upstream.text(), [&](entry_map &Shard) {
@@ -112,7 +123,8 @@
       Waiting = Entry.ReportedWaiting;
     }
     return upstream_load(Running, Prefill, Waiting,
-                         decayedSuspicion(Entry, Now));
+                         decayedSuspicion(Entry, Now),
+                         timeFactorOf(Entry, Now));
   });
 }
 
--- a/unittests/Adapter/RequestReaderTest.cpp
+++ b/unittests/Adapter/RequestReaderTest.cpp
@@ -136,6 +136,19 @@
   EXPECT_EQ(3U, Head.headers().size());
 }
 
+TEST_F(request_reader_test, loadWithSpeed_isRead) {
+  auto QueueOf = [](const char *Load) {
+    return readResponseHead(
+               http_response(
+                   200, http_headers().with("Bluebellkeel-Runner-Load", Load),
+                   ""))
+        .queue();
+  };
+  EXPECT_EQ(queue_report(3, 1, 2.5), QueueOf("3,1,8,250"));
+  EXPECT_EQ(queue_report(3, 1), QueueOf("3,1,8,0"));
+  EXPECT_EQ(queue_report(3, 1), QueueOf("3,1,8,fast"));
+}
+
 TEST_F(request_reader_test, responseHead_ofEncodedBody_isNotVerified) {
   response_head Head =
       readResponseHead(http_response(200,
--- a/unittests/Upstream/LoadTrackerTest.cpp
+++ b/unittests/Upstream/LoadTrackerTest.cpp
@@ -59,6 +59,14 @@
   EXPECT_EQ(0, Tracker.loadOf(U).waiting());
 }
 
+TEST_F(load_tracker_test, speed_afterItsLifetime_isUsualAgain) {
+  EXPECT_FALSE(Tracker.loadOf(U).timeFactor());
+  Tracker.noteReport(U, queue_report(1, 0, 2.5));
+  EXPECT_EQ(2.5, Tracker.loadOf(U).timeFactor());
+  Clock.advance(load_tracker::TimeFactorLifetime + milliseconds(1));
+  EXPECT_EQ(1, Tracker.loadOf(U).timeFactor());
+}
+
 TEST_F(load_tracker_test, suspicion_afterItsHalfLife_isHalved) {
   Tracker.noteFailure(U, 2);
   Clock.advance(load_tracker::SuspicionHalfLife);
