--- a/test/Memory/CallerSwarm.h
+++ b/test/Memory/CallerSwarm.h
@@ -25,6 +25,10 @@
   /// Connects \p Count callers that each send half of a request's body.
   void sendHalf(std::size_t Count, const std::string &Path,
                 std::size_t BodyBytes);
+  /// Connects \p Count callers that each send \p Text and stay open.
+  void sendText(std::size_t Count, const std::string &Text) {
+    write(Count, Text);
+  }
   /// Reads the beginning of each response that has arrived.
   caller_outcomes outcomes();
 
--- a/test/Memory/GatewayUnderLoad.cpp
+++ b/test/Memory/GatewayUnderLoad.cpp
@@ -123,6 +123,25 @@
   return Kilobytes * BytesPerKb;
 }
 
+std::size_t gateway_under_load::openDescriptors() const {
+  std::filesystem::directory_iterator Files(
+      "/proc/" + std::to_string(Gateway->id()) + "/fd");
+  return static_cast<std::size_t>(
+      std::distance(Files, std::filesystem::directory_iterator()));
+}
+
+int gateway_under_load::statusOfOrdinaryRequest() const {
+  constexpr std::size_t BodyBytes = 12000;
+  auto Response = Client.send(
+      callers(),
+      http_request("POST", "/once/quick",
+                   http_headers({{"Host", "a.example"},
+                                 {"Bluebellkeel-Request-Id", "ordinary"},
+                                 {"Bluebellkeel-Deadline-Ms", "5000"}}),
+                   std::string(BodyBytes, 'b')));
+  return Response ? Response->status() : 0;
+}
+
 std::string gateway_under_load::metrics() {
   auto Response = Client.send(
       address(14), http_request("GET", "/metrics", http_headers(), ""));
--- a/test/Memory/GatewayUnderLoad.h
+++ b/test/Memory/GatewayUnderLoad.h
@@ -23,9 +23,18 @@
   /// Returns true once the gateway serves requests; false on timeout.
   bool awaitReady();
   network_address callers() const { return address(10); }
+  network_address readiness() const { return address(11); }
+  network_address directory() const { return address(12); }
+  network_address peers() const { return address(13); }
+  network_address metricsAddress() const { return address(14); }
   bool ended() const { return Gateway->ended(); }
   /// Returns the most memory that was ever resident, in bytes.
   std::size_t peakMemory() const;
+  /// Returns the number of descriptors that the gateway has open now.
+  std::size_t openDescriptors() const;
+  /// Returns the status of the response to an ordinary request; 0 if there is
+  /// no response.
+  int statusOfOrdinaryRequest() const;
   /// Returns the number of requests that reached the upstream.
   std::size_t arrivals() const { return Arrivals; }
   std::string metrics();
