--- a/lib/Core/MemoryBudget.cpp
+++ b/lib/Core/MemoryBudget.cpp
@@ -61,6 +61,47 @@
   return held() > Limit - Limit / ScarceDivisor;
 }
 
+std::uint64_t memory_budget::addHolder(std::shared_ptr<memory_holder> Holder,
+                                       monotonic_time Since) {
+  absl::MutexLock Lock(&Mutex);
+  Holders[++LastHolder] = {std::move(Holder), Since};
+  return LastHolder;
+}
+
+void memory_budget::setHeld(std::uint64_t Holder, std::size_t Bytes) {
+  absl::MutexLock Lock(&Mutex);
+  auto Found = Holders.find(Holder);
+  if (Found == Holders.end())
+    return;
+  if (Found->second.GivesUp)
+    GivenUp += Bytes - Found->second.Bytes;
+  Found->second.Bytes = Bytes;
+}
+
+void memory_budget::removeHolder(std::uint64_t Holder) {
+  absl::MutexLock Lock(&Mutex);
+  auto Found = Holders.find(Holder);
+  if (Found == Holders.end())
+    return;
+  if (Found->second.GivesUp)
+    GivenUp -= Found->second.Bytes;
+  Holders.erase(Found);
+}
+
+std::size_t memory_budget::reclaim(std::size_t Bytes, monotonic_time Before) {
+  absl::MutexLock Lock(&Mutex);
+  for (auto &[Number, Holder] : Holders) {
+    if (GivenUp >= Bytes || Holder.Since > Before)
+      break;
+    if (Holder.GivesUp)
+      continue;
+    Holder.GivesUp = true;
+    GivenUp += Holder.Bytes;
+    Holder.Holder->giveUp();
+  }
+  return GivenUp;
+}
+
 std::uint64_t memory_budget::refusals(memory_use Use) const {
   absl::MutexLock Lock(&Mutex);
   auto Found = Refusals.find(Use);
--- a/lib/Http/ServerConnection.cpp
+++ b/lib/Http/ServerConnection.cpp
@@ -129,15 +129,17 @@
   parser Parser;
   Parser.header_limit(static_cast<std::uint32_t>(Limits.headerBytes()));
   Parser.body_limit(Limits.bodyBytes());
-  if (!reserveHead(Reservation)) {
+  unfinished_request Unfinished(Memory, Connection);
+  if (!reserveHead(Reservation, Unfinished)) {
     refuseForMemory(message());
     return std::nullopt;
   }
   error_code Code;
   std::size_t HeadBytes = readHead(Parser, Code);
-  bool EnoughMemory = Code || readBody(Parser, HeadBytes, Reservation, Code);
+  bool EnoughMemory =
+      Code || readBody(Parser, HeadBytes, Reservation, Unfinished, Code);
   Connection->setRead(interruptible_stream::read_kind::None);
-  if (!EnoughMemory)
+  if (!EnoughMemory || (Code && Unfinished.gaveWay()))
     refuseForMemory(Parser.release());
   else if (Code)
     refuseUnread(Code);
@@ -146,22 +148,50 @@
   return std::nullopt;
 }
 
-/// Reserves memory for the request. Idle connections are given up for it before
-/// requests are refused.
+/// Reserves memory for the request. Idle connections and older requests that
+/// are still unfinished are given up for it before it is refused.
 bool server_connection::reserve(memory_reservation &Reservation,
+                                unfinished_request &Unfinished,
                                 std::size_t Bytes) {
   if (Bytes > Reservation.bytes() && Memory.scarce())
     State.Idle.endLongest(1 + Bytes / ConnectionBytes);
-  return Reservation.growTo(Bytes);
+  if (!Reservation.growTo(Bytes) && !awaitMemory(Reservation, Bytes))
+    return false;
+  Unfinished.holds(Reservation.bytes());
+  return true;
+}
+
+/// Waits until older unfinished requests have released enough memory; returns
+/// false if there are none, or if it takes too long.
+bool server_connection::awaitMemory(memory_reservation &Reservation,
+                                    std::size_t Bytes) {
+  /// A request that has been read for less time may just be arriving.
+  constexpr milliseconds MinAge{300};
+  constexpr milliseconds CheckInterval{5};
+  constexpr milliseconds MaxWait{500};
+  asio::steady_timer Timer(Stream.get_executor());
+  error_code Ignored;
+  auto Start = std::chrono::steady_clock::now();
+  while (std::chrono::steady_clock::now() < Start + MaxWait) {
+    if (Memory.reclaim(Bytes - Reservation.bytes(),
+                       std::chrono::steady_clock::now() - MinAge) == 0)
+      return Reservation.growTo(Bytes);
+    Timer.expires_after(CheckInterval);
+    Timer.async_wait(Yield[Ignored]);
+    if (Reservation.growTo(Bytes))
+      return true;
+  }
+  return false;
 }
 
 /// Reserves memory for a head that has not arrived whole. A whole one tells how
 /// much the request needs.
-bool server_connection::reserveHead(memory_reservation &Reservation) {
+bool server_connection::reserveHead(memory_reservation &Reservation,
+                                    unfinished_request &Unfinished) {
   std::string_view Bytes(static_cast<const char *>(Buffer.cdata().data()),
                          Buffer.size());
   return Bytes.find("\r\n\r\n") != std::string_view::npos ||
-         reserve(Reservation, Limits.headerBytes());
+         reserve(Reservation, Unfinished, Limits.headerBytes());
 }
 
 /// Returns the size of the head. What has arrived when the time or the
@@ -176,10 +206,18 @@
   return Bytes;
 }
 
+/// Returns the capacity that \p Body has after \p Bytes more: a string that
+/// grows beyond its capacity doubles it.
+static std::size_t capacityFor(const std::string &Body, std::size_t Bytes) {
+  bool MayGrow = Body.capacity() - Body.size() < Bytes;
+  return MayGrow ? 2 * Body.capacity() : Body.capacity();
+}
+
 /// Returns false if there is no memory left to reserve for the request. Read
 /// errors are returned in \p Code.
 bool server_connection::readBody(parser &Parser, std::size_t HeadBytes,
                                  memory_reservation &Reservation,
+                                 unfinished_request &Unfinished,
                                  error_code &Code) {
   Connection->setRead(interruptible_stream::read_kind::RestOfRequest,
                       std::chrono::steady_clock::now() + BodyTimeout);
@@ -187,9 +225,14 @@
   auto ContentLength =
       static_cast<std::size_t>(Parser.content_length_remaining().value_or(
           Parser.chunked() ? MaxUnparsedBytes : 0));
+  // Parses all chunks that have arrived at once; each could be a single byte.
+  Parser.eager(true);
   do {
-    std::size_t BodyBytes = std::max(ContentLength, Parser.get().body().size());
-    if (!reserve(Reservation, requestBytes(HeadBytes, BodyBytes)))
+    std::size_t BodyBytes = std::max(
+        ContentLength, Parser.chunked()
+                           ? capacityFor(Parser.get().body(), Buffer.max_size())
+                           : Parser.get().body().size());
+    if (!reserve(Reservation, Unfinished, requestBytes(HeadBytes, BodyBytes)))
       return false;
     if (!Parser.is_done())
       http::async_read_some(Stream, Buffer, Parser, Yield[Code]);
--- a/lib/Http/ServerConnection.h
+++ b/lib/Http/ServerConnection.h
@@ -3,6 +3,7 @@
 
 #include "DisconnectWatcher.h"
 #include "ServerState.h"
+#include "UnfinishedRequest.h"
 #include "bluebellkeel/Core/MemoryReservation.h"
 #include "bluebellkeel/Http/HttpHandler.h"
 #include "bluebellkeel/Http/HttpLimitSource.h"
@@ -35,10 +36,13 @@
   void skipEmptyLines();
   std::optional<message> readRequest(memory_reservation &Reservation);
   std::size_t readHead(parser &Parser, boost::system::error_code &Code);
-  bool reserve(memory_reservation &Reservation, std::size_t Bytes);
-  bool reserveHead(memory_reservation &Reservation);
+  bool reserve(memory_reservation &Reservation, unfinished_request &Unfinished,
+               std::size_t Bytes);
+  bool awaitMemory(memory_reservation &Reservation, std::size_t Bytes);
+  bool reserveHead(memory_reservation &Reservation,
+                   unfinished_request &Unfinished);
   bool readBody(parser &Parser, std::size_t HeadBytes,
-                memory_reservation &Reservation,
+                memory_reservation &Reservation, unfinished_request &Unfinished,
                 boost::system::error_code &Code);
   void refuseForMemory(message Message);
   void refuseUnread(const boost::system::error_code &Code);
