--- a/include/bluebellkeel/Codec.h
+++ b/include/bluebellkeel/Codec.h
@@ -2,6 +2,7 @@
 #define BLUEBELLKEEL_CODEC_H
 
 #include "bluebellkeel/Codec/CodecError.h"
+#include "bluebellkeel/Codec/DutyJson.h"
 #include "bluebellkeel/Codec/JsonConversion.h"
 #include "bluebellkeel/Codec/JsonText.h"
 #include "bluebellkeel/Codec/RecordCodec.h"
--- a/include/bluebellkeel/Core/GuardedValue.h
+++ b/include/bluebellkeel/Core/GuardedValue.h
@@ -16,6 +16,11 @@
     absl::MutexLock Lock(&Mutex);
     return Value;
   }
+  /// Runs \p Change on the value under the lock; it must not block.
+  template <typename change_t> void update(change_t &&Change) {
+    absl::MutexLock Lock(&Mutex);
+    Change(Value);
+  }
   void set(value_t NewValue) {
     absl::MutexLock Lock(&Mutex);
     Value = std::move(NewValue);
--- a/include/bluebellkeel/Gateway/GatewayContext.h
+++ b/include/bluebellkeel/Gateway/GatewayContext.h
@@ -2,6 +2,7 @@
 #define BLUEBELLKEEL_GATEWAY_GATEWAYCONTEXT_H
 
 #include "bluebellkeel/Core.h"
+#include "bluebellkeel/Duty.h"
 #include "bluebellkeel/Gateway/GatewayState.h"
 #include "bluebellkeel/Gateway/HeavyLoadNotifier.h"
 #include "bluebellkeel/Membership.h"
@@ -62,6 +63,9 @@
   cheapest_placement Placement;
   confidence_model_selector ModelSelector;
   heavy_load_notifier HeavyLoad;
+  /// Null in a deployment that reports no usage.
+  const std::unique_ptr<usage_counter> Usage;
+  no_usage_listener NoUsage;
 };
 
 } // namespace bluebellkeel
--- a/include/bluebellkeel/Journal/KeyedTopic.h
+++ b/include/bluebellkeel/Journal/KeyedTopic.h
@@ -15,6 +15,8 @@
   Instances,
   /// Statuses reported to operators.
   Statuses,
+  /// The record of the duties of one instance at a time.
+  Duties,
 };
 
 inline std::string_view toString(keyed_topic Topic) {
@@ -27,6 +29,8 @@
     return "instances";
   case keyed_topic::Statuses:
     return "statuses";
+  case keyed_topic::Duties:
+    return "duties";
   }
   return "";
 }
--- a/include/bluebellkeel/Peer/PeerBody.h
+++ b/include/bluebellkeel/Peer/PeerBody.h
@@ -1,6 +1,7 @@
 #ifndef BLUEBELLKEEL_PEER_PEERBODY_H
 #define BLUEBELLKEEL_PEER_PEERBODY_H
 
+#include "bluebellkeel/Duty/DutyProgress.h"
 #include "bluebellkeel/Peer/BillCopy.h"
 #include "bluebellkeel/Peer/BillCopyAck.h"
 #include "bluebellkeel/Peer/CrashNotice.h"
@@ -11,6 +12,7 @@
 #include "bluebellkeel/Peer/InstanceDigest.h"
 #include "bluebellkeel/Peer/StateAnswer.h"
 #include "bluebellkeel/Peer/StateQuery.h"
+#include "bluebellkeel/Peer/UsageCounts.h"
 #include "bluebellkeel/Peer/ViewAnswer.h"
 #include "bluebellkeel/Peer/ViewQuery.h"
 #include <string_view>
@@ -22,7 +24,8 @@
 using peer_body =
     std::variant<heartbeat_query, heartbeat_answer, grant_ask, grant_reply,
                  bill_copy, bill_copy_ack, crash_notice, state_query,
-                 state_answer, instance_digest, view_query, view_answer>;
+                 state_answer, instance_digest, view_query, view_answer,
+                 usage_counts, duty_progress>;
 
 /// Returns the name of the message kind of \p Body, as used on the wire and in
 /// metrics.
--- a/include/bluebellkeel/Relay/ForwardDependencies.h
+++ b/include/bluebellkeel/Relay/ForwardDependencies.h
@@ -4,6 +4,7 @@
 #include "bluebellkeel/Core/EventLog.h"
 #include "bluebellkeel/Core/MemoryBudget.h"
 #include "bluebellkeel/Core/TimeSource.h"
+#include "bluebellkeel/Duty/UsageListener.h"
 #include "bluebellkeel/Membership/ClosedDataCentres.h"
 #include "bluebellkeel/Membership/LiveInstances.h"
 #include "bluebellkeel/Policy/BlockTrials.h"
@@ -55,6 +56,7 @@
   event_log &Log;
   load_listener &HeavyLoad;
   memory_budget &Memory;
+  usage_listener &Usage;
 
   /// Returns all instances that may send to upstreams, including this one.
   std::vector<instance_id> senders() const {
--- a/include/bluebellkeel/Startup/GatewaySettings.h
+++ b/include/bluebellkeel/Startup/GatewaySettings.h
@@ -4,7 +4,9 @@
 #include "bluebellkeel/Core/DataCentreId.h"
 #include "bluebellkeel/Core/InstanceId.h"
 #include "bluebellkeel/Core/NetworkAddress.h"
+#include "bluebellkeel/Startup/DutySettings.h"
 #include "bluebellkeel/Startup/ReloadableSettings.h"
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -27,6 +29,9 @@
   /// Memory available to the process, in bytes.
   std::size_t Memory = 0;
 
+  /// Empty if the deployment has no duties.
+  std::optional<duty_settings> Duties;
+
   reloadable_settings Reloadable;
 
   /// Returns the settings that need a restart to change. Leaves out the
@@ -34,7 +39,7 @@
   auto fixedKey() const {
     return std::tie(Instance, DataCentre, CallerAddress, ReadyAddress,
                     DirectoryAddress, PeerAddress, MetricsAddress, LogAddress,
-                    PeerKey, Memory);
+                    PeerKey, Memory, Duties);
   }
 };
 
--- a/lib/Gateway/DigestExchanger.cpp
+++ b/lib/Gateway/DigestExchanger.cpp
@@ -87,7 +87,7 @@
   propagateChanges(Topic);
 }
 
-std::optional<peer_body> digest_exchanger::answer(const instance_id & /*From*/,
+std::optional<peer_body> digest_exchanger::answer(const instance_id &From,
                                                   const peer_body &Body) {
   if (const auto *Digest = std::get_if<instance_digest>(&Body)) {
     merge(*Digest, std::nullopt);
@@ -95,6 +95,8 @@
   }
   if (const auto *Query = std::get_if<view_query>(&Body))
     return peer_body(viewOf(Query->topic()).answer(Query->after()));
+  if (const auto *Counts = std::get_if<usage_counts>(&Body))
+    return peer_body(Duties.merge(From, *Counts));
   return std::nullopt;
 }
 
--- a/lib/Gateway/DigestExchanger.h
+++ b/lib/Gateway/DigestExchanger.h
@@ -1,6 +1,7 @@
 #ifndef BLUEBELLKEEL_LIB_GATEWAY_DIGESTEXCHANGER_H
 #define BLUEBELLKEEL_LIB_GATEWAY_DIGESTEXCHANGER_H
 
+#include "DutyRunner.h"
 #include "absl/base/thread_annotations.h"
 #include "absl/synchronization/mutex.h"
 #include "bluebellkeel/Gateway/GatewayContext.h"
@@ -14,8 +15,8 @@
 class digest_exchanger final : public peer_responder, private view_listener {
 public:
   digest_exchanger(gateway_context &Context, keyed_view &Settings,
-                   keyed_view &Upstreams, peer_link &Link)
-      : Context(Context), Link(Link),
+                   keyed_view &Upstreams, duty_runner &Duties, peer_link &Link)
+      : Context(Context), Duties(Duties), Link(Link),
         Settings(keyed_topic::Settings, Settings, Context.SettingsAge, Link,
                  Context.Clock, *this),
         Upstreams(keyed_topic::Upstreams, Upstreams, Context.UpstreamsAge, Link,
@@ -52,6 +53,7 @@
   }
 
   gateway_context &Context;
+  duty_runner &Duties;
   peer_link &Link;
   view_synchronizer Settings;
   view_synchronizer Upstreams;
--- a/lib/Gateway/GatewayContext.cpp
+++ b/lib/Gateway/GatewayContext.cpp
@@ -20,6 +20,15 @@
   return {Reloadable.RetryRatio, Reloadable.RetrySlack, Reloadable.RetryWindow};
 }
 
+static std::unique_ptr<usage_counter>
+usageCounterFor(const gateway_settings &Settings, const time_source &Clock) {
+  if (!Settings.Duties)
+    return nullptr;
+  const duty_settings &Duties = *Settings.Duties;
+  return std::make_unique<usage_counter>(
+      duty_times(Duties.Lease, Duties.UsageWindow, Duties.UsageDelay), Clock);
+}
+
 gateway_context::gateway_context(const gateway_settings &Settings)
     : Settings(Settings), Reloadable(Settings.Reloadable),
       Memory(std::make_shared<memory_budget>(
@@ -34,7 +43,7 @@
       RollOuts(rollOutLimitsOf(Settings.Reloadable), Clock), Prefixes(Clock),
       Crashes(Clock), PartCrashes(Clock), BlockTrials(Settings.Instance, Clock),
       Retries(retryRulesOf(Settings.Reloadable), Clock), Returns(Clock),
-      HeavyLoad(Clock) {}
+      HeavyLoad(Clock), Usage(usageCounterFor(Settings, Clock)) {}
 
 void gateway_context::reconfigure(const reloadable_settings &Newer) {
   Reloadable.set(Newer);
@@ -43,6 +52,9 @@
 }
 
 forward_dependencies gateway_context::forwardDependencies() {
+  usage_listener *Listener = &NoUsage;
+  if (Usage)
+    Listener = Usage.get();
   return forward_dependencies{Settings.Instance,
                               Settings.DataCentre,
                               Clock,
@@ -68,7 +80,8 @@
                               Metrics,
                               Log,
                               HeavyLoad,
-                              *Memory};
+                              *Memory,
+                              *Listener};
 }
 
 instance_record gateway_context::self() const {
--- a/lib/Gateway/GatewayRuntime.cpp
+++ b/lib/Gateway/GatewayRuntime.cpp
@@ -1,5 +1,6 @@
 #include "bluebellkeel/Gateway/GatewayRuntime.h"
 #include "DigestExchanger.h"
+#include "DutyRunner.h"
 #include "ReadSchedule.h"
 #include "TopicAvailabilityMonitor.h"
 #include "bluebellkeel/Http/Await.h"
@@ -43,7 +44,8 @@
         InstancesView(Listeners.Instances), Signer(Context.Settings.PeerKey),
         Counter(Context.Metrics),
         Link(Context.Settings.Instance, Signer, Context.Clock, Counter),
-        Exchanger(Context, SettingsView, UpstreamsView, Link),
+        Duties(Context, LogProvider, Link),
+        Exchanger(Context, SettingsView, UpstreamsView, Duties, Link),
         Schedule(Context, Exchanger) {}
 
   tl::expected<void, std::string> start();
@@ -67,6 +69,7 @@
   void followInstances(asio::yield_context Yield);
   void exchangeDigests(asio::yield_context Yield);
   void runPeriodicTasks(asio::yield_context Yield);
+  void runDuties(asio::yield_context Yield) { Duties.run(Yield); }
   void updateMetrics();
   void awaitBackoff(asio::yield_context Yield, monotonic_time RequestedAt,
                     milliseconds Backoff) const;
@@ -84,6 +87,7 @@
   hmac_signer Signer;
   metrics_peer_monitor Counter;
   websocket_peer_link Link;
+  duty_runner Duties;
   digest_exchanger Exchanger;
   read_schedule Schedule;
 };
@@ -122,6 +126,7 @@
   spawn(&impl::followInstances);
   spawn(&impl::exchangeDigests);
   spawn(&impl::runPeriodicTasks);
+  spawn(&impl::runDuties);
   return {};
 }
 
--- a/lib/Peer/PeerBodyJson.cpp
+++ b/lib/Peer/PeerBodyJson.cpp
@@ -195,6 +195,32 @@
   return viewAnswerToJson(Body);
 }
 
+static json toCompactJson(const usage_counts &Body) {
+  return {{"u", toJson(Body.reports())}};
+}
+
+static body_result<peer_body> usageCountsFrom(const json &Json) {
+  field_reader Fields(Json);
+  auto Reports = usageReportsFrom(Fields.optional("u"));
+  if (!Reports)
+    return tl::unexpected(Reports.error());
+  return peer_body(usage_counts(std::move(*Reports)));
+}
+
+static json toCompactJson(const duty_progress &Body) {
+  return {{"t", Body.token()},
+          {"w", Body.newestWindow()},
+          {"h", Body.holder().text()}};
+}
+
+static body_result<peer_body> dutyProgressFrom(const json &Json) {
+  field_reader Fields(Json);
+  std::uint64_t Token = Fields.number("t");
+  std::uint64_t Window = Fields.number("w");
+  instance_id Holder(Fields.text("h"));
+  return bodyOrError(Fields, duty_progress(Token, Window, Holder));
+}
+
 json bluebellkeel::bodyToJson(const peer_body &Body) {
   return std::visit([](const auto &Held) { return toCompactJson(Held); }, Body);
 }
@@ -225,5 +251,9 @@
     return viewQueryFromJson(Json);
   if (Kind == "view_answer")
     return viewAnswerFromJson(Json);
+  if (Kind == "usage_counts")
+    return usageCountsFrom(Json);
+  if (Kind == "duty_progress")
+    return dutyProgressFrom(Json);
   return tl::unexpected(codec_error("unknown kind of message"));
 }
--- a/lib/Relay/ForwardRelay.cpp
+++ b/lib/Relay/ForwardRelay.cpp
@@ -199,6 +199,7 @@
     return handleAttemptError(Upstream, attempt_error::TurnedAway);
   ++Progress.Runs;
   Progress.HeadReceived = true;
+  Deps.Usage.onRequestBegun(Admission.account());
   RequestLoad.prefillDone();
   if (!Progress.ResponseStarted)
     Progress.FirstByte = elapsed();
--- a/lib/Startup/GatewaySettingsReader.cpp
+++ b/lib/Startup/GatewaySettingsReader.cpp
@@ -74,6 +74,29 @@
   Reloadable.finish();
 }
 
+/// Shortest and longest lease and window of usage. A holder needs some answers
+/// of the platform within half a lease.
+static constexpr std::uint64_t MinDutyMs = 1000;
+static constexpr std::uint64_t MaxDutyMs = 3600000;
+static constexpr std::uint64_t DefaultLeaseMs = 3000;
+static constexpr std::uint64_t DefaultWindowMs = 60000;
+
+static std::optional<duty_settings> readDuties(object_reader &Root) {
+  if (!Root.has("duties"))
+    return std::nullopt;
+  object_reader Reader = Root.object("duties", /*Required=*/true);
+  duty_settings Duties;
+  Duties.Address = Reader.address("address");
+  Duties.Lease = milliseconds(
+      Reader.numberOr("lease_ms", DefaultLeaseMs, MinDutyMs, MaxDutyMs));
+  Duties.UsageWindow = milliseconds(Reader.numberOr(
+      "usage_window_ms", DefaultWindowMs, MinDutyMs, MaxDutyMs));
+  Duties.UsageDelay = milliseconds(
+      Reader.numberOr("usage_delay_ms", DefaultWindowMs, MinDutyMs, MaxDutyMs));
+  Reader.finish();
+  return Duties;
+}
+
 tl::expected<gateway_settings, std::vector<settings_error>>
 bluebellkeel::readGatewaySettings(std::string_view Text) {
   std::vector<settings_error> Errors;
@@ -90,6 +113,7 @@
   readListen(Root, Settings);
   readPeers(Root, Settings);
   readRules(Root, Settings.Reloadable);
+  Settings.Duties = readDuties(Root);
   constexpr std::size_t Megabyte = 1UL << 20;
   Settings.Memory =
       Root.numberOr("memory_mb", DefaultMemoryMb, MinMemoryMb, MaxMemoryMb) *
--- a/lib/Startup/ObjectReader.h
+++ b/lib/Startup/ObjectReader.h
@@ -41,6 +41,8 @@
   /// Returns a reader for each object in the array \p Name.
   std::vector<object_reader> objects(const std::string &Name);
 
+  /// True if the object has the field \p Name.
+  bool has(const std::string &Name) const { return Json.contains(Name); }
   /// Accepts the field \p Name, which earlier releases read, without a value.
   void ignore(const std::string &Name) { RequestedFields.insert(Name); }
   /// Adds an error for each field that was not requested.
--- a/unittests/Support/ForwardFixture.h
+++ b/unittests/Support/ForwardFixture.h
@@ -292,6 +292,7 @@
   noop_monitor Monitor;
   recording_log Log;
   counting_listener HeavyLoad;
+  no_usage_listener Usage;
   memory_budget Memory{1024UL * 1024};
   forward_dependencies Deps{Self,        data_centre_id("north"),
                             Clock,       ServingStatus,
@@ -305,7 +306,8 @@
                             Retries,     Returns,
                             Placement,   ModelSelector,
                             Monitor,     Log,
-                            HeavyLoad,   Memory};
+                            HeavyLoad,   Memory,
+                            Usage};
   scripted_upstreams Upstreams;
   int LastId = 0;
 };
