--- a/include/bluebellkeel/Relay/ForwardProgress.h
+++ b/include/bluebellkeel/Relay/ForwardProgress.h
@@ -23,6 +23,8 @@
   monotonic_time SentAt;
   /// True if the latest attempt received a response head.
   bool HeadReceived = false;
+  /// True once an upstream has begun the request.
+  bool Begun = false;
   /// True if the latest attempt received some of a body that is no stream.
   bool BodyStarted = false;
   /// Time of the latest complete event of a stream, or of its start, and the
--- a/lib/Relay/ForwardRelay.cpp
+++ b/lib/Relay/ForwardRelay.cpp
@@ -199,7 +199,9 @@
     return handleAttemptError(Upstream, attempt_error::TurnedAway);
   ++Progress.Runs;
   Progress.HeadReceived = true;
-  Deps.Usage.onRequestBegun(Admission.account());
+  // A request that runs again still counts once.
+  if (!std::exchange(Progress.Begun, true) && !Admission.account().empty())
+    Deps.Usage.onRequestBegun(Admission.account());
   RequestLoad.prefillDone();
   if (!Progress.ResponseStarted)
     Progress.FirstByte = elapsed();
--- a/unittests/Peer/PeerCodecTest.cpp
+++ b/unittests/Peer/PeerCodecTest.cpp
@@ -38,7 +38,9 @@
             bill_copy_ack(true),
             crash_notice(fingerprint("f"), Upstream),
             state_query(),
-            state_answer(settings_state(log_offset(3), Values, {}))};
+            state_answer(settings_state(log_offset(3), Values, {})),
+            usage_counts({usage_report(9, {{account_id("a"), 4}})}),
+            duty_progress(5, 9, instance_id("from"))};
   }
 
   manual_clock Clock;
--- a/unittests/Startup/GatewaySettingsTest.cpp
+++ b/unittests/Startup/GatewaySettingsTest.cpp
@@ -66,6 +66,25 @@
   EXPECT_FALSE(WithInterval("0"));
 }
 
+TEST_F(gateway_settings_test, duties_areOptionalAndChecked) {
+  auto WithDuties = [](const std::string &Duties) {
+    return readGatewaySettings(withReplacement(
+        "\"memory_mb\"", "\"duties\": {" + Duties + "}, \"memory_mb\""));
+  };
+  EXPECT_FALSE(readGatewaySettings(ValidSettings)->Duties);
+  auto Settings = WithDuties("\"address\": \"10.0.0.9:1\", "
+                             "\"lease_ms\": 2000, \"usage_window_ms\": 5000, "
+                             "\"usage_delay_ms\": 10000");
+  ASSERT_TRUE(Settings.has_value());
+  ASSERT_TRUE(Settings->Duties);
+  EXPECT_EQ(milliseconds(2000), Settings->Duties->Lease);
+  EXPECT_EQ(milliseconds(5000), Settings->Duties->UsageWindow);
+  EXPECT_EQ(milliseconds(10000), Settings->Duties->UsageDelay);
+  EXPECT_FALSE(WithDuties("\"lease_ms\": 2000"));
+  EXPECT_FALSE(WithDuties("\"address\": \"10.0.0.9:1\", \"lease_ms\": 10"));
+  EXPECT_FALSE(WithDuties("\"address\": \"10.0.0.9:1\", \"extra\": 1"));
+}
+
 TEST_F(gateway_settings_test, fieldOfAnEarlierRelease_isIgnored) {
   EXPECT_TRUE(readGatewaySettings(
                   withReplacement("\"grace_s\": 8",
