--- a/lib/Duty/DutyKeeper.cpp
+++ b/lib/Duty/DutyKeeper.cpp
@@ -17,7 +17,8 @@
     return;
   if (!Term && dueForTakeover(Live))
     takeTerm();
-  if (!Term || !refresh())
+  // Until then, the other instances hear of the holder and send their counts.
+  if (!Term || Clock.monotonicNow() < Term->UsableFrom || !refresh())
     return;
   recordReports();
   sendReports();
@@ -192,7 +193,7 @@
 }
 
 void duty_keeper::sendReports() {
-  if (!Term || !RecordKnown || Clock.monotonicNow() < Term->UsableFrom)
+  if (!Term || !RecordKnown)
     return;
   for (const auto &Recorded : std::vector(Record.reports())) {
     std::uint64_t Window = Recorded.report().window();
--- a/lib/Gateway/DutyRunner.cpp
+++ b/lib/Gateway/DutyRunner.cpp
@@ -50,7 +50,7 @@
 void duty_runner::sendCounts(const std::vector<instance_record> &Candidates) {
   CountsSentAt = Context.Clock.monotonicNow();
   CountsSentIn = Times.windowAt(Context.Clock.wallNow());
-  usage_counts Counts(Context.Usage->counts());
+  usage_counts Counts(Context.Usage->counts(), News.newest());
   Usage.merge(Context.Settings.Instance, Counts.reports());
   instance_id Holder = News.newest().holder();
   for (std::size_t Rank = 0; Rank < Candidates.size(); ++Rank) {
@@ -70,6 +70,7 @@
 duty_progress duty_runner::merge(const instance_id &From,
                                  const usage_counts &Counts) {
   Usage.merge(From, Counts.reports());
+  News.note(Counts.progress());
   return News.newest();
 }
 
--- a/lib/Peer/PeerBodyJson.cpp
+++ b/lib/Peer/PeerBodyJson.cpp
@@ -195,30 +195,37 @@
   return viewAnswerToJson(Body);
 }
 
-static json toCompactJson(const usage_counts &Body) {
-  return {{"u", toJson(Body.reports())}};
-}
-
-static body_result<peer_body> usageCountsFrom(const json &Json) {
-  field_reader Fields(Json);
-  auto Reports = usageReportsFrom(Fields.optional("u"));
-  if (!Reports)
-    return tl::unexpected(Reports.error());
-  return peer_body(usage_counts(std::move(*Reports)));
-}
-
 static json toCompactJson(const duty_progress &Body) {
   return {{"t", Body.token()},
           {"w", Body.newestWindow()},
           {"h", Body.holder().text()}};
 }
 
-static body_result<peer_body> dutyProgressFrom(const json &Json) {
-  field_reader Fields(Json);
+static duty_progress progressFrom(field_reader &Fields) {
   std::uint64_t Token = Fields.number("t");
   std::uint64_t Window = Fields.number("w");
-  instance_id Holder(Fields.text("h"));
-  return bodyOrError(Fields, duty_progress(Token, Window, Holder));
+  return {Token, Window, instance_id(Fields.text("h"))};
+}
+
+static body_result<peer_body> dutyProgressFrom(const json &Json) {
+  field_reader Fields(Json);
+  duty_progress Progress = progressFrom(Fields);
+  return bodyOrError(Fields, Progress);
+}
+
+static json toCompactJson(const usage_counts &Body) {
+  json Json = toCompactJson(Body.progress());
+  Json["u"] = toJson(Body.reports());
+  return Json;
+}
+
+static body_result<peer_body> usageCountsFrom(const json &Json) {
+  field_reader Fields(Json);
+  duty_progress Progress = progressFrom(Fields);
+  auto Reports = usageReportsFrom(Fields.optional("u"));
+  if (!Reports)
+    return tl::unexpected(Reports.error());
+  return bodyOrError(Fields, usage_counts(std::move(*Reports), Progress));
 }
 
 json bluebellkeel::bodyToJson(const peer_body &Body) {
--- a/unittests/Peer/PeerCodecTest.cpp
+++ b/unittests/Peer/PeerCodecTest.cpp
@@ -39,7 +39,8 @@
             crash_notice(fingerprint("f"), Upstream),
             state_query(),
             state_answer(settings_state(log_offset(3), Values, {})),
-            usage_counts({usage_report(9, {{account_id("a"), 4}})}),
+            usage_counts({usage_report(9, {{account_id("a"), 4}})},
+                         duty_progress(5, 8, instance_id("to"))),
             duty_progress(5, 9, instance_id("from"))};
   }
 
