--- a/include/bluebellkeel/Duty/DutyKeeper.h
+++ b/include/bluebellkeel/Duty/DutyKeeper.h
@@ -8,6 +8,7 @@
 #include "bluebellkeel/Duty/DutyStore.h"
 #include "bluebellkeel/Duty/DutyTimes.h"
 #include "bluebellkeel/Duty/UsageCollector.h"
+#include "bluebellkeel/Scale/ScalePlanner.h"
 #include <optional>
 #include <vector>
 
@@ -44,6 +45,8 @@
   ///
   /// \param Live the instances that may hold the duties, including this one.
   void run(const std::vector<instance_id> &Live);
+  /// Sends the orders that are due, if this instance holds the duties.
+  void sendOrders(scale_planner &Planner);
   /// Gives up the duties, so that another instance takes them at once.
   void release();
 
@@ -64,6 +67,9 @@
   void recordReports();
   void sendReports();
   bool mayCall() const;
+  /// Returns mayCall(), after it has proven once more that the term goes on if
+  /// that is needed.
+  bool proveTerm();
   void stepDown(std::string_view Why);
   /// Returns the newest window whose counts are complete.
   std::uint64_t completeWindow() const;
@@ -79,6 +85,8 @@
   event_log &Log;
   const monotonic_time StartedAt;
   std::optional<term> Term;
+  /// Token of the term in which the planner's orders were sent.
+  std::uint64_t OrdersToken = 0;
   duty_record Record;
   log_position End;
   /// False if an append had no answer, so that the record may have changed.
--- a/include/bluebellkeel/Duty/DutyPlatform.h
+++ b/include/bluebellkeel/Duty/DutyPlatform.h
@@ -4,6 +4,7 @@
 #include "bluebellkeel/Core/InstanceId.h"
 #include "bluebellkeel/Duty/DutyOutcome.h"
 #include "bluebellkeel/Duty/UsageReport.h"
+#include "bluebellkeel/Scale/ScaleOrder.h"
 
 namespace bluebellkeel {
 
@@ -18,6 +19,10 @@
   virtual duty_outcome reportUsage(const instance_id &Holder,
                                    std::uint64_t Token,
                                    const usage_report &Report) = 0;
+  /// Orders a number of upstreams, likewise.
+  virtual duty_outcome orderUpstreams(const instance_id &Holder,
+                                      std::uint64_t Token,
+                                      const scale_order &Order) = 0;
 };
 
 } // namespace bluebellkeel
--- a/include/bluebellkeel/Routing.h
+++ b/include/bluebellkeel/Routing.h
@@ -8,6 +8,7 @@
 #include "bluebellkeel/Routing/RouteKind.h"
 #include "bluebellkeel/Routing/RouteTable.h"
 #include "bluebellkeel/Routing/RouteTableHolder.h"
+#include "bluebellkeel/Routing/ScalingLimits.h"
 #include "bluebellkeel/Routing/ServiceConfig.h"
 #include "bluebellkeel/Routing/WeightedService.h"
 
--- a/include/bluebellkeel/Routing/ServiceConfig.h
+++ b/include/bluebellkeel/Routing/ServiceConfig.h
@@ -4,7 +4,9 @@
 #include "bluebellkeel/Core/ServiceId.h"
 #include "bluebellkeel/Core/Time.h"
 #include "bluebellkeel/Routing/PricedModel.h"
+#include "bluebellkeel/Routing/ScalingLimits.h"
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace bluebellkeel {
@@ -21,6 +23,7 @@
     std::uint32_t Slots = 0;
     std::uint64_t CacheTokens = 0;
     std::vector<priced_model> Models;
+    std::optional<scaling_limits> Scaling;
   };
 
   explicit service_config(fields Fields) : Content(std::move(Fields)) {}
@@ -37,13 +40,17 @@
   /// Number of tokens that fit in an engine's memory.
   std::uint64_t cacheTokens() const { return Content.CacheTokens; }
   const std::vector<priced_model> &models() const { return Content.Models; }
+  /// Empty if the number of upstreams is not ours to order.
+  const std::optional<scaling_limits> &scaling() const {
+    return Content.Scaling;
+  }
   /// Returns the price of 1,000 tokens of \p Model; 0 if the model is unknown.
   double costOf(const std::string &Model) const;
 
   auto key() const {
     return std::tie(Content.Service, Content.HealthPath, Content.ColdTime,
                     Content.ColdRate, Content.Slots, Content.CacheTokens,
-                    Content.Models);
+                    Content.Models, Content.Scaling);
   }
 
 private:
--- a/lib/Codec/DutyJson.cpp
+++ b/lib/Codec/DutyJson.cpp
@@ -80,3 +80,35 @@
   }
   return Reports;
 }
+
+json bluebellkeel::toJson(const std::vector<service_work> &Work) {
+  json Array = json::array();
+  for (const auto &Item : Work)
+    Array.push_back({{"s", Item.service().text()},
+                     {"z", Item.centre().text()},
+                     {"r", Item.running()},
+                     {"p", Item.prefill()}});
+  return Array;
+}
+
+tl::expected<std::vector<service_work>, codec_error>
+bluebellkeel::serviceWorkFrom(const json &Json) {
+  constexpr std::size_t MaxServices = 1000;
+  constexpr std::uint64_t MaxAmount = 1000000000000;
+  std::vector<service_work> Work;
+  if (Json.is_null())
+    return Work;
+  if (!Json.is_array() || Json.size() > MaxServices)
+    return tl::unexpected(codec_error("no array of services"));
+  for (const auto &Item : Json) {
+    field_reader Fields(Item);
+    service_id Service(Fields.text("s"));
+    data_centre_id Centre(Fields.text("z"));
+    std::uint64_t Running = Fields.numberUpTo("r", MaxAmount);
+    std::uint64_t Prefill = Fields.numberUpTo("p", MaxAmount);
+    if (Fields.failed())
+      return tl::unexpected(Fields.error());
+    Work.emplace_back(std::move(Service), std::move(Centre), Running, Prefill);
+  }
+  return Work;
+}
--- a/lib/Duty/DutyKeeper.cpp
+++ b/lib/Duty/DutyKeeper.cpp
@@ -191,6 +191,45 @@
   return Now >= Term->UsableFrom && Now - ProvenAt < Times.lease() / 2;
 }
 
+bool duty_keeper::proveTerm() {
+  if (!mayCall() && !record(duty_record(Record)))
+    return false;
+  return mayCall();
+}
+
+void duty_keeper::sendOrders(scale_planner &Planner) {
+  if (!Term || !RecordKnown || Clock.monotonicNow() < Term->UsableFrom ||
+      Clock.monotonicNow() < RetryAt)
+    return;
+  if (OrdersToken != Term->Token) {
+    OrdersToken = Term->Token;
+    Planner.forgetOrders();
+  }
+  for (const auto &Order : std::vector(Planner.due())) {
+    if (!proveTerm())
+      return;
+    duty_outcome Outcome = Platform.orderUpstreams(Self, Term->Token, Order);
+    event_line Line("duty", "order_sent");
+    Line.add("service", Order.service().text())
+        .add("centre", Order.centre().text())
+        .add("count", static_cast<std::int64_t>(Order.count()))
+        .add("why", toString(Order.reason()))
+        .add("token", static_cast<std::int64_t>(Term->Token))
+        .add("outcome", toString(Outcome));
+    Log.write(Line);
+    if (Outcome == duty_outcome::Fenced) {
+      stepDown("fenced");
+      return;
+    }
+    if (Outcome == duty_outcome::Accepted || Outcome == duty_outcome::Unknown)
+      Planner.noteSent(Order, Outcome == duty_outcome::Unknown);
+    if (Outcome != duty_outcome::Accepted) {
+      RetryAt = Clock.monotonicNow() + RetryDelay;
+      return;
+    }
+  }
+}
+
 void duty_keeper::sendReports() {
   if (!Term || !RecordKnown || Clock.monotonicNow() < Term->UsableFrom)
     return;
@@ -198,10 +237,7 @@
     std::uint64_t Window = Recorded.report().window();
     if (Recorded.acknowledged() || overdue(Window))
       continue;
-    // Proves once more that the term goes on.
-    if (!mayCall() && !record(duty_record(Record)))
-      return;
-    if (!mayCall())
+    if (!proveTerm())
       return;
     duty_outcome Outcome =
         Platform.reportUsage(Self, Term->Token, Recorded.report());
--- a/lib/Gateway/DutyRunner.cpp
+++ b/lib/Gateway/DutyRunner.cpp
@@ -24,7 +24,8 @@
 duty_runner::duty_runner(gateway_context &Context,
                          platform_log_provider &Provider, peer_link &Link)
     : Context(Context), Provider(Provider), Link(Link),
-      Times(timesOf(Context.Settings.Duties)) {}
+      Times(timesOf(Context.Settings.Duties)), Work(Context.Clock),
+      ScaleInput(Context, Work) {}
 
 /// Returns the instances that may hold the duties, this one included, in the
 /// order in which they take them.
@@ -50,7 +51,8 @@
 void duty_runner::sendCounts(const std::vector<instance_record> &Candidates) {
   CountsSentAt = Context.Clock.monotonicNow();
   CountsSentIn = Times.windowAt(Context.Clock.wallNow());
-  usage_counts Counts(Context.Usage->counts());
+  usage_counts Counts(Context.Usage->counts(), ScaleInput.ownWork());
+  Work.merge(Context.Settings.Instance, Counts.work());
   Usage.merge(Context.Settings.Instance, Counts.reports());
   instance_id Holder = News.newest().holder();
   for (std::size_t Rank = 0; Rank < Candidates.size(); ++Rank) {
@@ -70,6 +72,7 @@
 duty_progress duty_runner::merge(const instance_id &From,
                                  const usage_counts &Counts) {
   Usage.merge(From, Counts.reports());
+  Work.merge(From, Counts.work());
   return News.newest();
 }
 
@@ -83,6 +86,8 @@
     awaitTime(Yield, StepInterval);
   duty_keeper Keeper(Context.Settings.Instance, Times, Context.Clock, Usage,
                      News, Store, *Platform, Context.Log);
+  work_following_count Counts;
+  scale_planner Planner(ScaleInput, Counts, Context.Clock, Context.Log);
   while (Context.State.phase() == serving_phase::Serving) {
     auto Candidates = candidates();
     if (countsAreDue())
@@ -92,6 +97,8 @@
     for (const auto &Candidate : Candidates)
       Live.push_back(Candidate.id());
     Keeper.run(Live);
+    Planner.run();
+    Keeper.sendOrders(Planner);
     awaitTime(Yield, StepInterval);
   }
   Keeper.release();
--- a/lib/Gateway/DutyRunner.h
+++ b/lib/Gateway/DutyRunner.h
@@ -1,10 +1,12 @@
 #ifndef BLUEBELLKEEL_LIB_GATEWAY_DUTYRUNNER_H
 #define BLUEBELLKEEL_LIB_GATEWAY_DUTYRUNNER_H
 
+#include "GatewayScaleInput.h"
 #include "bluebellkeel/Duty.h"
 #include "bluebellkeel/Gateway/GatewayContext.h"
 #include "bluebellkeel/Gateway/PlatformLogProvider.h"
 #include "bluebellkeel/Peer/PeerLink.h"
+#include "bluebellkeel/Scale.h"
 
 namespace bluebellkeel {
 
@@ -31,6 +33,8 @@
   peer_link &Link;
   const duty_times Times;
   usage_collector Usage;
+  work_collector Work;
+  gateway_scale_input ScaleInput;
   duty_news News;
   monotonic_time CountsSentAt;
   std::uint64_t CountsSentIn = 0;
--- a/lib/Peer/PeerBodyJson.cpp
+++ b/lib/Peer/PeerBodyJson.cpp
@@ -196,7 +196,10 @@
 }
 
 static json toCompactJson(const usage_counts &Body) {
-  return {{"u", toJson(Body.reports())}};
+  json Json = {{"u", toJson(Body.reports())}};
+  if (!Body.work().empty())
+    Json["l"] = toJson(Body.work());
+  return Json;
 }
 
 static body_result<peer_body> usageCountsFrom(const json &Json) {
@@ -204,7 +207,10 @@
   auto Reports = usageReportsFrom(Fields.optional("u"));
   if (!Reports)
     return tl::unexpected(Reports.error());
-  return peer_body(usage_counts(std::move(*Reports)));
+  auto Work = serviceWorkFrom(Fields.optional("l"));
+  if (!Work)
+    return tl::unexpected(Work.error());
+  return peer_body(usage_counts(std::move(*Reports), std::move(*Work)));
 }
 
 static json toCompactJson(const duty_progress &Body) {
--- a/unittests/Duty/DutyKeeperTest.cpp
+++ b/unittests/Duty/DutyKeeperTest.cpp
@@ -1,6 +1,7 @@
 #include "FakeDutyPlatform.h"
 #include "FakeDutyStore.h"
 #include "Support/ManualClock.h"
+#include "bluebellkeel/Scale.h"
 #include <gtest/gtest.h>
 #include <memory>
 #include <random>
@@ -10,6 +11,21 @@
 
 namespace {
 
+/// One service that always lacks upstreams.
+class short_of_upstreams final : public scale_input {
+public:
+  std::vector<scale_observation> observe() override {
+    scale_observation::fields Fields;
+    Fields.Service = service_id("s");
+    Fields.Limits = scaling_limits(1, 3, seconds(8));
+    centre_upstreams::fields Centre;
+    Centre.Centre = data_centre_id("a");
+    Centre.Present = 1;
+    Fields.Centres.emplace_back(Centre);
+    return {scale_observation(std::move(Fields))};
+  }
+};
+
 class quiet_log final : public event_log {
 public:
   void write(const event_line & /*Line*/) override {}
@@ -297,3 +313,60 @@
   EXPECT_GE(reportedWindows().size(), 20U);
   expectOneHolderAtATime();
 }
+
+TEST_F(duty_keeper_test, ordersAreDue_onlyTheHolderSendsThemInItsTerm) {
+  short_of_upstreams Input;
+  always_maximum_count Policy;
+  scale_planner Planner(Input, Policy, Clock, Log);
+  run(seconds(20));
+  Planner.run();
+  for (auto &Instance : Instances)
+    Instance->Keeper->sendOrders(Planner);
+  ASSERT_EQ(1U, Platform.Orders.size());
+  EXPECT_EQ(holder().Id, Platform.Orders.front().Holder);
+  EXPECT_EQ(Shared.Record.token(), Platform.Orders.front().Token);
+  EXPECT_EQ(3U, Platform.Orders.front().Order.count());
+  EXPECT_TRUE(Planner.due().empty());
+}
+
+TEST_F(duty_keeper_test, orderMeetsAHigherToken_holderStepsDown) {
+  short_of_upstreams Input;
+  always_maximum_count Policy;
+  scale_planner Planner(Input, Policy, Clock, Log);
+  run(seconds(20));
+  Platform.HighestToken = Shared.Record.token() + 1;
+  Planner.run();
+  instance &First = holder();
+  First.Keeper->sendOrders(Planner);
+  First.Keeper->sendOrders(Planner);
+  EXPECT_TRUE(Platform.Orders.empty());
+  EXPECT_FALSE(Planner.due().empty());
+}
+
+TEST_F(duty_keeper_test, logIsAway_noOrderIsSentAfterHalfALease) {
+  short_of_upstreams Input;
+  always_maximum_count Policy;
+  scale_planner Planner(Input, Policy, Clock, Log);
+  run(seconds(20));
+  instance &First = holder();
+  First.Store.Fault = fault::Down;
+  Clock.advance(Lease / 2);
+  Planner.run();
+  First.Keeper->sendOrders(Planner);
+  EXPECT_TRUE(Platform.Orders.empty());
+}
+
+TEST_F(duty_keeper_test, platformRejectsAnOrder_itStaysDue) {
+  short_of_upstreams Input;
+  always_maximum_count Policy;
+  scale_planner Planner(Input, Policy, Clock, Log);
+  run(seconds(20));
+  Platform.Outcome = duty_outcome::Rejected;
+  Planner.run();
+  holder().Keeper->sendOrders(Planner);
+  EXPECT_EQ(1U, Planner.due().size());
+  Platform.Outcome = std::nullopt;
+  Clock.advance(duty_keeper::RetryDelay);
+  holder().Keeper->sendOrders(Planner);
+  EXPECT_TRUE(Planner.due().empty());
+}
--- a/unittests/Duty/FakeDutyPlatform.h
+++ b/unittests/Duty/FakeDutyPlatform.h
@@ -17,6 +17,12 @@
     monotonic_time At;
   };
 
+  struct ordered {
+    instance_id Holder;
+    std::uint64_t Token;
+    scale_order Order;
+  };
+
   explicit fake_duty_platform(const time_source &Clock) : Clock(Clock) {}
 
   /// If set, the outcome of the next calls; they still arrive.
@@ -24,6 +30,7 @@
   /// Called before a call is carried out.
   std::function<void()> OnCall;
   std::vector<call> Calls;
+  std::vector<ordered> Orders;
   std::uint64_t HighestToken = 0;
 
   duty_outcome reportUsage(const instance_id &Holder, std::uint64_t Token,
@@ -37,6 +44,17 @@
     return Outcome.value_or(duty_outcome::Accepted);
   }
 
+  duty_outcome orderUpstreams(const instance_id &Holder, std::uint64_t Token,
+                              const scale_order &Order) override {
+    if (OnCall)
+      OnCall();
+    if (Token < HighestToken)
+      return duty_outcome::Fenced;
+    HighestToken = Token;
+    Orders.push_back({Holder, Token, Order});
+    return Outcome.value_or(duty_outcome::Accepted);
+  }
+
 private:
   const time_source &Clock;
 };
