--- a/include/bluebellkeel/Duty/DutyKeeper.h
+++ b/include/bluebellkeel/Duty/DutyKeeper.h
@@ -45,7 +45,8 @@
   ///
   /// \param Live the instances that may hold the duties, including this one.
   void run(const std::vector<instance_id> &Live);
-  /// Sends the orders that are due, if this instance holds the duties.
+  /// Has the planner decide and sends the orders that are due, if this instance
+  /// holds the duties.
   void sendOrders(scale_planner &Planner);
   /// Gives up the duties, so that another instance takes them at once.
   void release();
--- a/include/bluebellkeel/Scale/ScalePlanner.h
+++ b/include/bluebellkeel/Scale/ScalePlanner.h
@@ -31,8 +31,11 @@
                 const time_source &Clock, event_log &Log)
       : Input(Input), Policy(Policy), Clock(Clock), Log(Log) {}
 
-  /// Notes what is to be seen now, and decides, if it is time to.
-  void run();
+  /// Notes the work that is known now. Successors do so as well, so that they
+  /// know its peak when they take over.
+  void observe();
+  /// Decides from what was observed last, if it is time to.
+  void decide();
   /// Returns the orders that are due after the last decision.
   const std::vector<scale_order> &due() const { return Due; }
   /// Records that an order took effect, or that it may.
@@ -50,7 +53,7 @@
     std::optional<monotonic_time> InDoubtSince;
   };
 
-  void decide(const scale_observation &Now);
+  void decideFor(const scale_observation &Now);
   bool isDue(const scale_order &Order, const scale_observation &Now) const;
   void logDecision(const scale_order &Order, const scale_query &Query) const;
   scale_query::order_map lastOrders(const service_id &Service) const;
@@ -62,6 +65,8 @@
   std::map<service_id, work_history> Histories;
   std::map<subject, order_state> Sent;
   std::vector<scale_order> Due;
+  std::vector<scale_observation> Observed;
+  monotonic_time ObservedAt;
   monotonic_time DecidedAt;
 };
 
--- a/include/bluebellkeel/Telemetry/Metrics.h
+++ b/include/bluebellkeel/Telemetry/Metrics.h
@@ -4,6 +4,7 @@
 #include "bluebellkeel/Relay/RelayMonitor.h"
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace bluebellkeel {
 
@@ -34,6 +35,8 @@
   void setHeldBytesLimit(double Bytes);
   /// Sets the seconds since the settings were last known to be up to date; -1
   /// means never.
+  /// Counts a call to the platform that is a duty of one instance at a time.
+  void countDutyCall(std::string_view Call, std::string_view Outcome);
   void setSettingsAge(double Seconds);
   void setSettingsAppliedOffset(double Offset);
   void countAppend(const std::string &Stream, bool Succeeded,
--- a/lib/Duty/DutyKeeper.cpp
+++ b/lib/Duty/DutyKeeper.cpp
@@ -205,6 +205,7 @@
     OrdersToken = Term->Token;
     Planner.forgetOrders();
   }
+  Planner.decide();
   for (const auto &Order : std::vector(Planner.due())) {
     if (!proveTerm())
       return;
--- a/lib/Gateway/DutyRunner.cpp
+++ b/lib/Gateway/DutyRunner.cpp
@@ -1,4 +1,5 @@
 #include "DutyRunner.h"
+#include "CountedDuties.h"
 #include "LogDutyStore.h"
 #include "bluebellkeel/Core/StableHash.h"
 #include "bluebellkeel/Http/Await.h"
@@ -82,10 +83,11 @@
   auto Log = Provider.openLog(Yield);
   auto Platform = Provider.openDuties(Yield);
   log_duty_store Store(*Log);
+  counted_duties Counted(*Platform, Context.Metrics);
   while (Context.State.phase() == serving_phase::Starting)
     awaitTime(Yield, StepInterval);
   duty_keeper Keeper(Context.Settings.Instance, Times, Context.Clock, Usage,
-                     News, Store, *Platform, Context.Log);
+                     News, Store, Counted, Context.Log);
   work_following_count Counts;
   scale_planner Planner(ScaleInput, Counts, Context.Clock, Context.Log);
   while (Context.State.phase() == serving_phase::Serving) {
@@ -97,7 +99,7 @@
     for (const auto &Candidate : Candidates)
       Live.push_back(Candidate.id());
     Keeper.run(Live);
-    Planner.run();
+    Planner.observe();
     Keeper.sendOrders(Planner);
     awaitTime(Yield, StepInterval);
   }
--- a/lib/Scale/ScalePlanner.cpp
+++ b/lib/Scale/ScalePlanner.cpp
@@ -7,19 +7,28 @@
   return std::chrono::duration_cast<milliseconds>(To - From);
 }
 
-void scale_planner::run() {
+void scale_planner::observe() {
   monotonic_time Now = Clock.monotonicNow();
-  if (Now - DecidedAt < DecisionInterval)
+  if (Now - ObservedAt < DecisionInterval)
     return;
-  DecidedAt = Now;
-  Due.clear();
-  for (const auto &Observation : Input.observe()) {
+  ObservedAt = Now;
+  Observed = Input.observe();
+  for (const auto &Observation : Observed) {
     if (Observation.workIsKnown())
       Histories[Observation.service()].note(Now, Observation.work().total());
-    decide(Observation);
   }
 }
 
+void scale_planner::decide() {
+  monotonic_time Now = Clock.monotonicNow();
+  if (Now - DecidedAt < DecisionInterval)
+    return;
+  DecidedAt = Now;
+  Due.clear();
+  for (const auto &Observation : Observed)
+    decideFor(Observation);
+}
+
 scale_query::order_map
 scale_planner::lastOrders(const service_id &Service) const {
   scale_query::order_map Orders;
@@ -32,7 +41,7 @@
   return Orders;
 }
 
-void scale_planner::decide(const scale_observation &Now) {
+void scale_planner::decideFor(const scale_observation &Now) {
   const work_history &History = Histories[Now.service()];
   scale_query Query(Now, History.peak(), History.complete(),
                     lastOrders(Now.service()));
--- a/lib/Telemetry/Metrics.cpp
+++ b/lib/Telemetry/Metrics.cpp
@@ -59,6 +59,10 @@
                            .Name("bluebellkeel_requests_total")
                            .Help("Requests by kind of end")
                            .Register(Registry)),
+        DutyCalls(BuildCounter()
+                      .Name("bluebellkeel_duty_calls_total")
+                      .Help("Calls that are duties, by call and outcome")
+                      .Register(Registry)),
         Gauges(BuildGauge()
                    .Name("bluebellkeel_state")
                    .Help("State of this instance, by what it measures")
@@ -93,6 +97,7 @@
   prometheus::Family<prometheus::Counter> &PeerBytes;
   prometheus::Family<prometheus::Counter> &PeerFaults;
   prometheus::Family<prometheus::Counter> &RequestsByKind;
+  prometheus::Family<prometheus::Counter> &DutyCalls;
   prometheus::Family<prometheus::Gauge> &Gauges;
   prometheus::Family<prometheus::Histogram> &Latency;
 };
@@ -156,6 +161,12 @@
   Impl->setGauge("held_bytes_limit", Bytes);
 }
 
+void metrics::countDutyCall(std::string_view Call, std::string_view Outcome) {
+  Impl->DutyCalls
+      .Add({{"call", std::string(Call)}, {"outcome", std::string(Outcome)}})
+      .Increment();
+}
+
 void metrics::setSettingsAge(double Seconds) {
   Impl->setGauge("settings_age_seconds", Seconds);
 }
--- a/unittests/Duty/DutyKeeperTest.cpp
+++ b/unittests/Duty/DutyKeeperTest.cpp
@@ -319,7 +319,7 @@
   always_maximum_count Policy;
   scale_planner Planner(Input, Policy, Clock, Log);
   run(seconds(20));
-  Planner.run();
+  Planner.observe();
   for (auto &Instance : Instances)
     Instance->Keeper->sendOrders(Planner);
   ASSERT_EQ(1U, Platform.Orders.size());
@@ -335,7 +335,7 @@
   scale_planner Planner(Input, Policy, Clock, Log);
   run(seconds(20));
   Platform.HighestToken = Shared.Record.token() + 1;
-  Planner.run();
+  Planner.observe();
   instance &First = holder();
   First.Keeper->sendOrders(Planner);
   First.Keeper->sendOrders(Planner);
@@ -351,7 +351,7 @@
   instance &First = holder();
   First.Store.Fault = fault::Down;
   Clock.advance(Lease / 2);
-  Planner.run();
+  Planner.observe();
   First.Keeper->sendOrders(Planner);
   EXPECT_TRUE(Platform.Orders.empty());
 }
@@ -362,7 +362,7 @@
   scale_planner Planner(Input, Policy, Clock, Log);
   run(seconds(20));
   Platform.Outcome = duty_outcome::Rejected;
-  Planner.run();
+  Planner.observe();
   holder().Keeper->sendOrders(Planner);
   EXPECT_EQ(1U, Planner.due().size());
   Platform.Outcome = std::nullopt;
--- a/unittests/Scale/ScalePlannerTest.cpp
+++ b/unittests/Scale/ScalePlannerTest.cpp
@@ -23,7 +23,8 @@
   void step() {
     Clock.advance(Step);
     Fleet.step();
-    Planner.run();
+    Planner.observe();
+    Planner.decide();
     for (const auto &Order : std::vector(Planner.due())) {
       Orders.push_back(Order);
       if (Outcome == outcome::Accepted)
