--- a/lib/Gateway/DutyRunner.cpp
+++ b/lib/Gateway/DutyRunner.cpp
@@ -1,4 +1,5 @@
 #include "DutyRunner.h"
+#include "CountedDuties.h"
 #include "LogDutyStore.h"
 #include "bluebellkeel/Core/StableHash.h"
 #include "bluebellkeel/Http/Await.h"
@@ -24,7 +25,8 @@
 duty_runner::duty_runner(gateway_context &Context,
                          platform_log_provider &Provider, peer_link &Link)
     : Context(Context), Provider(Provider), Link(Link),
-      Times(timesOf(Context.Settings.Duties)) {}
+      Times(timesOf(Context.Settings.Duties)), Work(Context.Clock),
+      ScaleInput(Context, Work) {}
 
 /// Returns the instances that may hold the duties, this one included, in the
 /// order in which they take them.
@@ -50,7 +52,9 @@
 void duty_runner::sendCounts(const std::vector<instance_record> &Candidates) {
   CountsSentAt = Context.Clock.monotonicNow();
   CountsSentIn = Times.windowAt(Context.Clock.wallNow());
-  usage_counts Counts(Context.Usage->counts(), News.newest());
+  usage_counts Counts(Context.Usage->counts(), ScaleInput.ownWork(),
+                      News.newest());
+  Work.merge(Context.Settings.Instance, Counts.work());
   Usage.merge(Context.Settings.Instance, Counts.reports());
   instance_id Holder = News.newest().holder();
   for (std::size_t Rank = 0; Rank < Candidates.size(); ++Rank) {
@@ -71,6 +75,7 @@
                                  const usage_counts &Counts) {
   Usage.merge(From, Counts.reports());
   News.note(Counts.progress());
+  Work.merge(From, Counts.work());
   return News.newest();
 }
 
@@ -80,10 +85,13 @@
   auto Log = Provider.openLog(Yield);
   auto Platform = Provider.openDuties(Yield);
   log_duty_store Store(*Log);
+  counted_duties Counted(*Platform, Context.Metrics);
   while (Context.State.phase() == serving_phase::Starting)
     awaitTime(Yield, StepInterval);
   duty_keeper Keeper(Context.Settings.Instance, Times, Context.Clock, Usage,
-                     News, Store, *Platform, Context.Log);
+                     News, Store, Counted, Context.Log);
+  work_following_count Counts;
+  scale_planner Planner(ScaleInput, Counts, Context.Clock, Context.Log);
   while (Context.State.phase() == serving_phase::Serving) {
     auto Candidates = candidates();
     if (countsAreDue())
@@ -93,6 +101,8 @@
     for (const auto &Candidate : Candidates)
       Live.push_back(Candidate.id());
     Keeper.run(Live);
+    Planner.observe();
+    Keeper.sendOrders(Planner);
     awaitTime(Yield, StepInterval);
   }
   Keeper.release();
--- a/lib/Peer/PeerBodyJson.cpp
+++ b/lib/Peer/PeerBodyJson.cpp
@@ -216,6 +216,8 @@
 static json toCompactJson(const usage_counts &Body) {
   json Json = toCompactJson(Body.progress());
   Json["u"] = toJson(Body.reports());
+  if (!Body.work().empty())
+    Json["l"] = toJson(Body.work());
   return Json;
 }
 
@@ -225,7 +227,11 @@
   auto Reports = usageReportsFrom(Fields.optional("u"));
   if (!Reports)
     return tl::unexpected(Reports.error());
-  return bodyOrError(Fields, usage_counts(std::move(*Reports), Progress));
+  auto Work = serviceWorkFrom(Fields.optional("l"));
+  if (!Work)
+    return tl::unexpected(Work.error());
+  return bodyOrError(
+      Fields, usage_counts(std::move(*Reports), std::move(*Work), Progress));
 }
 
 json bluebellkeel::bodyToJson(const peer_body &Body) {
