--- a/include/bluebellkeel/Membership.h
+++ b/include/bluebellkeel/Membership.h
@@ -4,6 +4,7 @@
 #include "bluebellkeel/Membership/AddressSelection.h"
 #include "bluebellkeel/Membership/AddressSelector.h"
 #include "bluebellkeel/Membership/ClosedDataCentres.h"
+#include "bluebellkeel/Membership/CollectorElection.h"
 #include "bluebellkeel/Membership/FreshnessEvaluator.h"
 #include "bluebellkeel/Membership/FreshnessRules.h"
 #include "bluebellkeel/Membership/Heartbeat.h"
--- a/include/bluebellkeel/Peer.h
+++ b/include/bluebellkeel/Peer.h
@@ -9,6 +9,7 @@
 #include "bluebellkeel/Peer/HeartbeatAnswer.h"
 #include "bluebellkeel/Peer/HeartbeatQuery.h"
 #include "bluebellkeel/Peer/InstanceDigest.h"
+#include "bluebellkeel/Peer/LoadBatch.h"
 #include "bluebellkeel/Peer/PeerBody.h"
 #include "bluebellkeel/Peer/PeerCodec.h"
 #include "bluebellkeel/Peer/PeerEnvelope.h"
--- a/include/bluebellkeel/Peer/PeerBody.h
+++ b/include/bluebellkeel/Peer/PeerBody.h
@@ -9,10 +9,12 @@
 #include "bluebellkeel/Peer/HeartbeatAnswer.h"
 #include "bluebellkeel/Peer/HeartbeatQuery.h"
 #include "bluebellkeel/Peer/InstanceDigest.h"
+#include "bluebellkeel/Peer/LoadBatch.h"
 #include "bluebellkeel/Peer/StateAnswer.h"
 #include "bluebellkeel/Peer/StateQuery.h"
 #include "bluebellkeel/Peer/ViewAnswer.h"
 #include "bluebellkeel/Peer/ViewQuery.h"
+#include "bluebellkeel/Upstream/LoadBoard.h"
 #include <string_view>
 #include <variant>
 
@@ -22,7 +24,8 @@
 using peer_body =
     std::variant<heartbeat_query, heartbeat_answer, grant_ask, grant_reply,
                  bill_copy, bill_copy_ack, crash_notice, state_query,
-                 state_answer, instance_digest, view_query, view_answer>;
+                 state_answer, instance_digest, view_query, view_answer,
+                 load_batch, load_board>;
 
 /// Returns the name of the message kind of \p Body, as used on the wire and in
 /// metrics.
--- a/include/bluebellkeel/Telemetry/Metrics.h
+++ b/include/bluebellkeel/Telemetry/Metrics.h
@@ -35,6 +35,9 @@
   /// Sets the seconds since the settings were last known to be up to date; -1
   /// means never.
   void setSettingsAge(double Seconds);
+  /// Sets the upper bound of the age of the load board, in seconds; -1 means
+  /// that there was none.
+  void setBoardAge(double Seconds);
   void setSettingsAppliedOffset(double Offset);
   void countAppend(const std::string &Stream, bool Succeeded,
                    std::size_t Entries);
--- a/include/bluebellkeel/Upstream.h
+++ b/include/bluebellkeel/Upstream.h
@@ -10,6 +10,10 @@
 #include "bluebellkeel/Upstream/HealthTracker.h"
 #include "bluebellkeel/Upstream/InstanceLoad.h"
 #include "bluebellkeel/Upstream/LoadAmount.h"
+#include "bluebellkeel/Upstream/LoadBoard.h"
+#include "bluebellkeel/Upstream/LoadCollector.h"
+#include "bluebellkeel/Upstream/LoadContribution.h"
+#include "bluebellkeel/Upstream/LoadContributor.h"
 #include "bluebellkeel/Upstream/LoadReport.h"
 #include "bluebellkeel/Upstream/LoadTracker.h"
 #include "bluebellkeel/Upstream/NoticeReport.h"
@@ -32,6 +36,7 @@
 #include "bluebellkeel/Upstream/UpstreamPhase.h"
 #include "bluebellkeel/Upstream/UpstreamRecord.h"
 #include "bluebellkeel/Upstream/UpstreamRegistry.h"
+#include "bluebellkeel/Upstream/UpstreamReport.h"
 #include "bluebellkeel/Upstream/UpstreamSlot.h"
 
 #endif // BLUEBELLKEEL_UPSTREAM_H
--- a/lib/Gateway/GatewayRuntime.cpp
+++ b/lib/Gateway/GatewayRuntime.cpp
@@ -1,6 +1,8 @@
 #include "bluebellkeel/Gateway/GatewayRuntime.h"
+#include "BoardExchanger.h"
 #include "DigestExchanger.h"
 #include "ReadSchedule.h"
+#include "ResponderList.h"
 #include "TopicAvailabilityMonitor.h"
 #include "bluebellkeel/Http/Await.h"
 #include "bluebellkeel/Journal/KeyedFollower.h"
@@ -44,6 +46,7 @@
         Counter(Context.Metrics),
         Link(Context.Settings.Instance, Signer, Context.Clock, Counter),
         Exchanger(Context, SettingsView, UpstreamsView, Link),
+        Boards(Context, Link), Responders({Exchanger, Boards}),
         Schedule(Context, Exchanger) {}
 
   tl::expected<void, std::string> start();
@@ -66,6 +69,7 @@
   void awaitInstancesRead(asio::yield_context Yield, milliseconds Delay) const;
   void followInstances(asio::yield_context Yield);
   void exchangeDigests(asio::yield_context Yield);
+  void exchangeBoards(asio::yield_context Yield);
   void runPeriodicTasks(asio::yield_context Yield);
   void updateMetrics();
   void awaitBackoff(asio::yield_context Yield, monotonic_time RequestedAt,
@@ -85,6 +89,8 @@
   metrics_peer_monitor Counter;
   websocket_peer_link Link;
   digest_exchanger Exchanger;
+  board_exchanger Boards;
+  responder_list Responders;
   read_schedule Schedule;
 };
 
@@ -113,7 +119,7 @@
 }
 
 tl::expected<void, std::string> gateway_runtime::impl::start() {
-  auto Linked = Link.start(Context.Settings.PeerAddress, Exchanger);
+  auto Linked = Link.start(Context.Settings.PeerAddress, Responders);
   if (!Linked)
     return Linked;
   Context.HeavyLoad.setCallback([this] { Exchanger.announceLoad(); });
@@ -121,6 +127,7 @@
   spawn(&impl::followUpstreams);
   spawn(&impl::followInstances);
   spawn(&impl::exchangeDigests);
+  spawn(&impl::exchangeBoards);
   spawn(&impl::runPeriodicTasks);
   return {};
 }
@@ -285,6 +292,11 @@
   }
 }
 
+void gateway_runtime::impl::exchangeBoards(asio::yield_context Yield) {
+  while (true)
+    awaitTime(Yield, Boards.runRound());
+}
+
 void gateway_runtime::impl::runPeriodicTasks(asio::yield_context Yield) {
   auto StatusLog = LogProvider.openStatusLog(Yield);
   roll_out_status_publisher Publisher(Context.Settings.Instance, Context.Clock,
--- a/lib/Peer/PeerBody.cpp
+++ b/lib/Peer/PeerBody.cpp
@@ -8,6 +8,7 @@
       Names = {"heartbeat_query", "heartbeat_answer", "grant_ask",
                "grant_reply",     "bill_copy",        "bill_copy_ack",
                "crash_notice",    "state_query",      "state_answer",
-               "instance_digest", "view_query",       "view_answer"};
+               "instance_digest", "view_query",       "view_answer",
+               "load_batch",      "load_board"};
   return Names[Body.index()];
 }
--- a/lib/Peer/PeerBodyJson.cpp
+++ b/lib/Peer/PeerBodyJson.cpp
@@ -1,4 +1,5 @@
 #include "PeerBodyJson.h"
+#include "BoardJson.h"
 #include "DigestJson.h"
 #include "bluebellkeel/Codec.h"
 #include "bluebellkeel/Codec/FieldReader.h"
@@ -195,6 +196,10 @@
   return viewAnswerToJson(Body);
 }
 
+static json toCompactJson(const load_batch &Body) { return batchToJson(Body); }
+
+static json toCompactJson(const load_board &Body) { return boardToJson(Body); }
+
 json bluebellkeel::bodyToJson(const peer_body &Body) {
   return std::visit([](const auto &Held) { return toCompactJson(Held); }, Body);
 }
@@ -225,5 +230,9 @@
     return viewQueryFromJson(Json);
   if (Kind == "view_answer")
     return viewAnswerFromJson(Json);
+  if (Kind == "load_batch")
+    return batchFromJson(Json);
+  if (Kind == "load_board")
+    return boardFromJson(Json);
   return tl::unexpected(codec_error("unknown kind of message"));
 }
--- a/lib/Telemetry/Metrics.cpp
+++ b/lib/Telemetry/Metrics.cpp
@@ -160,6 +160,10 @@
   Impl->setGauge("settings_age_seconds", Seconds);
 }
 
+void metrics::setBoardAge(double Seconds) {
+  Impl->setGauge("load_board_age_seconds", Seconds);
+}
+
 void metrics::setSettingsAppliedOffset(double Offset) {
   Impl->setGauge("settings_applied_offset", Offset);
 }
