--- a/include/bluebellkeel/Telemetry/Metrics.h
+++ b/include/bluebellkeel/Telemetry/Metrics.h
@@ -38,6 +38,9 @@
   /// Counts a call to the platform that is a duty of one instance at a time.
   void countDutyCall(std::string_view Call, std::string_view Outcome);
   void setSettingsAge(double Seconds);
+  /// Sets the upper bound of the age of the load board, in seconds; -1 means
+  /// that there was none.
+  void setBoardAge(double Seconds);
   void setSettingsAppliedOffset(double Offset);
   void countAppend(const std::string &Stream, bool Succeeded,
                    std::size_t Entries);
--- a/lib/Gateway/GatewayRuntime.cpp
+++ b/lib/Gateway/GatewayRuntime.cpp
@@ -1,7 +1,9 @@
 #include "bluebellkeel/Gateway/GatewayRuntime.h"
+#include "BoardExchanger.h"
 #include "DigestExchanger.h"
 #include "DutyRunner.h"
 #include "ReadSchedule.h"
+#include "ResponderList.h"
 #include "TopicAvailabilityMonitor.h"
 #include "bluebellkeel/Http/Await.h"
 #include "bluebellkeel/Journal/KeyedFollower.h"
@@ -46,6 +48,7 @@
         Link(Context.Settings.Instance, Signer, Context.Clock, Counter),
         Duties(Context, LogProvider, Link),
         Exchanger(Context, SettingsView, UpstreamsView, Duties, Link),
+        Boards(Context, Link), Responders({Exchanger, Boards}),
         Schedule(Context, Exchanger) {}
 
   tl::expected<void, std::string> start();
@@ -68,6 +71,7 @@
   void awaitInstancesRead(asio::yield_context Yield, milliseconds Delay) const;
   void followInstances(asio::yield_context Yield);
   void exchangeDigests(asio::yield_context Yield);
+  void exchangeBoards(asio::yield_context Yield);
   void runPeriodicTasks(asio::yield_context Yield);
   void runDuties(asio::yield_context Yield) { Duties.run(Yield); }
   void updateMetrics();
@@ -89,6 +93,8 @@
   websocket_peer_link Link;
   duty_runner Duties;
   digest_exchanger Exchanger;
+  board_exchanger Boards;
+  responder_list Responders;
   read_schedule Schedule;
 };
 
@@ -117,7 +123,7 @@
 }
 
 tl::expected<void, std::string> gateway_runtime::impl::start() {
-  auto Linked = Link.start(Context.Settings.PeerAddress, Exchanger);
+  auto Linked = Link.start(Context.Settings.PeerAddress, Responders);
   if (!Linked)
     return Linked;
   Context.HeavyLoad.setCallback([this] { Exchanger.announceLoad(); });
@@ -125,6 +131,7 @@
   spawn(&impl::followUpstreams);
   spawn(&impl::followInstances);
   spawn(&impl::exchangeDigests);
+  spawn(&impl::exchangeBoards);
   spawn(&impl::runPeriodicTasks);
   spawn(&impl::runDuties);
   return {};
@@ -290,6 +297,11 @@
   }
 }
 
+void gateway_runtime::impl::exchangeBoards(asio::yield_context Yield) {
+  while (true)
+    awaitTime(Yield, Boards.runRound());
+}
+
 void gateway_runtime::impl::runPeriodicTasks(asio::yield_context Yield) {
   auto StatusLog = LogProvider.openStatusLog(Yield);
   roll_out_status_publisher Publisher(Context.Settings.Instance, Context.Clock,
--- a/lib/Peer/PeerBodyJson.cpp
+++ b/lib/Peer/PeerBodyJson.cpp
@@ -1,4 +1,5 @@
 #include "PeerBodyJson.h"
+#include "BoardJson.h"
 #include "DigestJson.h"
 #include "bluebellkeel/Codec.h"
 #include "bluebellkeel/Codec/FieldReader.h"
@@ -234,6 +235,10 @@
       Fields, usage_counts(std::move(*Reports), std::move(*Work), Progress));
 }
 
+static json toCompactJson(const load_batch &Body) { return batchToJson(Body); }
+
+static json toCompactJson(const load_board &Body) { return boardToJson(Body); }
+
 json bluebellkeel::bodyToJson(const peer_body &Body) {
   return std::visit([](const auto &Held) { return toCompactJson(Held); }, Body);
 }
@@ -268,5 +273,9 @@
     return usageCountsFrom(Json);
   if (Kind == "duty_progress")
     return dutyProgressFrom(Json);
+  if (Kind == "load_batch")
+    return batchFromJson(Json);
+  if (Kind == "load_board")
+    return boardFromJson(Json);
   return tl::unexpected(codec_error("unknown kind of message"));
 }
