--- a/lib/Gateway/BoardExchanger.cpp
+++ b/lib/Gateway/BoardExchanger.cpp
@@ -62,8 +62,7 @@
 }
 
 bool board_exchanger::isNeeded(monotonic_time Now) const {
-  return Context.Loads.speedReportedAfter(Now - NeedLifetime) &&
-         Context.State.phase() == serving_phase::Serving;
+  return Context.Loads.speedReportedAfter(Now - NeedLifetime);
 }
 
 milliseconds board_exchanger::runRound() {
@@ -72,8 +71,10 @@
     return IdleInterval;
   bool Needed = isNeeded(Now);
   std::vector<load_contribution> Served = Local.contributions();
-  if (!Needed && Served.empty())
+  if (!Needed && Served.empty()) {
+    reportState(Needed);
     return IdleInterval;
+  }
   std::vector<instance_record> Live = Context.Instances.alive();
   Live.push_back(Context.self());
   if (Needed)
@@ -83,7 +84,7 @@
     sendBoards(Live, Served);
     passOn(Live, std::move(Served), Now);
   }
-  reportState();
+  reportState(Needed);
   auto Neighbours = std::count_if(
       Live.begin(), Live.end(), [&](const instance_record &Record) {
         return Record.dataCentre() == Context.Settings.DataCentre;
@@ -144,7 +145,7 @@
     Link.sendOneWay(Other, Batch);
 }
 
-void board_exchanger::reportState() {
+void board_exchanger::reportState(bool Needed) {
   constexpr double Never = -1;
   constexpr double MillisPerSecond = 1000;
   auto Age = Contributor.boardAge();
@@ -155,6 +156,7 @@
     return;
   HadBoard = HasBoard;
   event_line Line("upstreams", HasBoard ? "board_received" : "board_lost");
+  Line.add("needed", Needed);
   if (Age)
     Line.add("age_ms", Age->count());
   Line.add("contributors",
--- a/lib/Gateway/BoardExchanger.h
+++ b/lib/Gateway/BoardExchanger.h
@@ -35,7 +35,7 @@
   void passOn(const std::vector<instance_record> &Live,
               std::vector<load_contribution> Served, monotonic_time Now);
   void apply(const load_board &Board);
-  void reportState();
+  void reportState(bool Needed);
 
   gateway_context &Context;
   peer_link &Link;
--- a/unittests/Upstream/LoadBoardTest.cpp
+++ b/unittests/Upstream/LoadBoardTest.cpp
@@ -164,20 +164,20 @@
   load_collector Other(Clock);
   Collector.note(contribution("a", 7, 3));
   Other.note(contribution("b", 7, 5));
-  auto exchange = [&] {
+  auto Exchange = [&] {
     for (const auto &PassedOn : Collector.contributions())
       Other.note(PassedOn);
     for (const auto &PassedOn : Other.contributions())
       Collector.note(PassedOn);
   };
-  exchange();
+  Exchange();
   EXPECT_EQ(8U, totalOf(Collector));
   Clock.advance(load_collector::ContributionLifetime + milliseconds(1));
   Collector.note(contribution("a", 8, 3));
   Other.note(contribution("b", 8, 5));
   EXPECT_EQ(3U, totalOf(Collector));
   EXPECT_EQ(5U, totalOf(Other));
-  exchange();
+  Exchange();
   EXPECT_EQ(8U, totalOf(Collector));
   EXPECT_EQ(8U, totalOf(Other));
 }
