--- a/unittests/Membership/CollectorElectionTest.cpp
+++ b/unittests/Membership/CollectorElectionTest.cpp
@@ -11,6 +11,7 @@
 protected:
   static std::vector<instance_record> instances(int Count, int Centres) {
     std::vector<instance_record> All;
+    All.reserve(static_cast<std::size_t>(Count));
     for (int I = 0; I < Count; ++I)
       All.emplace_back(instance_id("g" + std::to_string(I)),
                        data_centre_id("z" + std::to_string(I % Centres)),
