--- a/include/bluebellkeel/Gateway/GatewayContext.h
+++ b/include/bluebellkeel/Gateway/GatewayContext.h
@@ -54,12 +54,16 @@
   live_instances Instances;
   roll_out_tracker RollOuts;
   prefix_tracker Prefixes;
+  work_mix_tracker WorkMix;
+  reading_speed_tracker ReadingSpeeds;
+  queued_work_estimator FirstTokens{ReadingSpeeds};
   crash_tracker Crashes;
   part_crash_tracker PartCrashes;
   block_trials BlockTrials;
   retry_window Retries;
   return_schedule Returns;
-  cheapest_placement Placement;
+  cheapest_placement UnreportedPlacement;
+  expected_wait_placement Placement{FirstTokens, UnreportedPlacement};
   confidence_model_selector ModelSelector;
   heavy_load_notifier HeavyLoad;
 };
--- a/include/bluebellkeel/Policy.h
+++ b/include/bluebellkeel/Policy.h
@@ -11,7 +11,10 @@
 #include "bluebellkeel/Policy/ConfidenceModelSelector.h"
 #include "bluebellkeel/Policy/CrashTracker.h"
 #include "bluebellkeel/Policy/EventIntervals.h"
+#include "bluebellkeel/Policy/ExpectedWaitPlacement.h"
 #include "bluebellkeel/Policy/Fingerprint.h"
+#include "bluebellkeel/Policy/FirstTokenEstimate.h"
+#include "bluebellkeel/Policy/FirstTokenEstimator.h"
 #include "bluebellkeel/Policy/FixedModelSelector.h"
 #include "bluebellkeel/Policy/InterruptionEvidence.h"
 #include "bluebellkeel/Policy/InterruptionTracker.h"
@@ -37,6 +40,8 @@
 #include "bluebellkeel/Policy/QualityCounts.h"
 #include "bluebellkeel/Policy/QualityEstimate.h"
 #include "bluebellkeel/Policy/QualityTracker.h"
+#include "bluebellkeel/Policy/QueuedWorkEstimator.h"
+#include "bluebellkeel/Policy/ReadingSpeedTracker.h"
 #include "bluebellkeel/Policy/RetryRules.h"
 #include "bluebellkeel/Policy/RetryWindow.h"
 #include "bluebellkeel/Policy/ReturnSchedule.h"
@@ -65,5 +70,6 @@
 #include "bluebellkeel/Policy/VersionPlanner.h"
 #include "bluebellkeel/Policy/VersionRule.h"
 #include "bluebellkeel/Policy/VersionStats.h"
+#include "bluebellkeel/Policy/WorkMixTracker.h"
 
 #endif // BLUEBELLKEEL_POLICY_H
--- a/include/bluebellkeel/Policy/PlacementPolicy.h
+++ b/include/bluebellkeel/Policy/PlacementPolicy.h
@@ -14,6 +14,7 @@
 
   /// Returns \p Candidates in order of preference.
   ///
+  /// \param Candidates in an order specific to the request.
   /// \param RelativeTokenTime time per token of the chosen model, relative to
   /// the smallest one; 1 for a plain service.
   virtual std::vector<placement_candidate>
--- a/include/bluebellkeel/Policy/UpstreamPartition.h
+++ b/include/bluebellkeel/Policy/UpstreamPartition.h
@@ -21,7 +21,7 @@
 /// other's requests and would otherwise all choose the same upstream.
 class upstream_partition {
 public:
-  /// Share of the upstreams that is reserved for small models.
+  /// Default share of the upstreams that is reserved for small models.
   static constexpr double ReservedFraction = 0.25;
   /// With fewer upstreams, or for a request without a prompt, none is reserved.
   static constexpr std::size_t MinUpstreamsToPartition = 4;
@@ -32,7 +32,10 @@
   /// closed and another one cold.
   static constexpr std::size_t SampleSize = 20;
 
-  upstream_partition(std::vector<upstream_id> All, const prompt &Prompt);
+  /// \p Reserved is the share of the upstreams that is reserved for small
+  /// models. A different share moves only upstreams at the edge of the parts.
+  upstream_partition(std::vector<upstream_id> All, const prompt &Prompt,
+                     double Reserved = ReservedFraction);
 
   /// True if \p Upstream is reserved for small models.
   bool reservedForSmallModels(const upstream_id &Upstream) const {
--- a/include/bluebellkeel/Relay/ForwardDependencies.h
+++ b/include/bluebellkeel/Relay/ForwardDependencies.h
@@ -8,13 +8,16 @@
 #include "bluebellkeel/Membership/LiveInstances.h"
 #include "bluebellkeel/Policy/BlockTrials.h"
 #include "bluebellkeel/Policy/CrashTracker.h"
+#include "bluebellkeel/Policy/FirstTokenEstimator.h"
 #include "bluebellkeel/Policy/ModelSelector.h"
 #include "bluebellkeel/Policy/PartCrashTracker.h"
 #include "bluebellkeel/Policy/PlacementPolicy.h"
 #include "bluebellkeel/Policy/PrefixTracker.h"
+#include "bluebellkeel/Policy/ReadingSpeedTracker.h"
 #include "bluebellkeel/Policy/RetryWindow.h"
 #include "bluebellkeel/Policy/ReturnSchedule.h"
 #include "bluebellkeel/Policy/RollOutTracker.h"
+#include "bluebellkeel/Policy/WorkMixTracker.h"
 #include "bluebellkeel/Relay/LoadListener.h"
 #include "bluebellkeel/Relay/RelayMonitor.h"
 #include "bluebellkeel/Relay/ServingStatus.h"
@@ -44,6 +47,9 @@
   live_instances &Instances;
   roll_out_tracker &RollOuts;
   prefix_tracker &Prefixes;
+  work_mix_tracker &WorkMix;
+  reading_speed_tracker &ReadingSpeeds;
+  const first_token_estimator &FirstTokens;
   crash_tracker &Crashes;
   part_crash_tracker &PartCrashes;
   block_trials &BlockTrials;
--- a/include/bluebellkeel/Relay/ForwardProgress.h
+++ b/include/bluebellkeel/Relay/ForwardProgress.h
@@ -3,6 +3,7 @@
 
 #include "bluebellkeel/Core/Time.h"
 #include "bluebellkeel/Core/UpstreamId.h"
+#include "bluebellkeel/Policy/FirstTokenEstimate.h"
 #include <optional>
 #include <set>
 
@@ -21,6 +22,9 @@
   bool ResponseStarted = false;
   /// Start of the latest attempt.
   monotonic_time SentAt;
+  /// When its first token was expected; empty if the upstream does not report
+  /// its speed.
+  std::optional<first_token_estimate> Expected;
   /// True if the latest attempt received a response head.
   bool HeadReceived = false;
   /// True if the latest attempt received some of a body that is no stream.
--- a/include/bluebellkeel/Relay/ForwardRelay.h
+++ b/include/bluebellkeel/Relay/ForwardRelay.h
@@ -36,6 +36,8 @@
   tl::expected<placement_candidate, no_candidate> nextTarget();
   bool reserveRetry();
   next_action send(const placement_candidate &Target);
+  void noteRead(const placement_candidate &Target, std::uint64_t Prefill);
+  void noteFirstToken();
   next_action handleResponseHead(const upstream_listing &Upstream,
                                  scoped_request_load &RequestLoad,
                                  upstream_response &Response);
--- a/lib/Gateway/GatewayContext.cpp
+++ b/lib/Gateway/GatewayContext.cpp
@@ -32,7 +32,8 @@
       Limits(Settings.Instance, LimitSendersPerRate, LimitAdvance, Clock),
       Centres(Clock), Instances(Clock),
       RollOuts(rollOutLimitsOf(Settings.Reloadable), Clock), Prefixes(Clock),
-      Crashes(Clock), PartCrashes(Clock), BlockTrials(Settings.Instance, Clock),
+      WorkMix(Clock), Crashes(Clock), PartCrashes(Clock),
+      BlockTrials(Settings.Instance, Clock),
       Retries(retryRulesOf(Settings.Reloadable), Clock), Returns(Clock),
       HeavyLoad(Clock) {}
 
@@ -58,6 +59,9 @@
                               Instances,
                               RollOuts,
                               Prefixes,
+                              WorkMix,
+                              ReadingSpeeds,
+                              FirstTokens,
                               Crashes,
                               PartCrashes,
                               BlockTrials,
--- a/lib/Policy/UpstreamPartition.cpp
+++ b/lib/Policy/UpstreamPartition.cpp
@@ -36,11 +36,11 @@
 }
 
 upstream_partition::upstream_partition(std::vector<upstream_id> Ids,
-                                       const prompt &Prompt)
+                                       const prompt &Prompt, double Reserved)
     : All(std::move(Ids)) {
   if (Prompt.tokensIn() > 0 && All.size() >= MinUpstreamsToPartition) {
     auto Count = static_cast<std::size_t>(
-        std::lround(ReservedFraction * static_cast<double>(All.size())));
+        std::lround(Reserved * static_cast<double>(All.size())));
     ReservedForSmallModels = first(All, Count, [](const upstream_id &Id) {
       return ~stableHash(Id.text());
     });
--- a/lib/Relay/ForwardCandidates.cpp
+++ b/lib/Relay/ForwardCandidates.cpp
@@ -84,7 +84,9 @@
                                Query.Light);
   entry_list Permitted = permittedEntries(Query, Admission);
   shuffleFor(Query.Request, Permitted);
-  upstream_partition Partition(idsOf(Permitted), Query.Prompt);
+  upstream_partition Partition(
+      idsOf(Permitted), Query.Prompt,
+      Deps.WorkMix.lightShare(Query.ServiceConfig.service()));
   auto Shortlisted = Partition.shortlist(Query.Request.text());
   Shortlisted.merge(Deps.Prefixes.readers(Query.Model, Query.Prompt));
   auto ShortlistEnd = std::stable_partition(
--- a/lib/Relay/ForwardLog.cpp
+++ b/lib/Relay/ForwardLog.cpp
@@ -28,6 +28,11 @@
       .add("cold", Target.cold())
       .add("settings", static_cast<std::int64_t>(Admission.settingsVersion()))
       .add("settings_age_ms", Deps.ServingStatus.settingsAge().count());
+  if (Progress.Expected)
+    Line.add("time_percent", static_cast<std::int64_t>(
+                                 100 * Target.load().timeFactor().value_or(1)))
+        .add("expected_ms",
+             static_cast<std::int64_t>(Progress.Expected->total()));
   if (auto Entry = Deps.Registry.find(Upstream.id()))
     Line.add("listing_age_ms", since(Entry->receivedAt()).count());
   Deps.Log.write(Line);
--- a/lib/Relay/ForwardRelay.cpp
+++ b/lib/Relay/ForwardRelay.cpp
@@ -146,16 +146,36 @@
   return RetryReserved;
 }
 
+/// Records what the target has to read, if upstreams report their speed.
+void forward_relay::noteRead(const placement_candidate &Target,
+                             std::uint64_t Prefill) {
+  Progress.Expected = std::nullopt;
+  if (!Target.load().timeFactor())
+    return;
+  Deps.WorkMix.noteRead(service(), static_cast<double>(Prefill));
+  Progress.Expected = Deps.FirstTokens.estimate(Target, Call->requestPrompt(),
+                                                relativeTokenTime());
+}
+
+void forward_relay::noteFirstToken() {
+  if (Progress.Expected)
+    Deps.ReadingSpeeds.noteFirstToken(
+        service(), *Progress.Expected,
+        std::chrono::duration_cast<milliseconds>(Deps.Clock.monotonicNow() -
+                                                 Progress.SentAt));
+}
+
 forward_relay::next_action
 forward_relay::send(const placement_candidate &Target) {
   const upstream_listing &Upstream = Target.listing();
   Progress.Tried.insert(Upstream.id());
-  Log.dispatch(Target, modelName(), timeLeft());
   std::uint64_t Cached =
       std::min(Target.cachedTokens(), Call->requestPrompt().tokensIn());
   auto Prefill = static_cast<std::uint64_t>(
       relativeTokenTime() *
       static_cast<double>(Call->requestPrompt().tokensIn() - Cached));
+  noteRead(Target, Prefill);
+  Log.dispatch(Target, modelName(), timeLeft());
   scoped_request_load RequestLoad(Deps.Loads, Upstream.id(), Prefill);
   if (Prefill >= HeavyPrefillTokens)
     Deps.HeavyLoad.onHeavyPrefill();
@@ -200,6 +220,8 @@
   ++Progress.Runs;
   Progress.HeadReceived = true;
   RequestLoad.prefillDone();
+  if (Head.succeeded())
+    noteFirstToken();
   if (!Progress.ResponseStarted)
     Progress.FirstByte = elapsed();
   // An error response cannot continue a stream that has started.
--- a/unittests/Support/ForwardFixture.h
+++ b/unittests/Support/ForwardFixture.h
@@ -282,30 +282,36 @@
   live_instances Instances{Clock};
   roll_out_tracker RollOuts{roll_out_limits(0.15), Clock};
   prefix_tracker Prefixes{Clock};
+  work_mix_tracker WorkMix{Clock};
+  reading_speed_tracker ReadingSpeeds;
+  queued_work_estimator FirstTokens{ReadingSpeeds};
   crash_tracker Crashes{Clock};
   part_crash_tracker PartCrashes{Clock};
   block_trials BlockTrials{Self, Clock};
   retry_window Retries{retry_rules(0.9, 56, milliseconds(10000)), Clock};
   return_schedule Returns{Clock};
-  cheapest_placement Placement;
+  cheapest_placement UnreportedPlacement;
+  expected_wait_placement Placement{FirstTokens, UnreportedPlacement};
   confidence_model_selector ModelSelector;
   noop_monitor Monitor;
   recording_log Log;
   counting_listener HeavyLoad;
   memory_budget Memory{1024UL * 1024};
-  forward_dependencies Deps{Self,        data_centre_id("north"),
-                            Clock,       ServingStatus,
-                            Tables,      Registry,
-                            Loads,       Occupancy,
-                            Cold,        Limits,
-                            Notices,     Centres,
-                            Instances,   RollOuts,
-                            Prefixes,    Crashes,
-                            PartCrashes, BlockTrials,
-                            Retries,     Returns,
-                            Placement,   ModelSelector,
-                            Monitor,     Log,
-                            HeavyLoad,   Memory};
+  forward_dependencies Deps{Self,          data_centre_id("north"),
+                            Clock,         ServingStatus,
+                            Tables,        Registry,
+                            Loads,         Occupancy,
+                            Cold,          Limits,
+                            Notices,       Centres,
+                            Instances,     RollOuts,
+                            Prefixes,      WorkMix,
+                            ReadingSpeeds, FirstTokens,
+                            Crashes,       PartCrashes,
+                            BlockTrials,   Retries,
+                            Returns,       Placement,
+                            ModelSelector, Monitor,
+                            Log,           HeavyLoad,
+                            Memory};
   scripted_upstreams Upstreams;
   int LastId = 0;
 };
