--- a/unittests/Policy/ExpectedWaitPlacementTest.cpp
+++ b/unittests/Policy/ExpectedWaitPlacementTest.cpp
@@ -40,11 +40,13 @@
     std::map<std::string, int> Chosen;
     for (int D = 0; D < Deciders; ++D) {
       std::vector<std::pair<std::uint64_t, int>> Shuffled;
+      Shuffled.reserve(Upstreams);
       for (int U = 0; U < Upstreams; ++U)
         Shuffled.emplace_back(
             rendezvousWeight(std::to_string(D), std::to_string(U)), U);
       std::sort(Shuffled.begin(), Shuffled.end());
       std::vector<placement_candidate> Candidates;
+      Candidates.reserve(Upstreams);
       for (const auto &[Weight, U] : Shuffled)
         Candidates.push_back(candidate("u" + std::to_string(U),
                                        {double(U % 5), 100.0 * U, 0, 0, 1.0}));
--- a/unittests/Policy/PlacementLoadTest.cpp
+++ b/unittests/Policy/PlacementLoadTest.cpp
@@ -41,6 +41,7 @@
                      const prompt &Prompt, double TokenTime) const {
     upstream_partition Partition(Ids, Prompt);
     std::vector<std::pair<std::uint64_t, placement_candidate>> Shuffled;
+    Shuffled.reserve(Upstreams);
     for (int U = 0; U < Upstreams; ++U) {
       placement_candidate::fields Fields;
       Fields.Listing = upstream_listing(listingOf(Ids[U].text()));
@@ -100,6 +101,7 @@
   }
 
   void SetUp() override {
+    Ids.reserve(Upstreams);
     for (int U = 0; U < Upstreams; ++U)
       Ids.emplace_back(std::to_string(U));
   }
