--- a/lib/Gateway/BoardExchanger.cpp
+++ b/lib/Gateway/BoardExchanger.cpp
@@ -16,6 +16,10 @@
 /// Interval at which a collector passes contributions on to the others.
 static constexpr milliseconds PassOnInterval{450};
 
+/// Up to this number of known instances, digests tell enough of each other's
+/// loads.
+static constexpr std::size_t MaxDigestInstances = 128;
+
 /// Time for which a reported speed shows that boards are needed.
 static constexpr milliseconds NeedLifetime{60000};
 
@@ -67,7 +71,7 @@
 
 milliseconds board_exchanger::runRound() {
   monotonic_time Now = Context.Clock.monotonicNow();
-  if (Context.Instances.knownInstances().size() <= peer_sampler::FullMeshLimit)
+  if (Context.Instances.knownInstances().size() <= MaxDigestInstances)
     return IdleInterval;
   bool Needed = isNeeded(Now);
   std::vector<load_contribution> Served = Local.contributions();
