--- a/lib/Gateway/DutyRunner.cpp
+++ b/lib/Gateway/DutyRunner.cpp
@@ -4,6 +4,7 @@
 #include "bluebellkeel/Core/StableHash.h"
 #include "bluebellkeel/Http/Await.h"
 #include <algorithm>
+#include <set>
 
 using namespace bluebellkeel;
 
@@ -29,11 +30,14 @@
       ScaleInput(Context, Work) {}
 
 /// Returns the instances that may hold the duties, this one included, in the
-/// order in which they take them.
+/// order in which they take them. All instances have to agree on the first of
+/// them, so these are not only those of which each has heard lately.
 std::vector<instance_record> duty_runner::candidates() const {
+  std::vector<instance_id> Senders = Context.Instances.senders();
+  std::set<instance_id> Known(Senders.begin(), Senders.end());
   std::vector<instance_record> Records;
-  for (auto &Record : Context.Instances.alive()) {
-    if (Record.state() == instance_state::Live)
+  for (auto &Record : Context.Instances.knownInstances()) {
+    if (Record.state() == instance_state::Live && Known.count(Record.id()) > 0)
       Records.push_back(std::move(Record));
   }
   Records.push_back(Context.self());
@@ -90,8 +94,6 @@
     awaitTime(Yield, StepInterval);
   duty_keeper Keeper(Context.Settings.Instance, Times, Context.Clock, Usage,
                      News, Store, Counted, Context.Log);
-  work_following_count Counts;
-  scale_planner Planner(ScaleInput, Counts, Context.Clock, Context.Log);
   while (Context.State.phase() == serving_phase::Serving) {
     auto Candidates = candidates();
     if (countsAreDue())
@@ -101,8 +103,6 @@
     for (const auto &Candidate : Candidates)
       Live.push_back(Candidate.id());
     Keeper.run(Live);
-    Planner.observe();
-    Keeper.sendOrders(Planner);
     awaitTime(Yield, StepInterval);
   }
   Keeper.release();
