Count a refusal for memory once

Cause: a request that found no unfinished ones to give way tried to reserve once more, and was counted twice (http_server_memory_test.requestWithoutMemory_isRefusedWithATime).

Measured: it and the other 12 tests of its kind and of broken exchanges pass.

--- a/lib/Http/ServerConnection.cpp
+++ b/lib/Http/ServerConnection.cpp
@@ -172,10 +172,12 @@
   asio::steady_timer Timer(Stream.get_executor());
   error_code Ignored;
   auto Start = std::chrono::steady_clock::now();
+  bool Reclaimed = false;
   while (std::chrono::steady_clock::now() < Start + MaxWait) {
     if (Memory.reclaim(Bytes - Reservation.bytes(),
                        std::chrono::steady_clock::now() - MinAge) == 0)
-      return Reservation.growTo(Bytes);
+      return Reclaimed && Reservation.growTo(Bytes);
+    Reclaimed = true;
     Timer.expires_after(CheckInterval);
     Timer.async_wait(Yield[Ignored]);
     if (Reservation.growTo(Bytes))
