--- a/review/standins-2/Runner.cpp
+++ b/review/standins-2/Runner.cpp
@@ -1,6 +1,6 @@
-/// Stand-in for a runner. It answers below /order/ after its work, streams
-/// events below /stream/, and records each request that it runs and each run's
-/// end.
+/// Stand-in for a runner. It answers below /order/ after its work, sends a long
+/// answer below /report/, streams events below /stream/, and records each
+/// request that it runs and each run's end.
 
 #include "Http.h"
 #include <csignal>
@@ -18,12 +18,14 @@
   std::int64_t WorkMs = 0;
   int Events = 0;
   std::int64_t GapMs = 0;
+  std::size_t ReportBytes = 0;
 
   void serve(int Socket) const;
 
 private:
   std::string headOf(const message &Request, int Status) const;
   bool answer(connection &Connection, const message &Request) const;
+  bool report(connection &Connection, const message &Request) const;
   bool stream(connection &Connection, const message &Request) const;
 };
 
@@ -45,6 +47,12 @@
       "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body);
 }
 
+bool runner::report(connection &Connection, const message &Request) const {
+  return Connection.write(headOf(Request, 200) + "Content-Length: " +
+                          std::to_string(ReportBytes) + "\r\n\r\n" +
+                          std::string(ReportBytes, 'r'));
+}
+
 bool runner::stream(connection &Connection, const message &Request) const {
   constexpr std::size_t TextSize = 64;
   if (!Connection.write(headOf(Request, 200) +
@@ -64,7 +72,10 @@
 }
 
 void runner::serve(int Socket) const {
+  /// An answer that remains unread for this long is cut off.
+  constexpr int UnreadMs = 10000;
   connection Connection(Socket);
+  Connection.limitWaits(UnreadMs);
   while (auto Request = Connection.readMessage()) {
     std::string Name = Request->field("Bluebellkeel-Request-Id");
     if (Request->field("Bluebellkeel-Expect-Instance") != Id) {
@@ -73,9 +84,13 @@
       return;
     }
     record(File, "run " + Name + " at " + Id);
-    bool IsStream = Request->path().rfind("/stream/", 0) == 0;
-    bool Sent =
-        IsStream ? stream(Connection, *Request) : answer(Connection, *Request);
+    bool Sent = false;
+    if (Request->path().rfind("/stream/", 0) == 0)
+      Sent = stream(Connection, *Request);
+    else if (Request->path().rfind("/report/", 0) == 0)
+      Sent = report(Connection, *Request);
+    else
+      Sent = answer(Connection, *Request);
     record(File, "ran " + Name + (Sent ? " sent" : " unsent"));
     if (!Sent || Request->field("Connection") == "close")
       return;
@@ -93,6 +108,7 @@
   Runner.WorkMs = Number("work_ms", "0");
   Runner.Events = Number("events", "20");
   Runner.GapMs = Number("gap_ms", "50");
+  Runner.ReportBytes = static_cast<std::size_t>(Number("report_bytes", "0"));
   int Listener =
       listenOn("127.0.0.1", static_cast<std::uint16_t>(Number("port", "0")));
   if (Listener < 0)
