--- a/review/standins-2/Runner.cpp
+++ b/review/standins-2/Runner.cpp
@@ -44,7 +44,8 @@
   std::string Body = "done " + Request.field("Bluebellkeel-Request-Id");
   return Connection.write(
       headOf(Request, 200) +
-      "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body);
+      "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" +
+      (Request.word(0) == "HEAD" ? "" : Body));
 }
 
 bool runner::report(connection &Connection, const message &Request) const {
