--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,7 +6,7 @@
 out=target/review-2
 mkdir -p "$out"
 compile() { # compile NAME SOURCE
-  c++ -std=c++17 -O1 -Wall -Wextra -Werror -pthread -I review/standins-2 \
+  c++ -std=c++17 -O1 -Wall -Wextra -Werror -pthread \
     -o "$out/$1" "$2" review/standins-2/Http.cpp
 }
 compile ports review/standins-2/Ports.cpp
--- a/review/standins-2/Runner.cpp
+++ b/review/standins-2/Runner.cpp
@@ -42,16 +42,15 @@
 bool runner::answer(connection &Connection, const message &Request) const {
   sleepMillis(WorkMs);
   std::string Body = "done " + Request.field("Bluebellkeel-Request-Id");
-  return Connection.write(
-      headOf(Request, 200) +
-      "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" +
-      (Request.word(0) == "HEAD" ? "" : Body));
+  return Connection.write(headOf(Request, 200) +
+                          "Content-Length: " + std::to_string(Body.size()) +
+                          "\r\n\r\n" + (Request.word(0) == "HEAD" ? "" : Body));
 }
 
 bool runner::report(connection &Connection, const message &Request) const {
-  return Connection.write(headOf(Request, 200) + "Content-Length: " +
-                          std::to_string(ReportBytes) + "\r\n\r\n" +
-                          std::string(ReportBytes, 'r'));
+  return Connection.write(headOf(Request, 200) +
+                          "Content-Length: " + std::to_string(ReportBytes) +
+                          "\r\n\r\n" + std::string(ReportBytes, 'r'));
 }
 
 bool runner::stream(connection &Connection, const message &Request) const {
--- a/review/standins-2/Store.cpp
+++ b/review/standins-2/Store.cpp
@@ -169,9 +169,9 @@
 
 int main(int Argc, char **Argv) {
   std::signal(SIGPIPE, SIG_IGN);
-  int Listener = listenOn("127.0.0.1",
-                          static_cast<std::uint16_t>(std::atoi(
-                              option(Argc, Argv, "port", "0").c_str())));
+  int Listener =
+      listenOn("127.0.0.1", static_cast<std::uint16_t>(std::atoi(
+                                option(Argc, Argv, "port", "0").c_str())));
   if (Listener < 0)
     return 1;
   auto *Store = new store;
