--- a/review/standins-2/deployment.sh
+++ b/review/standins-2/deployment.sh
@@ -4,7 +4,8 @@
 
 root=$(cd "$(dirname "${BASH_SOURCE[0]}")/../.." && pwd)
 bin=$root/target/review-2
-gateway_program=$root/target/platform/bluebellkeel-gateway
+# As deploy/system.toml has it; it runs in the root of the repository.
+gateway_program=target/platform/bluebellkeel-gateway
 here=$(cd "$(dirname "$0")" && pwd)
 record=$here/record.txt
 trouble=${TROUBLE:-1}
@@ -13,7 +14,6 @@
 work=$(mktemp -d)
 pids=()
 declare -a front ready directory gateway_pid gateway_settings
-started_s=$SECONDS
 
 cannot_run() { echo "cannot run: $*" | tee -a "$record"; exit 2; }
 
@@ -31,11 +31,11 @@
 trap finish EXIT
 trap 'exit 2' INT TERM
 
+cd "$root" || exit 2
 for program in "$gateway_program" "$bin/ports" "$bin/store" "$bin/runner"; do
   [ -x "$program" ] || { echo "not built: $program"; exit 2; }
 done
 : >"$record"
-cd "$root" || exit 2
 mapfile -t ports < <("$bin/ports" 40)
 
 # start NAME COMMAND...: runs a program in the background; its id is in $last.
