Test: crowds of callers in further shapes

Callers that nobody controls came in one shape only in the tests: a body that stops short of its end, at a gateway of 48 MB. Nineteen tests play others: TRACE with a body, more callers and more slow readers than there are connections, crowds at each of the other listeners, crowds that return or grow during reloads and a planned stop, slow readers of long answers, streams and small answers, HTTP/1.0, Expect, upgrades, and several at once. They check that the process lives, that resident memory is within memory_mb and descriptors within one or two for each caller, and that an ordinary request gets 200.

--- a/test/Memory/CallerSwarm.cpp
+++ b/test/Memory/CallerSwarm.cpp
@@ -7,6 +7,7 @@
 
 namespace asio = boost::asio;
 
+using asio::ip::tcp;
 using boost::system::error_code;
 
 /// Small windows and segments, so that the sender's kernel holds little of what
@@ -42,17 +43,31 @@
   write(Count, headOf(Path, BodyBytes, 0) + std::string(BodyBytes / 2, 'b'));
 }
 
-/// A gateway may close a connection at any time, so errors are no fault here.
 void caller_swarm::write(std::size_t Count, const std::string &Text) {
-  for (std::size_t I = 0; I < Count; ++I) {
-    tcp::socket Socket(Io, tcp::v4());
-    keepBuffersSmall(Socket);
-    error_code Ignored;
-    Socket.connect(
-        tcp::endpoint(asio::ip::make_address(Gateway.host()), Gateway.port()),
-        Ignored);
-    asio::write(Socket, asio::buffer(Text), Ignored);
-    Sockets.push_back(std::move(Socket));
+  for (std::size_t I = 0; I < Count; ++I)
+    Sockets.push_back(open(Text));
+}
+
+/// A gateway may close a connection at any time, so errors are no fault here.
+tcp::socket caller_swarm::open(const std::string &Text) {
+  tcp::socket Socket(Io, tcp::v4());
+  keepBuffersSmall(Socket);
+  error_code Ignored;
+  Socket.connect(
+      tcp::endpoint(asio::ip::make_address(Gateway.host()), Gateway.port()),
+      Ignored);
+  asio::write(Socket, asio::buffer(Text), Ignored);
+  return Socket;
+}
+
+void caller_swarm::readOrReturn(std::size_t Bytes, const std::string &Text) {
+  std::string Scratch(Bytes, ' ');
+  for (auto &Socket : Sockets) {
+    error_code Code;
+    Socket.non_blocking(true, Code);
+    Socket.read_some(asio::buffer(Scratch), Code);
+    if (Code && Code != asio::error::would_block)
+      Socket = open(Text);
   }
 }
 
--- a/test/Memory/CallerSwarm.h
+++ b/test/Memory/CallerSwarm.h
@@ -29,6 +29,9 @@
   void sendText(std::size_t Count, const std::string &Text) {
     write(Count, Text);
   }
+  /// Each caller reads up to \p Bytes of what has arrived. Those whose
+  /// connection has ended open another one and send \p Text.
+  void readOrReturn(std::size_t Bytes, const std::string &Text);
   /// Reads the beginning of each response that has arrived.
   caller_outcomes outcomes();
 
@@ -36,6 +39,7 @@
   using tcp = boost::asio::ip::tcp;
 
   void write(std::size_t Count, const std::string &Text);
+  tcp::socket open(const std::string &Text);
 
   network_address Gateway;
   boost::asio::io_context Io;
--- /dev/null
+++ b/test/Memory/GatewayCrowdShapeTest.cpp
@@ -0,0 +1,271 @@
+#include "CallerSwarm.h"
+#include "GatewayUnderLoad.h"
+#include "absl/time/clock.h"
+#include <csignal>
+#include <gtest/gtest.h>
+#include <optional>
+
+using namespace bluebellkeel;
+
+namespace {
+
+/// Puts a gateway before crowds of callers that nobody controls, in shapes
+/// beside that of a single body that stops short of its end.
+class gateway_crowd_shape_test : public testing::Test {
+protected:
+  static constexpr std::size_t Crowd = 300;
+  static constexpr std::size_t MemoryMb = 48;
+  static constexpr int Ok = 200;
+
+  void SetUp() override { start(MemoryMb); }
+
+  /// Starts a gateway with \p Mb megabytes in place of the current one.
+  void start(std::size_t Mb) {
+    Gateway.reset();
+    Gateway.emplace(Mb);
+    GatewayMb = Mb;
+    ASSERT_TRUE(Gateway->awaitReady());
+  }
+
+  /// Expects that the gateway lives within its bounds before a crowd of
+  /// \p Callers and answers an ordinary request.
+  ///
+  /// \param Each most descriptors for one caller: its connection, and one to
+  /// the upstream if its request runs.
+  void expectToBear(std::size_t Callers = Crowd, std::size_t Each = 1) {
+    constexpr std::size_t OwnDescriptors = 64;
+    ASSERT_FALSE(Gateway->ended());
+    EXPECT_LE(Gateway->openDescriptors(), Each * Callers + OwnDescriptors);
+    EXPECT_EQ(Ok, Gateway->statusOfOrdinaryRequest());
+    expectWithinMemory();
+  }
+
+  void expectWithinMemory() {
+    constexpr std::size_t BytesPerMb = 1000UL * 1000;
+    ASSERT_FALSE(Gateway->ended());
+    EXPECT_LE(Gateway->peakMemory(), GatewayMb * BytesPerMb);
+  }
+
+  /// Lets the callers read \p Bytes each, some times in a row, and return once
+  /// their connections have ended.
+  static void letReadOrReturn(caller_swarm &Callers, std::size_t Bytes,
+                              const std::string &Text) {
+    constexpr int Rounds = 30;
+    for (int Round = 0; Round < Rounds; ++Round) {
+      absl::SleepFor(absl::Milliseconds(100));
+      Callers.readOrReturn(Bytes, Text);
+    }
+  }
+
+  /// Expects that the listener at \p Address still responds to a GET request
+  /// for \p Target while a crowd stands there.
+  void expectRoomAt(const network_address &Address, const std::string &Target) {
+    caller_swarm Callers(Address);
+    Callers.sendText(Crowd, unfinishedBody());
+    settle();
+    EXPECT_EQ(Ok, Gateway->statusOf(Address, Target));
+    expectToBear();
+  }
+
+  static std::string head(const std::string &Method, const std::string &Path,
+                          const std::string &Fields,
+                          const std::string &Version = "1.1") {
+    return Method + " " + Path + " HTTP/" + Version +
+           "\r\nHost: a.example\r\nBluebellkeel-Request-Id: r1\r\n" + Fields +
+           "\r\n";
+  }
+
+  /// A small body in chunks that stops short of its end.
+  static std::string unfinishedBody() {
+    return head("POST", "/once/silent", "Transfer-Encoding: chunked\r\n") +
+           "10\r\n0123456789abcdef\r\n5\r\nab";
+  }
+
+  /// A body of 100 kilobytes in chunks, or one chunk, that stops short.
+  static std::string longUnfinishedBody() {
+    return head("POST", "/once/silent", "Transfer-Encoding: chunked\r\n") +
+           "186a0\r\n" + std::string(99999, 'b');
+  }
+
+  static std::string requestFor(const std::string &Path) {
+    return head("POST", Path, "Content-Length: 0\r\n");
+  }
+
+  static void settle() { absl::SleepFor(absl::Seconds(1)); }
+
+  std::size_t GatewayMb = 0;
+  std::optional<gateway_under_load> Gateway;
+};
+
+} // namespace
+
+TEST_F(gateway_crowd_shape_test, traceWithBody_isBorne) {
+  caller_swarm Callers(Gateway->callers());
+  Callers.sendText(
+      Crowd, head("TRACE", "/once/quick", "Content-Length: 5\r\n") + "hello");
+  settle();
+  expectToBear();
+}
+
+TEST_F(gateway_crowd_shape_test, moreCallersThanConnections_leaveRoom) {
+  constexpr std::size_t Callers = 1600;
+  start(260);
+  caller_swarm Unfinished(Gateway->callers());
+  Unfinished.sendText(Callers, unfinishedBody());
+  settle();
+  expectToBear(Callers);
+}
+
+TEST_F(gateway_crowd_shape_test, moreReadersThanConnections_leaveRoom) {
+  constexpr std::size_t Callers = 1600;
+  start(260);
+  caller_swarm Readers(Gateway->callers());
+  Readers.sendText(Callers, requestFor("/stream/large"));
+  settle();
+  expectToBear(Callers, 2);
+}
+
+TEST_F(gateway_crowd_shape_test, crowdAtReadiness_leavesRoomThere) {
+  expectRoomAt(Gateway->readiness(), "/bluebellkeel/readyz");
+}
+
+TEST_F(gateway_crowd_shape_test, crowdAtDirectory_leavesRoomThere) {
+  expectRoomAt(Gateway->directory(),
+               "/bluebellkeel/resolve?name=a.example&zone=north");
+}
+
+TEST_F(gateway_crowd_shape_test, crowdAtCounters_leavesRoomThere) {
+  expectRoomAt(Gateway->metricsAddress(), "/metrics");
+}
+
+TEST_F(gateway_crowd_shape_test, crowdAtCallers_leavesRoomForOperators) {
+  caller_swarm Callers(Gateway->callers());
+  Callers.sendText(Crowd, longUnfinishedBody());
+  settle();
+  EXPECT_EQ(Ok,
+            Gateway->statusOf(Gateway->readiness(), "/bluebellkeel/readyz"));
+  EXPECT_EQ(Ok, Gateway->statusOf(Gateway->metricsAddress(), "/metrics"));
+  expectToBear();
+}
+
+TEST_F(gateway_crowd_shape_test, returningCrowd_isBorne) {
+  caller_swarm Callers(Gateway->callers());
+  Callers.sendText(Crowd, longUnfinishedBody());
+  letReadOrReturn(Callers, 200, longUnfinishedBody());
+  expectToBear();
+}
+
+TEST_F(gateway_crowd_shape_test, readersOfHugeAnswers_areBorne) {
+  caller_swarm Callers(Gateway->callers());
+  Callers.sendText(Crowd, requestFor("/once/huge"));
+  letReadOrReturn(Callers, 20000, requestFor("/once/huge"));
+  expectToBear(Crowd, 2);
+}
+
+TEST_F(gateway_crowd_shape_test, slowReadersOfHugeAnswers_areBorne) {
+  constexpr std::size_t Callers = 800;
+  constexpr int Rounds = 3;
+  start(110);
+  caller_swarm Readers(Gateway->callers());
+  Readers.sendText(Callers, requestFor("/once/huge"));
+  for (int Round = 0; Round < Rounds; ++Round)
+    letReadOrReturn(Readers, 200, requestFor("/once/huge"));
+  expectToBear(Callers, 2);
+}
+
+TEST_F(gateway_crowd_shape_test, readersThatLeaveAndReturn_areBorne) {
+  constexpr int Waves = 10;
+  for (int Wave = 0; Wave < Waves; ++Wave) {
+    caller_swarm Callers(Gateway->callers());
+    Callers.sendText(Crowd, requestFor("/once/huge"));
+    absl::SleepFor(absl::Milliseconds(300));
+  }
+  expectToBear(Crowd, 2);
+}
+
+TEST_F(gateway_crowd_shape_test, slowReadersOfStreams_areBorne) {
+  caller_swarm Callers(Gateway->callers());
+  Callers.sendText(Crowd, requestFor("/stream/large"));
+  letReadOrReturn(Callers, 2000, requestFor("/stream/large"));
+  expectToBear(Crowd, 2);
+}
+
+TEST_F(gateway_crowd_shape_test, slowReadersOfSmallAnswers_areBorne) {
+  std::string Requests;
+  for (int I = 0; I < 100; ++I)
+    Requests += requestFor("/once/quick");
+  caller_swarm Callers(Gateway->callers());
+  Callers.sendText(Crowd, Requests);
+  letReadOrReturn(Callers, 100, Requests);
+  expectToBear(Crowd, 2);
+}
+
+TEST_F(gateway_crowd_shape_test, olderProtocol_isBorne) {
+  caller_swarm Callers(Gateway->callers());
+  Callers.sendText(Crowd, head("POST", "/once/silent",
+                               "Connection: keep-alive\r\n"
+                               "Content-Length: 100000\r\n",
+                               "1.0") +
+                              std::string(99999, 'b'));
+  settle();
+  expectToBear();
+}
+
+TEST_F(gateway_crowd_shape_test, expectedContinue_isBorne) {
+  caller_swarm Callers(Gateway->callers());
+  Callers.sendText(Crowd, head("POST", "/once/silent",
+                               "Expect: 100-continue\r\n"
+                               "Content-Length: 4000000\r\n"));
+  settle();
+  expectToBear();
+}
+
+TEST_F(gateway_crowd_shape_test, upgrades_areBorne) {
+  caller_swarm Callers(Gateway->callers());
+  Callers.sendText(Crowd, head("GET", "/once/silent",
+                               "Connection: upgrade\r\nUpgrade: websocket\r\n"
+                               "Sec-WebSocket-Version: 13\r\n"
+                               "Sec-WebSocket-Key: MDEyMzQ1Njc4OWFiY2RlZg==\r\n"
+                               "Transfer-Encoding: chunked\r\n") +
+                              "186a0\r\n" + std::string(99999, 'b'));
+  settle();
+  expectToBear();
+}
+
+TEST_F(gateway_crowd_shape_test, allShapesTogether_areBorne) {
+  caller_swarm Callers(Gateway->callers());
+  Callers.connect(Crowd / 3);
+  Callers.sendText(Crowd / 3, longUnfinishedBody());
+  Callers.sendText(Crowd / 3, unfinishedBody());
+  Callers.sendText(Crowd / 3, requestFor("/once/huge"));
+  Callers.sendText(Crowd / 3, requestFor("/stream/large"));
+  caller_swarm AtDirectory(Gateway->directory());
+  AtDirectory.sendText(Crowd / 3, longUnfinishedBody());
+  settle();
+  expectToBear(2 * Crowd, 2);
+}
+
+TEST_F(gateway_crowd_shape_test, crowdThatGrowsDuringReloads_isBorne) {
+  constexpr int Waves = 5;
+  caller_swarm Callers(Gateway->callers());
+  for (int Wave = 0; Wave < Waves; ++Wave) {
+    Callers.sendText(Crowd / Waves, longUnfinishedBody());
+    Gateway->signal(SIGHUP);
+    absl::SleepFor(absl::Milliseconds(200));
+  }
+  settle();
+  expectToBear();
+}
+
+TEST_F(gateway_crowd_shape_test, crowdThatGrowsDuringStop_letsTheProcessEnd) {
+  constexpr int Waves = 5;
+  caller_swarm Callers(Gateway->callers());
+  Callers.sendText(Crowd / 2, longUnfinishedBody());
+  Gateway->signal(SIGTERM);
+  for (int Wave = 0; Wave < Waves; ++Wave) {
+    Callers.sendText(Crowd / 2 / Waves, longUnfinishedBody());
+    absl::SleepFor(absl::Milliseconds(200));
+  }
+  expectToBear();
+  EXPECT_EQ(0, Gateway->awaitEnd());
+}
--- a/test/Memory/GatewayUnderLoad.cpp
+++ b/test/Memory/GatewayUnderLoad.cpp
@@ -11,6 +11,7 @@
 using nlohmann::json;
 
 static constexpr std::size_t LargeAnswerBytes = 250000;
+static constexpr std::size_t HugeAnswerBytes = 400000;
 static constexpr std::size_t LargeEventBytes = 60000;
 static constexpr seconds StartTimeout{10};
 
@@ -148,6 +149,13 @@
   return Response ? Response->body() : "";
 }
 
+int gateway_under_load::statusOf(const network_address &Address,
+                                 const std::string &Target) const {
+  auto Response =
+      Client.send(Address, http_request("GET", Target, http_headers(), ""));
+  return Response ? Response->status() : 0;
+}
+
 std::string gateway_under_load::log() const {
   std::ifstream File(Folder + "/log");
   return {std::istreambuf_iterator<char>(File), {}};
@@ -163,9 +171,10 @@
     awaitTime(Yield, seconds(60));
     return;
   }
-  if (Request.path() == "/once/large") {
-    Responder.send(
-        http_response(Ok, Headers, std::string(LargeAnswerBytes, 'x')));
+  if (Request.path() == "/once/large" || Request.path() == "/once/huge") {
+    std::size_t Bytes =
+        Request.path() == "/once/huge" ? HugeAnswerBytes : LargeAnswerBytes;
+    Responder.send(http_response(Ok, Headers, std::string(Bytes, 'x')));
     return;
   }
   if (Request.path() != "/stream/large") {
--- a/test/Memory/GatewayUnderLoad.h
+++ b/test/Memory/GatewayUnderLoad.h
@@ -12,8 +12,9 @@
 
 /// A gateway process with little memory, its store and an upstream. The path
 /// of a request says what the upstream does: /once/silent never answers,
-/// /once/large answers with 250,000 bytes, /stream/large sends long events
-/// without end, and anything else is answered at once.
+/// /once/large answers with 250,000 bytes, /once/huge with 400,000,
+/// /stream/large sends long events without end, and anything else is answered
+/// at once.
 class gateway_under_load {
 public:
   /// \param MemoryMb the memory that the settings give the gateway.
@@ -38,7 +39,14 @@
   /// Returns the number of requests that reached the upstream.
   std::size_t arrivals() const { return Arrivals; }
   std::string metrics();
+  /// Returns the status of the response to a GET request for \p Target; 0 if
+  /// there is no response.
+  int statusOf(const network_address &Address, const std::string &Target) const;
   std::string log() const;
+  void signal(int Signal) const { Gateway->signal(Signal); }
+  /// Waits for the process to end and returns its exit code, or -1 if a signal
+  /// ended it.
+  int awaitEnd() { return Gateway->wait(); }
 
 private:
   static network_address address(int Offset);
