Http: make connections give way by their progress

Callers saw: while 1,600 unfinished requests stood at a gateway that said it was ready, no ordinary caller got a connection for as long as they stayed; the same with 1,600 callers that don't read their streams.

Cause: there were two rules of giving way. When connections were short, only idle ones ended, which are mostly those of ordinary callers; when memory was short, unfinished requests ended, the oldest first. Age doesn't tell a slow caller from one that has stopped. Class: a limit without a way to choose who goes.

There is one rule now for connections, descriptors and memory, at every listener (giving_way, values in and values out): connections that have got their last response; requests of which nothing has arrived for a second; idle connections; and only if something would be refused otherwise, responses of which nothing was read for half a second and requests that are still arriving, the longest pause first. Progress is seen through a rate policy of Beast, also within a transfer that takes several reads or writes. A request that has arrived whole may displace ones that have just begun. The accept loop waits up to 100 ms for those that give way, and makes them give way when no descriptor is left. A request waits for memory only if those that give way hold enough of it; otherwise it is refused at once. What is still received after a refusal is dropped without a buffer, and for 50 ms only while room is short. TRACE with a body gets 400, as HTTP forbids it.

The reception of a request moves to request_receiver. memory_holder and memory_budget::reclaim() are gone; their three tests (the oldest first, as many as needed, none that just began) are replaced by giving_way_test, which checks the same of the new order (equalPlaces, connectionsThatEndAlready, bytesNeeded, requestThatHasJustBegun) and more.

--- a/include/bluebellkeel/Core.h
+++ b/include/bluebellkeel/Core.h
@@ -13,7 +13,6 @@
 #include "bluebellkeel/Core/LogOffset.h"
 #include "bluebellkeel/Core/LogPosition.h"
 #include "bluebellkeel/Core/MemoryBudget.h"
-#include "bluebellkeel/Core/MemoryHolder.h"
 #include "bluebellkeel/Core/MemoryReservation.h"
 #include "bluebellkeel/Core/MemoryUse.h"
 #include "bluebellkeel/Core/NetworkAddress.h"
--- a/include/bluebellkeel/Core/MemoryReservation.h
+++ b/include/bluebellkeel/Core/MemoryReservation.h
@@ -16,6 +16,12 @@
   ~memory_reservation() { Budget.release(Bytes); }
 
   std::size_t bytes() const { return Bytes; }
+  /// True if so much of the budget is held that others should give way.
+  bool scarce() const { return Budget.scarce(); }
+  /// Returns how much others would have to release for growTo() to succeed.
+  std::size_t missingFor(std::size_t Needed) const {
+    return Needed <= Bytes ? 0 : Budget.missing(Use, Needed - Bytes);
+  }
   /// Grows the reservation to \p Needed bytes in total. Returns false, and
   /// keeps what it holds, if that much is not available.
   bool growTo(std::size_t Needed) {
--- a/lib/Core/MemoryBudget.cpp
+++ b/lib/Core/MemoryBudget.cpp
@@ -36,10 +36,27 @@
   return 0;
 }
 
-bool memory_budget::take(memory_use Use, std::size_t Bytes) {
+std::size_t memory_budget::missingLocked(memory_use Use,
+                                         std::size_t Bytes) const {
   std::size_t Available = availableFor(Use);
+  std::size_t Used = Held;
+  std::size_t Free = Available - std::min(Available, Used);
+  if (Bytes <= Free)
+    return 0;
+  std::size_t Missing = Bytes - Free;
+  std::size_t Excess = Used - std::min(Available, Used);
+  return Missing +
+         std::min(Excess, std::numeric_limits<std::size_t>::max() - Missing);
+}
+
+std::size_t memory_budget::missing(memory_use Use, std::size_t Bytes) const {
+  absl::MutexLock Lock(&Mutex);
+  return missingLocked(Use, Bytes);
+}
+
+bool memory_budget::take(memory_use Use, std::size_t Bytes) {
   absl::MutexLock Lock(&Mutex);
-  if (Bytes > Available || Held > Available - Bytes) {
+  if (missingLocked(Use, Bytes) > 0) {
     ++Refusals[Use];
     return false;
   }
@@ -58,48 +75,8 @@
 }
 
 bool memory_budget::scarce() const {
-  return held() > Limit - Limit / ScarceDivisor;
-}
-
-std::uint64_t memory_budget::addHolder(std::shared_ptr<memory_holder> Holder,
-                                       monotonic_time Since) {
   absl::MutexLock Lock(&Mutex);
-  Holders[++LastHolder] = {std::move(Holder), Since};
-  return LastHolder;
-}
-
-void memory_budget::setHeld(std::uint64_t Holder, std::size_t Bytes) {
-  absl::MutexLock Lock(&Mutex);
-  auto Found = Holders.find(Holder);
-  if (Found == Holders.end())
-    return;
-  if (Found->second.GivesUp)
-    GivenUp += Bytes - Found->second.Bytes;
-  Found->second.Bytes = Bytes;
-}
-
-void memory_budget::removeHolder(std::uint64_t Holder) {
-  absl::MutexLock Lock(&Mutex);
-  auto Found = Holders.find(Holder);
-  if (Found == Holders.end())
-    return;
-  if (Found->second.GivesUp)
-    GivenUp -= Found->second.Bytes;
-  Holders.erase(Found);
-}
-
-std::size_t memory_budget::reclaim(std::size_t Bytes, monotonic_time Before) {
-  absl::MutexLock Lock(&Mutex);
-  for (auto &[Number, Holder] : Holders) {
-    if (GivenUp >= Bytes || Holder.Since > Before)
-      break;
-    if (Holder.GivesUp)
-      continue;
-    Holder.GivesUp = true;
-    GivenUp += Holder.Bytes;
-    Holder.Holder->giveUp();
-  }
-  return GivenUp;
+  return Held > Limit - Limit / ScarceDivisor;
 }
 
 std::uint64_t memory_budget::refusals(memory_use Use) const {
--- a/lib/Http/HttpServer.cpp
+++ b/lib/Http/HttpServer.cpp
@@ -18,6 +18,11 @@
 /// descriptor left for it, and no event shows when it has one.
 static constexpr milliseconds AcceptRetryInterval{50};
 
+/// Longest wait until others have given way to a new connection, and the
+/// interval at which that is checked.
+static constexpr milliseconds MaxRoomWait{100};
+static constexpr milliseconds RoomCheckInterval{5};
+
 class http_server::impl : public std::enable_shared_from_this<impl> {
 public:
   impl(thread_pool &Pool, http_handler &Handler,
@@ -35,8 +40,9 @@
 private:
   void acceptLoop(asio::yield_context Yield);
   void acceptWaiting();
+  void keepRoom();
+  void awaitRoom(asio::yield_context Yield);
   void serve(tcp::socket Socket);
-  void makeRoom();
 
   thread_pool &Pool;
   http_handler &Handler;
@@ -76,10 +82,16 @@
     error_code Code;
     tcp::socket Socket(asio::make_strand(Pool.context()));
     Acceptor.async_accept(Socket, Yield[Code]);
-    if (!Code)
+    if (!Code) {
+      keepRoom();
+      awaitRoom(Yield);
       serve(std::move(Socket));
-    else if (Acceptor.is_open())
-      awaitTime(Yield, AcceptRetryInterval);
+      continue;
+    }
+    if (!Acceptor.is_open())
+      break;
+    State.giveWay(shortage::Now, room(1, 0));
+    awaitTime(Yield, AcceptRetryInterval);
   }
   // A connection may have been accepted before the socket was closed.
   State.setListening(false);
@@ -93,23 +105,41 @@
   while (!Code) {
     tcp::socket Socket(asio::make_strand(Pool.context()));
     Acceptor.accept(Socket, Code);
-    if (!Code)
-      serve(std::move(Socket));
+    if (Code)
+      continue;
+    keepRoom();
+    serve(std::move(Socket));
   }
 }
 
-/// Closes the connection that has been idle for longest while there is still
-/// room, so that idle callers do not keep others out.
-void http_server::impl::makeRoom() {
+/// Makes connections that nobody misses give way while some room is left, so
+/// that they do not keep new ones out.
+void http_server::impl::keepRoom() {
   constexpr std::size_t ReserveDivisor = 8;
+  std::size_t Open = State.connections();
   std::size_t Most = Limits->limits().connections();
-  if (Memory->scarce() || State.connections() >= Most - Most / ReserveDivisor)
-    State.Idle.endLongest(1);
+  std::size_t Unreserved = Most - Most / ReserveDivisor;
+  if (Open >= Unreserved)
+    State.giveWay(shortage::Soon, room(Open - Unreserved + 1, 0));
+  if (Memory->scarce())
+    State.giveWay(shortage::Soon, room(1, ConnectionBytes));
+}
+
+/// Waits until there is room for a connection, as long as others give way.
+void http_server::impl::awaitRoom(asio::yield_context Yield) {
+  auto HasRoom = [this] {
+    http_limits Current = Limits->limits();
+    return State.connections() < Current.connections() &&
+           Memory->missing(Current.connectionUse(), ConnectionBytes) == 0;
+  };
+  auto End = std::chrono::steady_clock::now() + MaxRoomWait;
+  while (!HasRoom() && std::chrono::steady_clock::now() < End &&
+         State.giveWay(shortage::Now, room(1, ConnectionBytes)) != room())
+    awaitTime(Yield, RoomCheckInterval);
 }
 
 /// Closes the connection at once if there is no room for it.
 void http_server::impl::serve(tcp::socket Socket) {
-  makeRoom();
   http_limits Current = Limits->limits();
   if (State.connections() >= Current.connections())
     return;
--- a/lib/Http/InterruptibleStream.cpp
+++ b/lib/Http/InterruptibleStream.cpp
@@ -33,6 +33,31 @@
   });
 }
 
+void interruptible_stream::giveWay() {
+  Activity.giveWay();
+  boost::asio::post(Stream.get_executor(),
+                    [Self = shared_from_this()] { Self->endPhase(); });
+}
+
+/// The phase may have changed since the connection was asked to give way.
+void interruptible_stream::endPhase() {
+  switch (Activity.state().phase()) {
+  case connection_phase::Receiving:
+    GaveWay = true;
+    endReads();
+    break;
+  case connection_phase::Sending:
+  case connection_phase::Lingering:
+    if (Activity.state().givesWay())
+      Stream.close();
+    break;
+  case connection_phase::Idle:
+  case connection_phase::Serving:
+    endWaits();
+    break;
+  }
+}
+
 void interruptible_stream::cancelIfEnded() {
   auto Now = std::chrono::steady_clock::now();
   if (Pending == read_kind::None || (Pending > Interrupted && Now < End))
--- a/lib/Http/ServerConnection.h
+++ b/lib/Http/ServerConnection.h
@@ -2,8 +2,8 @@
 #define BLUEBELLKEEL_LIB_HTTP_SERVERCONNECTION_H
 
 #include "DisconnectWatcher.h"
+#include "RequestReceiver.h"
 #include "ServerState.h"
-#include "UnfinishedRequest.h"
 #include "bluebellkeel/Core/MemoryReservation.h"
 #include "bluebellkeel/Http/HttpHandler.h"
 #include "bluebellkeel/Http/HttpLimitSource.h"
@@ -27,31 +27,20 @@
   void run();
 
 private:
-  using message = boost::beast::http::request<boost::beast::http::string_body>;
-
-  using parser =
-      boost::beast::http::request_parser<boost::beast::http::string_body>;
+  using message = request_receiver::message;
 
   bool awaitRequest();
   void skipEmptyLines();
   std::optional<message> readRequest(memory_reservation &Reservation);
-  std::size_t readHead(parser &Parser, boost::system::error_code &Code);
-  bool reserve(memory_reservation &Reservation, unfinished_request &Unfinished,
-               std::size_t Bytes);
-  bool awaitMemory(memory_reservation &Reservation, std::size_t Bytes);
-  bool reserveHead(memory_reservation &Reservation,
-                   unfinished_request &Unfinished);
-  bool readBody(parser &Parser, std::size_t HeadBytes,
-                memory_reservation &Reservation, unfinished_request &Unfinished,
-                boost::system::error_code &Code);
   void refuseForMemory(message Message);
-  void refuseUnread(const boost::system::error_code &Code);
   static http_request requestOf(message Message);
   void respond(const http_request &Request);
   void handle(const http_request &Request);
-  void refuse(int Status, const char *Text);
+  void refuse(int Status, const std::string &Text);
   void dropRest();
+  std::size_t discardReceived(boost::system::error_code &Code);
   bool staysOpen() const;
+  template <typename write_t> bool transfer(std::size_t Bytes, write_t Write);
 
   bool send(const http_response &Response) override;
   bool begin(int Status, const http_headers &Headers) override;
@@ -62,7 +51,7 @@
   void watch(std::function<void()> OnDisconnect) override;
 
   const std::shared_ptr<interruptible_stream> Connection;
-  boost::beast::tcp_stream &Stream;
+  server_stream &Stream;
   http_handler &Handler;
   const http_limit_source &Source;
   /// Limits in force for the current request.
--- a/lib/Http/ServerState.cpp
+++ b/lib/Http/ServerState.cpp
@@ -24,6 +24,22 @@
   return Connections.size();
 }
 
+room server_state::giveWay(shortage Shortage, const room &Needed) {
+  absl::MutexLock Lock(&Mutex);
+  std::vector<std::shared_ptr<interruptible_stream>> Streams(
+      Connections.begin(), Connections.end());
+  std::vector<connection_state> States;
+  States.reserve(Streams.size());
+  for (const auto &Stream : Streams)
+    States.push_back(Stream->activity().state());
+  for (std::size_t Position : giving_way::choose(
+           States, Shortage, Needed, std::chrono::steady_clock::now())) {
+    Streams[Position]->giveWay();
+    States[Position] = States[Position].givingWay();
+  }
+  return giving_way::pending(States);
+}
+
 void server_state::setListening(bool NewListening) {
   absl::MutexLock Lock(&Mutex);
   Listening = NewListening;
--- a/lib/Http/ServerState.h
+++ b/lib/Http/ServerState.h
@@ -1,7 +1,7 @@
 #ifndef BLUEBELLKEEL_LIB_HTTP_SERVERSTATE_H
 #define BLUEBELLKEEL_LIB_HTTP_SERVERSTATE_H
 
-#include "IdleConnections.h"
+#include "GivingWay.h"
 #include "InterruptibleStream.h"
 #include "absl/base/thread_annotations.h"
 #include "absl/synchronization/mutex.h"
@@ -17,12 +17,14 @@
 class server_state {
 public:
   std::atomic<bool> Draining{false};
-  idle_connections Idle;
 
   /// Counts a connection as open until remove().
   void add(const std::shared_ptr<interruptible_stream> &Connection);
   void remove(const std::shared_ptr<interruptible_stream> &Connection);
   std::size_t connections() const;
+  /// Makes connections give way until those that do cover \p Needed. Returns
+  /// the room of all that give way and have not ended yet.
+  room giveWay(shortage Shortage, const room &Needed);
   /// While a server listens, further connections may come.
   void setListening(bool NewListening);
   /// Ends the wait of each connection for its next request.
--- a/unittests/Core/MemoryBudgetTest.cpp
+++ b/unittests/Core/MemoryBudgetTest.cpp
@@ -7,27 +7,8 @@
 
 namespace {
 
-/// A holder that records whether it was asked to give up what it holds.
-struct recording_holder final : memory_holder {
-  void giveUp() override { Asked = true; }
-
-  bool Asked = false;
-};
-
 class memory_budget_test : public testing::Test {
 protected:
-  /// Adds a holder of \p Bytes that began \p Age before Now.
-  std::shared_ptr<recording_holder> addHolder(std::size_t Bytes,
-                                              milliseconds Age) {
-    auto Holder = std::make_shared<recording_holder>();
-    Last = Budget.addHolder(Holder, Now - Age);
-    Budget.setHeld(Last, Bytes);
-    return Holder;
-  }
-
-  const monotonic_time Now{seconds(1000)};
-  std::uint64_t Last = 0;
-
   static constexpr std::size_t Limit = 1600;
 
   memory_budget Budget{Limit};
@@ -109,30 +90,12 @@
   EXPECT_LE(memory_budget::shareOf(88 * Mb), 64 * Mb);
 }
 
-TEST_F(memory_budget_test, reclaim_asksOldestHoldersForAsMuchAsNeeded) {
-  auto Oldest = addHolder(300, milliseconds(900));
-  auto Older = addHolder(300, milliseconds(600));
-  auto Newest = addHolder(300, milliseconds(500));
-  EXPECT_EQ(600U, Budget.reclaim(400, Now - milliseconds(300)));
-  EXPECT_TRUE(Oldest->Asked);
-  EXPECT_TRUE(Older->Asked);
-  EXPECT_FALSE(Newest->Asked);
-}
-
-TEST_F(memory_budget_test, reclaim_whileMemoryIsBeingGivenUp_asksNoOthers) {
-  auto Oldest = addHolder(300, milliseconds(900));
-  std::uint64_t Asked = Last;
-  auto Older = addHolder(300, milliseconds(600));
-  Budget.reclaim(200, Now - milliseconds(300));
-  EXPECT_EQ(300U, Budget.reclaim(200, Now - milliseconds(300)));
-  EXPECT_FALSE(Older->Asked);
-  Budget.removeHolder(Asked);
-  Budget.reclaim(200, Now - milliseconds(300));
-  EXPECT_TRUE(Older->Asked);
-}
-
-TEST_F(memory_budget_test, reclaim_sparesHoldersThatJustBegan) {
-  auto Young = addHolder(300, milliseconds(100));
-  EXPECT_EQ(0U, Budget.reclaim(200, Now - milliseconds(300)));
-  EXPECT_FALSE(Young->Asked);
+TEST_F(memory_budget_test, missing_isWhatMustBeReleasedFirst) {
+  Budget.take(memory_use::Urgent, 1500);
+  EXPECT_EQ(0U, Budget.missing(memory_use::Connection, 0));
+  EXPECT_EQ(10U, Budget.missing(memory_use::Connection, 10));
+  EXPECT_EQ(110U, Budget.missing(memory_use::Request, 10));
+  EXPECT_EQ(0U, Budget.missing(memory_use::Urgent, 100));
+  Budget.release(110);
+  EXPECT_TRUE(Budget.take(memory_use::Request, 10));
 }
--- a/unittests/Http/HttpServerMemoryTest.cpp
+++ b/unittests/Http/HttpServerMemoryTest.cpp
@@ -139,3 +139,49 @@
   auto Socket = connect();
   EXPECT_EQ("200", exchange(Socket));
 }
+
+// Guards against requests that never end and keep others out.
+TEST_F(http_server_memory_test, stalledRequests_giveWayToNewConnections) {
+  std::vector<tcp::socket> Stalled;
+  for (std::size_t I = 0; I < MaxConnections; ++I) {
+    Stalled.push_back(connect());
+    boost::asio::write(
+        Stalled.back(),
+        boost::asio::buffer(
+            std::string("POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nbegun")));
+  }
+  std::this_thread::sleep_for(milliseconds(1200));
+  auto Socket = connect();
+  EXPECT_EQ("200", exchange(Socket));
+}
+
+// Guards against a refused caller that loses the refusal to a reset.
+TEST_F(http_server_memory_test, requestThatGivesWay_isRefusedAsNotRun) {
+  auto Stalled = connect();
+  boost::asio::write(
+      Stalled, boost::asio::buffer(std::string(
+                   "POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nbegun")));
+  std::this_thread::sleep_for(milliseconds(1200));
+  memory_reservation Others(*Memory, memory_use::Urgent);
+  ASSERT_TRUE(Others.growTo(800000));
+  auto Socket = connect();
+  EXPECT_EQ("200", exchange(Socket));
+  std::string Text;
+  boost::system::error_code Code;
+  boost::asio::read_until(Stalled, boost::asio::dynamic_buffer(Text),
+                          "\r\n\r\n", Code);
+  EXPECT_EQ("503", Text.substr(9, 3));
+}
+
+// Guards against a request that no upstream can be sent.
+TEST_F(http_server_memory_test, traceWithBody_isRefused) {
+  auto Socket = connect();
+  boost::asio::write(
+      Socket, boost::asio::buffer(std::string(
+                  "TRACE / HTTP/1.1\r\nContent-Length: 5\r\n\r\nhello")));
+  std::string Text;
+  boost::system::error_code Code;
+  boost::asio::read_until(Socket, boost::asio::dynamic_buffer(Text), "\r\n\r\n",
+                          Code);
+  EXPECT_EQ("400", Text.substr(9, 3));
+}
