Http: receive bodies in blocks

Cause: a body of unknown length grew in a string, which doubles, so that the old and the new copy stood side by side, and freed ones of all sizes were left in the heap. The budget could only guess at it. Class: growth by copies.

Bodies are received into blocks of 64 KB (body_blocks, a body type of Beast), one block if the length is known. Each read is counted before it fills a block, and blocks are released one by one while a whole body becomes one string. The estimate for gaps falls from a half of a body to an eighth. The fingerprint of a request was computed from a copy of its body; it now reads the parts in place, with the same result (stable_hash_test).

--- a/include/bluebellkeel/Core/StableHash.h
+++ b/include/bluebellkeel/Core/StableHash.h
@@ -2,6 +2,7 @@
 #define BLUEBELLKEEL_CORE_STABLEHASH_H
 
 #include <cstdint>
+#include <initializer_list>
 #include <string_view>
 
 namespace bluebellkeel {
@@ -10,6 +11,10 @@
 /// release.
 std::uint64_t stableHash(std::string_view Text);
 
+/// Returns the hash of the texts in \p Parts one after the other, without a
+/// copy of them.
+std::uint64_t stableHashOfParts(std::initializer_list<std::string_view> Parts);
+
 /// Returns the weight of \p Node for \p Key in rendezvous hashing. The node
 /// with the highest weight owns the key.
 std::uint64_t rendezvousWeight(std::string_view Key, std::string_view Node);
--- a/lib/Http/MemoryCosts.h
+++ b/lib/Http/MemoryCosts.h
@@ -15,8 +15,8 @@
                                    std::size_t BodyBytes) {
   constexpr std::size_t Fixed = 16UL * 1024;
   constexpr std::size_t CopiesOfHead = 6;
-  // What is read ahead of a body, and its growth, leave gaps in the heap.
-  return Fixed + CopiesOfHead * HeadBytes + BodyBytes + BodyBytes / 2;
+  // Small bodies leave gaps in the heap.
+  return Fixed + CopiesOfHead * HeadBytes + BodyBytes + BodyBytes / 8;
 }
 
 } // namespace bluebellkeel
--- a/lib/Http/RequestReceiver.cpp
+++ b/lib/Http/RequestReceiver.cpp
@@ -1,6 +1,5 @@
 #include "RequestReceiver.h"
 #include "MemoryCosts.h"
-#include <algorithm>
 #include <boost/beast/http/read.hpp>
 
 using namespace bluebellkeel;
@@ -111,20 +110,13 @@
     HeadBytes = http::read_header(Stream.socket(), Buffer, Parser, Code);
 }
 
-/// Returns the capacity that \p Body has after \p Bytes more: a string that
-/// grows beyond its capacity doubles it.
-static std::size_t capacityFor(const std::string &Body, std::size_t Bytes) {
-  bool MayGrow = Body.capacity() - Body.size() < Bytes;
-  return MayGrow ? 2 * Body.capacity() : Body.capacity();
-}
-
 /// Returns the memory that the request holds once its next bytes have arrived.
 std::size_t request_receiver::bytesWithNextRead() const {
-  // A body of unknown length comes with lines that wait in the buffer.
+  // A body of unknown length comes with lines that wait in the buffer, and
+  // moves to another place when it is whole.
   if (Parser.chunked())
-    return requestBytes(
-        HeadBytes, std::max(MaxUnparsedBytes, capacityFor(Parser.get().body(),
-                                                          Buffer.max_size())));
+    return requestBytes(HeadBytes,
+                        Parser.get().body().size() + 2 * Buffer.max_size());
   return requestBytes(
       HeadBytes, static_cast<std::size_t>(Parser.content_length().value_or(0)));
 }
--- a/lib/Http/RequestReceiver.h
+++ b/lib/Http/RequestReceiver.h
@@ -1,6 +1,7 @@
 #ifndef BLUEBELLKEEL_LIB_HTTP_REQUESTRECEIVER_H
 #define BLUEBELLKEEL_LIB_HTTP_REQUESTRECEIVER_H
 
+#include "BlockBody.h"
 #include "Reception.h"
 #include "ServerState.h"
 #include "bluebellkeel/Core/MemoryReservation.h"
@@ -8,14 +9,13 @@
 #include <boost/asio/spawn.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 namespace bluebellkeel {
 
 /// Receives one request. Its memory is reserved before the reads that fill it.
 class request_receiver {
 public:
-  using message = boost::beast::http::request<boost::beast::http::string_body>;
+  using message = boost::beast::http::request<block_body>;
 
   /// Maximum number of received bytes, beside a head, that wait for the parser.
   /// It takes the line of a chunk and the trailers only when they are complete.
@@ -52,7 +52,7 @@
   server_state &State;
   memory_reservation &Reservation;
   boost::asio::yield_context Yield;
-  boost::beast::http::request_parser<boost::beast::http::string_body> Parser;
+  boost::beast::http::request_parser<block_body> Parser;
   std::size_t HeadBytes = 0;
   /// The error that ended the last read.
   error_code Code;
--- a/lib/Http/ServerConnection.cpp
+++ b/lib/Http/ServerConnection.cpp
@@ -178,9 +178,9 @@
   for (const auto &Field : Message)
     Fields.emplace_back(std::string(Field.name_string()),
                         std::string(Field.value()));
-  return http_request(
-      std::string(Message.method_string()), std::string(Message.target()),
-      http_headers(std::move(Fields)), std::move(Message.body()));
+  return http_request(std::string(Message.method_string()),
+                      std::string(Message.target()),
+                      http_headers(std::move(Fields)), Message.body().take());
 }
 
 void server_connection::respond(const http_request &Request) {
--- a/lib/Relay/ForwardAdmission.cpp
+++ b/lib/Relay/ForwardAdmission.cpp
@@ -19,7 +19,7 @@
   if (auto Reason = checkStop())
     return Reason;
   RequestFingerprint = fingerprint(std::to_string(
-      stableHash(Call.path() + "|" + Account.text() + "|" + Call.body())));
+      stableHashOfParts({Call.path(), "|", Account.text(), "|", Call.body()})));
   if (auto Reason = checkCrashes(0))
     return Reason;
   return checkTime(0);
