Gateway: a share of the memory for each listener

Callers saw: while 300 unfinished bodies stood at the directory, the readiness check or the counters, an ordinary request to the callers' listener was closed without an answer; and the crowded listener itself no longer responded, so that operators saw neither readiness nor counters.

Cause: all listeners took from one budget, and those beside the callers' could take all of it, each with bodies of up to 4 MB that none of their requests has. Class: what is reserved for the important may be taken by anyone who asks there.

Each listener has a budget of its own (listener_shares): a sixteenth for the directory, a thirty-second each for readiness and counters, the rest for callers. The shares add up to what all listeners shared before.

--- a/include/bluebellkeel/Gateway.h
+++ b/include/bluebellkeel/Gateway.h
@@ -5,6 +5,7 @@
 #include "bluebellkeel/Gateway/GatewayRuntime.h"
 #include "bluebellkeel/Gateway/GatewayState.h"
 #include "bluebellkeel/Gateway/HeavyLoadNotifier.h"
+#include "bluebellkeel/Gateway/ListenerShares.h"
 #include "bluebellkeel/Gateway/MemoryMonitor.h"
 #include "bluebellkeel/Gateway/PlatformLogProvider.h"
 #include "bluebellkeel/Gateway/ResidentMemory.h"
--- a/include/bluebellkeel/Gateway/GatewayContext.h
+++ b/include/bluebellkeel/Gateway/GatewayContext.h
@@ -5,6 +5,7 @@
 #include "bluebellkeel/Duty.h"
 #include "bluebellkeel/Gateway/GatewayState.h"
 #include "bluebellkeel/Gateway/HeavyLoadNotifier.h"
+#include "bluebellkeel/Gateway/ListenerShares.h"
 #include "bluebellkeel/Membership.h"
 #include "bluebellkeel/Policy.h"
 #include "bluebellkeel/Relay/ForwardDependencies.h"
@@ -37,6 +38,8 @@
   system_clock Clock;
   system_random Random;
   /// Shared with the servers.
+  const listener_shares Shares;
+  /// What callers' connections and requests may hold.
   const std::shared_ptr<memory_budget> Memory;
   event_writer Log;
   metrics Metrics;
--- a/lib/Gateway/GatewayContext.cpp
+++ b/lib/Gateway/GatewayContext.cpp
@@ -31,8 +31,8 @@
 
 gateway_context::gateway_context(const gateway_settings &Settings)
     : Settings(Settings), Reloadable(Settings.Reloadable),
-      Memory(std::make_shared<memory_budget>(
-          memory_budget::shareOf(Settings.Memory))),
+      Shares(Settings.Memory),
+      Memory(std::make_shared<memory_budget>(Shares.callers())),
       Log(Settings.Instance.text(), Clock),
       State(SettingsAge, Reloadable, Clock), Registry(Clock),
       Updater(Registry, Clock), Loads(Clock), Notices(Clock),
