Gateway: return freed memory to the system

Cause: freed memory stayed with the process. The GNU allocator raises the size from which it maps blocks of their own to that of the largest block ever freed, so after the first connection the stacks of coroutines (128 KB) and long bodies came from the heap, which small blocks beside them keep from shrinking. Class: a budget that nobody compares with what the process occupies.

The stack of a connection is mapped and unmapped with it, behind a guard page.

--- a/include/bluebellkeel/Core/MemoryBudget.h
+++ b/include/bluebellkeel/Core/MemoryBudget.h
@@ -31,6 +31,10 @@
   std::size_t missing(memory_use Use, std::size_t Bytes) const;
   void release(std::size_t Bytes);
 
+  /// Declares that \p Bytes of the limit are used by memory that nobody has
+  /// taken; at most half of the limit counts.
+  void setUncounted(std::size_t Bytes);
+
   std::size_t held() const;
   std::size_t limit() const { return Limit; }
   /// True if so much is held that new requests may soon be refused. What can be
@@ -48,6 +52,7 @@
   const std::size_t Limit;
   mutable absl::Mutex Mutex;
   std::size_t Held ABSL_GUARDED_BY(Mutex) = 0;
+  std::size_t Uncounted ABSL_GUARDED_BY(Mutex) = 0;
   std::map<memory_use, std::uint64_t> Refusals ABSL_GUARDED_BY(Mutex);
 };
 
--- a/lib/Core/MemoryBudget.cpp
+++ b/lib/Core/MemoryBudget.cpp
@@ -39,7 +39,7 @@
 std::size_t memory_budget::missingLocked(memory_use Use,
                                          std::size_t Bytes) const {
   std::size_t Available = availableFor(Use);
-  std::size_t Used = Held;
+  std::size_t Used = Held + Uncounted;
   std::size_t Free = Available - std::min(Available, Used);
   if (Bytes <= Free)
     return 0;
@@ -74,9 +74,16 @@
   return Held;
 }
 
+void memory_budget::setUncounted(std::size_t Bytes) {
+  // Some requests are always taken: to refuse them all would free nothing.
+  constexpr std::size_t MaxDivisor = 2;
+  absl::MutexLock Lock(&Mutex);
+  Uncounted = std::min(Bytes, Limit / MaxDivisor);
+}
+
 bool memory_budget::scarce() const {
   absl::MutexLock Lock(&Mutex);
-  return Held > Limit - Limit / ScarceDivisor;
+  return Held + Uncounted > Limit - Limit / ScarceDivisor;
 }
 
 std::uint64_t memory_budget::refusals(memory_use Use) const {
--- a/lib/Gateway/MemoryMonitor.cpp
+++ b/lib/Gateway/MemoryMonitor.cpp
@@ -1,4 +1,5 @@
 #include "bluebellkeel/Gateway/MemoryMonitor.h"
+#include <algorithm>
 #include <array>
 
 using namespace bluebellkeel;
@@ -15,6 +16,10 @@
 void memory_monitor::update() {
   constexpr double Unknown = -1;
   auto Bytes = Resident.bytes();
+  if (Bytes) {
+    Bytes = returnFreed(*Bytes);
+    Budget.setUncounted(beyondAllowance(*Bytes));
+  }
   Metrics.setResidentBytes(Bytes ? static_cast<double>(*Bytes) : Unknown);
   Metrics.setCallerConnections(static_cast<double>(Callers.connections()));
   Metrics.setActiveRequests(static_cast<double>(Callers.active()));
@@ -25,6 +30,27 @@
   logRefusals();
 }
 
+/// Returns what is resident beyond what callers hold and what the process may
+/// use for all else.
+std::size_t memory_monitor::beyondAllowance(std::size_t Bytes) const {
+  std::size_t Allowance = Limit - std::min(Limit, Budget.limit());
+  return Bytes - std::min(Bytes, Budget.held() + Allowance);
+}
+
+/// Returns the resident memory after the heap has returned what it can, if that
+/// is worth its time: the memory is nearly used up, and has grown since.
+std::size_t memory_monitor::returnFreed(std::size_t Bytes) {
+  constexpr std::size_t MarginDivisor = 8;
+  constexpr std::size_t GrowthDivisor = 32;
+  AfterReturn = std::min(AfterReturn, Bytes);
+  if (beyondAllowance(Bytes + Limit / MarginDivisor) == 0 ||
+      Bytes < AfterReturn + Limit / GrowthDivisor)
+    return Bytes;
+  Heap.returnFreed();
+  AfterReturn = Resident.bytes().value_or(Bytes);
+  return AfterReturn;
+}
+
 event_line &memory_monitor::addUse(event_line &Line) const {
   return Line.add("held_bytes", static_cast<std::int64_t>(Budget.held()))
       .add("active", static_cast<std::int64_t>(Callers.active()))
--- a/lib/Http/HttpServer.cpp
+++ b/lib/Http/HttpServer.cpp
@@ -6,6 +6,7 @@
 #include "bluebellkeel/Http/FixedLimits.h"
 #include <boost/asio/detached.hpp>
 #include <boost/asio/strand.hpp>
+#include <boost/context/protected_fixedsize_stack.hpp>
 
 using namespace bluebellkeel;
 
@@ -23,6 +24,10 @@
 static constexpr milliseconds MaxRoomWait{100};
 static constexpr milliseconds RoomCheckInterval{5};
 
+/// Address space of a coroutine's stack; only the pages that were used are
+/// resident.
+static constexpr std::size_t StackBytes = 128UL * 1024;
+
 class http_server::impl : public std::enable_shared_from_this<impl> {
 public:
   impl(thread_pool &Pool, http_handler &Handler,
@@ -153,8 +158,10 @@
       std::shared_ptr<server_state>(Self, &State),
       std::make_shared<interruptible_stream>(std::move(Socket)),
       std::move(Reservation));
+  // The stack is returned to the system with the connection.
   asio::spawn(
-      Executor,
+      Executor, std::allocator_arg,
+      boost::context::protected_fixedsize_stack(StackBytes),
       [Self, Registration](asio::yield_context Yield) {
         server_connection Connection(Registration->connection(), Self->Handler,
                                      *Self->Limits, Self->State, *Self->Memory,
