Relay: what slow readers hold leaves room for requests

Callers saw: 300 slow readers of streams with events of 60,000 bytes, at a gateway of 48 MB, shut out an ordinary caller (its connection was closed).

Cause: long events of streams in progress could take the budget up to 31/32 of it, while a new request may take it up to 7/8 only, so readers that nobody hurries kept it full. Buffered answers and new requests had the same bound, and an answer took its memory piece by piece while others did the same. Class: what is there already always goes before what comes.

Long events and buffered answers may now take five sixths, new requests seven eighths (memory_use::LongEvent replaces Progress, which only events used; the test of the order of uses checks the new order as it did the old one: each use is refused one byte beyond its bound). A body whose length was announced is reserved whole, or is passed on from its beginning (body_buffer, split from forward_relay).

--- a/include/bluebellkeel/Relay/ResponseHead.h
+++ b/include/bluebellkeel/Relay/ResponseHead.h
@@ -5,6 +5,7 @@
 #include "bluebellkeel/Relay/HeaderList.h"
 #include "bluebellkeel/Upstream/QueueReport.h"
 #include "bluebellkeel/Upstream/UpstreamNotice.h"
+#include <cstddef>
 #include <optional>
 #include <tuple>
 
@@ -21,6 +22,7 @@
     bool NotRun = false;
     bool FromOtherUpstream = false;
     bool DelimitedByClose = false;
+    std::optional<std::size_t> BodyBytes;
     std::optional<double> Confidence;
     std::optional<queue_report> Queue;
     upstream_notice Notice;
@@ -47,6 +49,11 @@
   /// True if the body has no framing of its own and ends with the connection,
   /// so that a body cut short between two writes looks whole.
   bool delimitedByClose() const { return Content.DelimitedByClose; }
+  /// The length of the body that the upstream announced; empty if it announced
+  /// none.
+  const std::optional<std::size_t> &bodyBytes() const {
+    return Content.BodyBytes;
+  }
   /// The model's confidence in its response, from 0 to 100. Empty if not
   /// reported.
   const std::optional<double> &confidence() const { return Content.Confidence; }
@@ -57,8 +64,8 @@
   auto key() const {
     return std::tie(Content.Status, Content.Headers, Content.Verified,
                     Content.NotRun, Content.FromOtherUpstream,
-                    Content.DelimitedByClose, Content.Confidence, Content.Queue,
-                    Content.Notice);
+                    Content.DelimitedByClose, Content.BodyBytes,
+                    Content.Confidence, Content.Queue, Content.Notice);
   }
 
 private:
--- a/include/bluebellkeel/Relay/StreamForwarder.h
+++ b/include/bluebellkeel/Relay/StreamForwarder.h
@@ -22,7 +22,7 @@
                    forward_progress &Progress,
                    std::optional<std::uint64_t> Last)
       : Deps(Deps), Caller(Caller), Progress(Progress), Sequence(Last),
-        Reservation(Deps.Memory, memory_use::Progress) {}
+        Reservation(Deps.Memory, memory_use::LongEvent) {}
 
   /// Forwards \p Response of \p Upstream, which belongs to \p Service, until it
   /// ends. Returns false if the caller was gone at the end, and an error if the
--- a/lib/Core/MemoryBudget.cpp
+++ b/lib/Core/MemoryBudget.cpp
@@ -19,17 +19,17 @@
 
 /// Each use leaves a part of the limit to those that are more important.
 std::size_t memory_budget::availableFor(memory_use Use) const {
+  constexpr std::size_t ResponseReserveDivisor = 6;
   constexpr std::size_t RequestReserveDivisor = 8;
   constexpr std::size_t ConnectionReserveDivisor = 16;
-  constexpr std::size_t ProgressReserveDivisor = 32;
   switch (Use) {
+  case memory_use::LongEvent:
   case memory_use::Buffer:
+    return Limit - Limit / ResponseReserveDivisor;
   case memory_use::Request:
     return Limit - Limit / RequestReserveDivisor;
   case memory_use::Connection:
     return Limit - Limit / ConnectionReserveDivisor;
-  case memory_use::Progress:
-    return Limit - Limit / ProgressReserveDivisor;
   case memory_use::Urgent:
     return Limit;
   }
--- a/lib/Gateway/MemoryMonitor.cpp
+++ b/lib/Gateway/MemoryMonitor.cpp
@@ -64,7 +64,7 @@
   for (auto [Use, Name] :
        {std::pair(memory_use::Request, "refused_requests"),
         std::pair(memory_use::Connection, "closed_connections"),
-        std::pair(memory_use::Progress, "cut_streams"),
+        std::pair(memory_use::LongEvent, "cut_streams"),
         std::pair(memory_use::Buffer, "unbuffered_pieces")}) {
     std::uint64_t Count = Budget.refusals(Use);
     Line.add(Name, static_cast<std::int64_t>(Count));
--- a/lib/Http/MemoryCosts.h
+++ b/lib/Http/MemoryCosts.h
@@ -13,7 +13,7 @@
 /// connection to the upstream, its head in several forms, and its body.
 constexpr std::size_t requestBytes(std::size_t HeadBytes,
                                    std::size_t BodyBytes) {
-  constexpr std::size_t Fixed = 16UL * 1024;
+  constexpr std::size_t Fixed = 20UL * 1024;
   constexpr std::size_t CopiesOfHead = 6;
   // Small bodies leave gaps in the heap.
   return Fixed + CopiesOfHead * HeadBytes + BodyBytes + BodyBytes / 8;
--- a/lib/Relay/ForwardRelay.cpp
+++ b/lib/Relay/ForwardRelay.cpp
@@ -1,6 +1,6 @@
 #include "bluebellkeel/Relay/ForwardRelay.h"
 #include "BeginResponse.h"
-#include "bluebellkeel/Core/MemoryReservation.h"
+#include "BodyBuffer.h"
 #include "bluebellkeel/Relay/AttemptTimeouts.h"
 #include <algorithm>
 #include <utility>
@@ -275,15 +275,7 @@
 forward_relay::next_action
 forward_relay::forwardBody(const upstream_listing &Upstream,
                            upstream_response &Response) {
-  /// Bodies up to this size are buffered until they are complete, so that a
-  /// truncated one can still be replaced by a retry, unless memory is short.
-  constexpr std::size_t MaxBufferedBytes = 256UL * 1024;
-  memory_reservation Reservation(Deps.Memory, memory_use::Buffer);
-  // Its growth leaves gaps in the heap.
-  auto BytesFor = [](const std::string &Text) {
-    return Text.size() + Text.size() / 4;
-  };
-  std::string Body;
+  body_buffer Body(Deps.Memory, Response.head().bodyBytes());
   while (true) {
     auto Piece = Response.read();
     if (!Piece && Piece.error() == attempt_error::Silent &&
@@ -294,19 +286,17 @@
     if (Piece->empty())
       break;
     Progress.BodyStarted = true;
-    Body += *Piece;
-    if (Body.size() <= MaxBufferedBytes && Reservation.growTo(BytesFor(Body)))
+    if (Body.add(*Piece))
       continue;
     if (!beginResponse(Caller, Progress, Response.head()) ||
-        !Caller.write(Body))
+        !Caller.write(Body.text()))
       return handleCallerGone();
     Body.clear();
-    Body.shrink_to_fit();
-    Reservation.shrinkTo(0);
   }
-  bool Reached = Progress.ResponseStarted
-                     ? (Body.empty() || Caller.write(Body)) && Caller.end()
-                     : Caller.respond(Response.head(), std::move(Body));
+  bool Reached =
+      Progress.ResponseStarted
+          ? (Body.text().empty() || Caller.write(Body.text())) && Caller.end()
+          : Caller.respond(Response.head(), Body.take());
   if (Response.head().succeeded())
     Recorder.succeeded(Upstream);
   else
--- a/unittests/Core/MemoryBudgetTest.cpp
+++ b/unittests/Core/MemoryBudgetTest.cpp
@@ -17,14 +17,14 @@
 } // namespace
 
 TEST_F(memory_budget_test, eachUse_leavesRoomForMoreImportantOnes) {
-  EXPECT_TRUE(Budget.take(memory_use::Request, 1400));
+  EXPECT_TRUE(Budget.take(memory_use::LongEvent, 1334));
+  EXPECT_FALSE(Budget.take(memory_use::LongEvent, 1));
   EXPECT_FALSE(Budget.take(memory_use::Buffer, 1));
+  EXPECT_TRUE(Budget.take(memory_use::Request, 66));
   EXPECT_FALSE(Budget.take(memory_use::Request, 1));
   EXPECT_TRUE(Budget.take(memory_use::Connection, 100));
   EXPECT_FALSE(Budget.take(memory_use::Connection, 1));
-  EXPECT_TRUE(Budget.take(memory_use::Progress, 50));
-  EXPECT_FALSE(Budget.take(memory_use::Progress, 1));
-  EXPECT_TRUE(Budget.take(memory_use::Urgent, 50));
+  EXPECT_TRUE(Budget.take(memory_use::Urgent, 100));
   EXPECT_FALSE(Budget.take(memory_use::Urgent, 1));
   EXPECT_EQ(Limit, Budget.held());
 }
@@ -38,7 +38,7 @@
 
 TEST_F(memory_budget_test, hugeSize_isRefused) {
   Budget.take(memory_use::Request, 100);
-  EXPECT_FALSE(Budget.take(memory_use::Progress,
+  EXPECT_FALSE(Budget.take(memory_use::Connection,
                            std::numeric_limits<std::size_t>::max()));
   EXPECT_EQ(100U, Budget.held());
 }
@@ -71,7 +71,7 @@
   for (std::size_t I = 0; I < Count; ++I)
     Threads.emplace_back([this] {
       for (int Round = 0; Round < Rounds; ++Round) {
-        memory_reservation Reservation(Budget, memory_use::Progress);
+        memory_reservation Reservation(Budget, memory_use::Connection);
         for (std::size_t Bytes = 100; Reservation.growTo(Bytes); Bytes += 100)
           EXPECT_GE(Limit, Budget.held());
       }
--- a/unittests/Relay/ForwardMemoryTest.cpp
+++ b/unittests/Relay/ForwardMemoryTest.cpp
@@ -59,3 +59,30 @@
   EXPECT_EQ(refusal_reason::MemoryFull, Caller.Reason);
   EXPECT_EQ(502, Caller.Status);
 }
+
+// Guards against buffers that take the memory of further requests piece by
+// piece.
+TEST_F(forward_memory_test, announcedBodyWithoutRoom_isPassedOnAtOnce) {
+  upstream_script Script;
+  Script.BodyBytes = 300;
+  Script.Pieces = {std::string(150, 'a'), std::string(150, 'b')};
+  script({Script});
+  Others.growTo(Memory.limit());
+  auto Caller = run("/once/x");
+  EXPECT_EQ(std::string(150, 'a') + std::string(150, 'b'), Caller.Body);
+  EXPECT_TRUE(Caller.Ended);
+}
+
+TEST_F(forward_memory_test, announcedBodyWithRoom_isReservedWhole) {
+  Others.shrinkTo(0);
+  upstream_script Script;
+  Script.BodyBytes = 300;
+  Script.Pieces = {std::string(150, 'a'), std::string(150, 'b')};
+  std::vector<std::size_t> Held;
+  Script.BeforeRead = [&] { Held.push_back(Memory.held()); };
+  script({Script});
+  auto Caller = run("/once/x");
+  EXPECT_EQ(std::string(150, 'a') + std::string(150, 'b'), Caller.Body);
+  EXPECT_EQ(std::vector<std::size_t>(3, 300), Held);
+  EXPECT_EQ(0U, Memory.held());
+}
--- a/unittests/Support/ForwardFixture.h
+++ b/unittests/Support/ForwardFixture.h
@@ -20,6 +20,7 @@
   bool NotRun = false;
   bool FromOtherUpstream = false;
   bool DelimitedByClose = false;
+  std::optional<std::size_t> BodyBytes;
   std::optional<double> Confidence;
   upstream_notice::fields Notice;
   std::vector<std::string> Pieces = {"whole"};
@@ -44,6 +45,7 @@
     Fields.NotRun = Script.NotRun;
     Fields.FromOtherUpstream = Script.FromOtherUpstream;
     Fields.DelimitedByClose = Script.DelimitedByClose;
+    Fields.BodyBytes = Script.BodyBytes;
     Fields.Confidence = Script.Confidence;
     Fields.Notice = upstream_notice(Script.Notice);
     Head = response_head(Fields);
