Http: leave no read pending after a TRACE that is refused

Callers saw nothing yet: the end of the time for the head stayed set after a TRACE with a body was refused, and could have cancelled what the connection did next. Found by reading the diff. The parts of receive() that may end early are receiveAll(), and what must follow in each case stands after it. All 88 tests of the HTTP library pass.

--- a/lib/Http/RequestReceiver.cpp
+++ b/lib/Http/RequestReceiver.cpp
@@ -25,21 +25,25 @@
 
 reception request_receiver::receive() {
   Connection.activity().enter(connection_phase::Receiving);
-  bool EnoughMemory = reserveHead();
-  if (EnoughMemory)
-    readHead();
-  if (EnoughMemory && !Code && Parser.get().method() == http::verb::trace &&
-      !Parser.is_done())
-    return reception::refused(400, "TRACE with a body");
-  EnoughMemory = EnoughMemory && (Code || readBody());
+  reception Reception = receiveAll();
   Connection.setRead(interruptible_stream::read_kind::None);
-  if (!EnoughMemory || (Code && Connection.gaveWay()))
-    return reception::noMemory();
-  if (Code)
-    return receptionOfError();
+  if (Reception != reception::whole())
+    return Reception;
   Connection.keepRequest();
   Reservation.shrinkTo(requestBytes(HeadBytes, Parser.get().body().size()));
-  return reception::whole();
+  return Reception;
+}
+
+reception request_receiver::receiveAll() {
+  if (!reserveHead())
+    return reception::noMemory();
+  readHead();
+  // HTTP forbids it, and no upstream can be sent such a request.
+  if (!Code && Parser.get().method() == http::verb::trace && !Parser.is_done())
+    return reception::refused(400, "TRACE with a body");
+  if (!Code && !readBody())
+    return reception::noMemory();
+  return Code ? receptionOfError() : reception::whole();
 }
 
 request_receiver::message request_receiver::release() {
@@ -140,6 +144,8 @@
 
 /// Tells how to respond to a request whose reading failed.
 reception request_receiver::receptionOfError() const {
+  if (Connection.gaveWay())
+    return reception::noMemory();
   if (Code == http::error::body_limit)
     return reception::refused(413, "body too large");
   if (Code == http::error::header_limit)
--- a/lib/Http/RequestReceiver.h
+++ b/lib/Http/RequestReceiver.h
@@ -36,6 +36,7 @@
 private:
   using error_code = boost::system::error_code;
 
+  reception receiveAll();
   bool reserve(std::size_t Bytes);
   void awaitMemory(std::size_t Bytes);
   bool hasArrived() const;
