--- a/test/Memory/GatewayCrowdShapeTest.cpp
+++ b/test/Memory/GatewayCrowdShapeTest.cpp
@@ -99,6 +99,23 @@
 
 } // namespace
 
+// Guards against limits that a single request inside the pages' limits meets.
+TEST_F(gateway_crowd_shape_test, largestRequestsInCalm_areServed) {
+  constexpr std::size_t LargestBody = 4UL * 1024 * 1024;
+  const std::string Body(LargestBody, 'b');
+  caller_swarm Callers(Gateway->callers());
+  Callers.sendText(
+      1, head("POST", "/once/quick", "Transfer-Encoding: chunked\r\n") +
+             "400000\r\n" + Body + "\r\n0\r\n\r\n");
+  settle();
+  Callers.sendText(
+      1, head("POST", "/once/quick", "Content-Length: 4194304\r\n") + Body);
+  settle();
+  EXPECT_EQ(2U, Callers.outcomes().Answered);
+  EXPECT_EQ(2U, Gateway->arrivals());
+  expectWithinMemory();
+}
+
 TEST_F(gateway_crowd_shape_test, traceWithBody_isBorne) {
   caller_swarm Callers(Gateway->callers());
   Callers.sendText(
--- a/test/Memory/GatewayUnderLoad.h
+++ b/test/Memory/GatewayUnderLoad.h
@@ -62,7 +62,7 @@
       [this](const auto &Request, auto &Responder, auto Yield) {
         answer(Request, Responder, Yield);
       }};
-  http_limits Limits{4000, 1024UL * 1024, seconds(60)};
+  http_limits Limits{4000, 8UL * 1024 * 1024, seconds(60)};
   http_server StoreServer{Pool, Store, Limits};
   http_server UpstreamServer{Pool, Upstream, Limits};
   http_client Client{http_timeouts(seconds(1), seconds(5), seconds(5))};
