Test: the server that reads a whole upload reads its last bytes, too

Cause, in the test: its server stopped after as many bytes as the body has, but had counted those of the head with them. So it could close with the last bytes of the request unread, which resets the connection; that a reset answer does not count as complete is what the product promises. The server now reads head and body whole.

--- a/unittests/Http/BrokenExchangeTest.cpp
+++ b/unittests/Http/BrokenExchangeTest.cpp
@@ -103,7 +103,9 @@
     asio::async_write(Socket, asio::buffer(Response), Yield[Code]);
     asio::steady_timer Timer(Pool.context(), End.Delay);
     Timer.async_wait(Yield[Code]);
-    while (End.ReadsOn && !Code && Read < RequestBytes)
+    // A close with unread bytes would reset the connection.
+    std::size_t WholeBytes = Request.find("\r\n\r\n") + 4 + RequestBytes;
+    while (End.ReadsOn && !Code && Read < WholeBytes)
       Read += Socket.async_read_some(asio::buffer(Request), Yield[Code]);
     if (End.Reset)
       Socket.set_option(asio::socket_base::linger(true, 0), Code);
