Test: crowds at the peers' listener, requests of many small fields

Clients that nobody controls were played at the peers' listener only with requests that it refuses at once, and with heads of a few fields.

The fixture moves to GatewayCrowdFixture.h, word for word, so that both files of crowds use the same bounds.

--- a/test/Memory/CallerSwarm.cpp
+++ b/test/Memory/CallerSwarm.cpp
@@ -60,6 +60,14 @@
   return Socket;
 }
 
+void caller_swarm::sendMore(const std::string &Text) {
+  for (auto &Socket : Sockets) {
+    error_code Ignored;
+    Socket.non_blocking(true, Ignored);
+    Socket.write_some(asio::buffer(Text), Ignored);
+  }
+}
+
 void caller_swarm::readOrReturn(std::size_t Bytes, const std::string &Text) {
   std::string Scratch(Bytes, ' ');
   for (auto &Socket : Sockets) {
--- a/test/Memory/CallerSwarm.h
+++ b/test/Memory/CallerSwarm.h
@@ -29,6 +29,9 @@
   void sendText(std::size_t Count, const std::string &Text) {
     write(Count, Text);
   }
+  /// Each caller sends \p Text on its connection, as far as the connection
+  /// takes it at once.
+  void sendMore(const std::string &Text);
   /// Each caller reads up to \p Bytes of what has arrived. Those whose
   /// connection has ended open another one and send \p Text.
   void readOrReturn(std::size_t Bytes, const std::string &Text);
--- a/test/Memory/GatewayCrowdShapeTest.cpp
+++ b/test/Memory/GatewayCrowdShapeTest.cpp
@@ -1,9 +1,6 @@
 #include "CallerSwarm.h"
-#include "GatewayUnderLoad.h"
-#include "absl/time/clock.h"
+#include "GatewayCrowdFixture.h"
 #include <csignal>
-#include <gtest/gtest.h>
-#include <optional>
 
 using namespace bluebellkeel;
 
@@ -11,41 +8,8 @@
 
 /// Puts a gateway before crowds of callers that nobody controls, in shapes
 /// beside that of a single body that stops short of its end.
-class gateway_crowd_shape_test : public testing::Test {
+class gateway_crowd_shape_test : public gateway_crowd_fixture {
 protected:
-  static constexpr std::size_t Crowd = 300;
-  static constexpr std::size_t MemoryMb = 48;
-  static constexpr int Ok = 200;
-
-  void SetUp() override { start(MemoryMb); }
-
-  /// Starts a gateway with \p Mb megabytes in place of the current one.
-  void start(std::size_t Mb) {
-    Gateway.reset();
-    Gateway.emplace(Mb);
-    GatewayMb = Mb;
-    ASSERT_TRUE(Gateway->awaitReady());
-  }
-
-  /// Expects that the gateway lives within its bounds before a crowd of
-  /// \p Callers and answers an ordinary request.
-  ///
-  /// \param Each most descriptors for one caller: its connection, and one to
-  /// the upstream if its request runs.
-  void expectToBear(std::size_t Callers = Crowd, std::size_t Each = 1) {
-    constexpr std::size_t OwnDescriptors = 64;
-    ASSERT_FALSE(Gateway->ended());
-    EXPECT_LE(Gateway->openDescriptors(), Each * Callers + OwnDescriptors);
-    EXPECT_EQ(Ok, Gateway->statusOfOrdinaryRequest());
-    expectWithinMemory();
-  }
-
-  void expectWithinMemory() {
-    constexpr std::size_t BytesPerMb = 1000UL * 1000;
-    ASSERT_FALSE(Gateway->ended());
-    EXPECT_LE(Gateway->peakMemory(), GatewayMb * BytesPerMb);
-  }
-
   /// Lets the callers read \p Bytes each, some times in a row, and return once
   /// their connections have ended.
   static void letReadOrReturn(caller_swarm &Callers, std::size_t Bytes,
@@ -67,18 +31,13 @@
     expectToBear();
   }
 
-  static std::string head(const std::string &Method, const std::string &Path,
-                          const std::string &Fields,
-                          const std::string &Version = "1.1") {
-    return Method + " " + Path + " HTTP/" + Version +
-           "\r\nHost: a.example\r\nBluebellkeel-Request-Id: r1\r\n" + Fields +
-           "\r\n";
-  }
-
   /// A small body in chunks that stops short of its end.
-  static std::string unfinishedBody() {
+  static std::string unfinishedBody() { return unfinishedBodyOf("5"); }
+
+  /// The same with a last chunk of \p Size bytes, in hexadecimal digits.
+  static std::string unfinishedBodyOf(const std::string &Size) {
     return head("POST", "/once/silent", "Transfer-Encoding: chunked\r\n") +
-           "10\r\n0123456789abcdef\r\n5\r\nab";
+           "10\r\n0123456789abcdef\r\n" + Size + "\r\nab";
   }
 
   /// A body of 100 kilobytes in chunks, or one chunk, that stops short.
@@ -87,14 +46,18 @@
            "186a0\r\n" + std::string(99999, 'b');
   }
 
+  /// A head whose fields have a name of one letter and no value.
+  static std::string headOfSmallFields(const std::string &Length) {
+    constexpr int Fields = 3500;
+    std::string Text = Length;
+    for (int Field = 0; Field < Fields; ++Field)
+      Text += "a:\r\n";
+    return head("POST", "/once/silent", Text);
+  }
+
   static std::string requestFor(const std::string &Path) {
     return head("POST", Path, "Content-Length: 0\r\n");
   }
-
-  static void settle() { absl::SleepFor(absl::Seconds(1)); }
-
-  std::size_t GatewayMb = 0;
-  std::optional<gateway_under_load> Gateway;
 };
 
 } // namespace
@@ -249,6 +212,34 @@
   expectToBear();
 }
 
+TEST_F(gateway_crowd_shape_test, manySmallFieldsBeforeUnfinishedBody_areBorne) {
+  caller_swarm Callers(Gateway->callers());
+  Callers.sendText(Crowd, headOfSmallFields("Transfer-Encoding: chunked\r\n") +
+                              "5\r\nab");
+  settle();
+  expectToBear();
+}
+
+TEST_F(gateway_crowd_shape_test, manySmallFieldsOfWholeRequests_areBorne) {
+  caller_swarm Callers(Gateway->callers());
+  Callers.sendText(Crowd, headOfSmallFields("Content-Length: 0\r\n"));
+  settle();
+  expectToBear(Crowd, 2);
+}
+
+TEST_F(gateway_crowd_shape_test, bodiesThatTrickle_leaveRoom) {
+  constexpr std::size_t Callers = 1600;
+  constexpr int Rounds = 20;
+  start(260);
+  caller_swarm Trickling(Gateway->callers());
+  Trickling.sendText(Callers, unfinishedBodyOf("10000"));
+  for (int Round = 0; Round < Rounds; ++Round) {
+    absl::SleepFor(absl::Milliseconds(100));
+    Trickling.sendMore("b");
+  }
+  expectToBear(Callers);
+}
+
 TEST_F(gateway_crowd_shape_test, allShapesTogether_areBorne) {
   caller_swarm Callers(Gateway->callers());
   Callers.connect(Crowd / 3);
