Peer: limit what a connection may hold before it is known to be a peer's

Cause: a message may have 8 MB, and its signature is checked when it is whole, so whoever can connect could make the process hold 8 MB a connection, in any number of connections. Class: a limit that counts on the other side being known.

A connection is unknown until it has sent a valid message. Unknown ones are at most 128, send at most 32 KB a message, and are closed after 2 s; a new one replaces the oldest that is 300 ms old. A peer whose first message is longer sends a short one before it. The listener moves from websocket_peer_link, which keeps the outgoing connections, to peer_server; the decision is unknown_connections, without a network.

All 11 tests of the link and of unknown_connections pass, also a long first message and a query beside 300 strangers.

--- a/lib/Peer/WebsocketPeerLink.cpp
+++ b/lib/Peer/WebsocketPeerLink.cpp
@@ -1,22 +1,20 @@
 #include "bluebellkeel/Peer/WebsocketPeerLink.h"
 #include "PeerChannel.h"
+#include "PeerEndpoint.h"
+#include "PeerServer.h"
 #include "bluebellkeel/Peer/PeerCodec.h"
 #include <boost/asio/steady_timer.hpp>
 #include <thread>
 #include <websocketpp/client.hpp>
-#include <websocketpp/config/asio_no_tls.hpp>
 #include <websocketpp/config/asio_no_tls_client.hpp>
-#include <websocketpp/server.hpp>
 
 using namespace bluebellkeel;
 
 using websocketpp::connection_hdl;
 using ws_client = websocketpp::client<websocketpp::config::asio_client>;
-using ws_server = websocketpp::server<websocketpp::config::asio>;
 
 static constexpr milliseconds QueryTimeout{1000};
 static constexpr milliseconds SweepInterval{100};
-static constexpr long HandshakeTimeoutMs = 1000;
 
 /// Number of consecutive timeouts after which the connection is considered
 /// dead and is replaced.
@@ -45,7 +43,6 @@
 
   using message_ptr = ws_client::message_ptr;
 
-  template <typename endpoint_t> void setUp(endpoint_t &Endpoint);
   std::string encode(const instance_id &To, std::uint64_t Number,
                      const peer_body &Body);
   std::optional<peer_envelope> decode(const std::string &Bytes);
@@ -55,7 +52,7 @@
   void onOpen(const network_address &Address, std::uint64_t DialId);
   void onClosed(const network_address &Address, std::uint64_t DialId);
   void onAnswer(const network_address &Address, const std::string &Bytes);
-  void onQuery(connection_hdl Connection, const std::string &Bytes);
+  bool onQuery(const connection_hdl &Connection, const std::string &Bytes);
   void reset(peer_channel &Channel);
   void sweep();
   void sweepChannel(peer_channel &Channel, monotonic_time Now);
@@ -68,7 +65,7 @@
   peer_monitor &Monitor;
   boost::asio::io_context Io;
   ws_client Client;
-  ws_server Server;
+  peer_server Server;
   boost::asio::steady_timer SweepTimer;
   std::map<network_address, peer_channel> Channels;
   std::uint64_t LastMessageNumber = 0;
@@ -79,38 +76,22 @@
 websocket_peer_link::impl::impl(instance_id Self, const signer &Signer,
                                 const time_source &Clock, peer_monitor &Monitor)
     : Self(std::move(Self)), Codec(Signer), Clock(Clock), Monitor(Monitor),
+      Server(
+          Io, Clock,
+          [this](const connection_hdl &Connection, const std::string &Bytes) {
+            return onQuery(Connection, Bytes);
+          }),
       SweepTimer(Io) {
-  setUp(Client);
-  setUp(Server);
-  Server.set_reuse_addr(true);
-  Server.set_message_handler(
-      [this](connection_hdl Connection, ws_server::message_ptr Message) {
-        onQuery(Connection, Message->get_payload());
-      });
-}
-
-template <typename endpoint_t>
-void websocket_peer_link::impl::setUp(endpoint_t &Endpoint) {
-  Endpoint.clear_access_channels(websocketpp::log::alevel::all);
-  Endpoint.clear_error_channels(websocketpp::log::elevel::all);
-  Endpoint.init_asio(&Io);
-  Endpoint.set_max_message_size(peer_codec::MaxBytes);
-  Endpoint.set_open_handshake_timeout(HandshakeTimeoutMs);
-  Endpoint.set_close_handshake_timeout(HandshakeTimeoutMs);
+  setUpPeerEndpoint(Client, Io);
 }
 
 tl::expected<void, std::string>
 websocket_peer_link::impl::start(const network_address &Address,
                                  peer_responder &NewResponder) {
   Responder = &NewResponder;
-  websocketpp::lib::error_code Code;
-  boost::system::error_code Ignored;
-  auto Ip = boost::asio::ip::make_address(Address.host(), Ignored);
-  Server.listen(boost::asio::ip::tcp::endpoint(Ip, Address.port()), Code);
-  if (!Code)
-    Server.start_accept(Code);
-  if (Code)
-    return tl::unexpected(Address.text() + ": " + Code.message());
+  auto Listening = Server.listen(Address);
+  if (!Listening)
+    return Listening;
   scheduleSweep();
   Thread = std::thread([this] { run(); });
   return {};
@@ -227,6 +208,11 @@
   Channel.Stage = peer_channel::stage::Open;
   std::vector<std::string> Frames = std::move(Channel.UnsentFrames);
   Channel.UnsentFrames.clear();
+  // A peer takes a long message only after one that shows who sends it.
+  if (!Frames.empty() &&
+      Frames.front().size() > unknown_connections::MaxMessageBytes)
+    sendOn(Channel,
+           encode(instance_id(), ++LastMessageNumber, heartbeat_query()));
   for (auto &Frame : Frames)
     sendOn(Channel, std::move(Frame));
 }
@@ -270,17 +256,16 @@
   Done(Envelope->body());
 }
 
-void websocket_peer_link::impl::onQuery(connection_hdl Connection,
+/// Returns true if the message is valid, whether it is answered or not.
+bool websocket_peer_link::impl::onQuery(const connection_hdl &Connection,
                                         const std::string &Bytes) {
   auto Envelope = decode(Bytes);
   if (!Envelope)
-    return;
-  auto Answer = Responder->answer(Envelope->from(), Envelope->body());
-  if (!Answer)
-    return;
-  websocketpp::lib::error_code Ignored;
-  Server.send(Connection, encode(Envelope->from(), Envelope->number(), *Answer),
-              websocketpp::frame::opcode::binary, Ignored);
+    return false;
+  if (auto Answer = Responder->answer(Envelope->from(), Envelope->body()))
+    Server.send(Connection,
+                encode(Envelope->from(), Envelope->number(), *Answer));
+  return true;
 }
 
 void websocket_peer_link::impl::sweepChannel(peer_channel &Channel,
@@ -313,6 +298,7 @@
       reset(Channel);
     It = Unused ? Channels.erase(It) : std::next(It);
   }
+  Server.closeExpired();
   scheduleSweep();
 }
 
--- a/unittests/Peer/WebsocketPeerLinkTest.cpp
+++ b/unittests/Peer/WebsocketPeerLinkTest.cpp
@@ -1,7 +1,9 @@
 #include "absl/synchronization/notification.h"
+#include "absl/time/clock.h"
 #include "bluebellkeel/Core.h"
 #include "bluebellkeel/Peer.h"
 #include <atomic>
+#include <boost/asio/ip/tcp.hpp>
 #include <gtest/gtest.h>
 
 using namespace bluebellkeel;
@@ -44,11 +46,12 @@
                            instance_state::Live);
   }
 
-  /// Sends a heartbeat query and waits for the answer or the timeout.
-  std::optional<peer_body> sendQuery(websocket_peer_link &Link, int Peer) {
+  /// Sends a query and waits for the answer or the timeout.
+  std::optional<peer_body> sendQuery(websocket_peer_link &Link, int Peer,
+                                     peer_body Query = heartbeat_query()) {
     absl::Notification Done;
     std::optional<peer_body> Result;
-    Link.sendQuery(record(Peer), heartbeat_query(),
+    Link.sendQuery(record(Peer), std::move(Query),
                    [&](std::optional<peer_body> Answer) {
                      Result = std::move(Answer);
                      Done.Notify();
@@ -57,6 +60,17 @@
     return Result;
   }
 
+  /// Returns a query of about 100 kilobytes.
+  static peer_body longQuery() {
+    constexpr int Requests = 1000;
+    std::vector<grant_request> Asked;
+    for (int I = 0; I < Requests; ++I)
+      Asked.emplace_back(instance_id("i0"),
+                         upstream_id(std::string(64, 'u') + std::to_string(I)),
+                         load_amount(1, 1), load_amount(1, 1));
+    return grant_ask(std::move(Asked));
+  }
+
   system_clock Clock;
   hmac_signer Signer{"a key for tests only"};
   counting_monitor Monitor;
@@ -90,6 +104,27 @@
   EXPECT_TRUE(sendQuery(First, 1));
 }
 
+TEST_F(websocket_peer_link_test, longQueryOnNewConnection_isAnswered) {
+  ASSERT_TRUE(First.start(address(0), Responder));
+  ASSERT_TRUE(Second.start(address(1), Responder));
+  EXPECT_TRUE(sendQuery(First, 1, longQuery()));
+}
+
+// Guards against connections of strangers that keep peers out.
+TEST_F(websocket_peer_link_test, query_besideManyStrangers_isAnswered) {
+  constexpr int Strangers = 300;
+  ASSERT_TRUE(First.start(address(0), Responder));
+  ASSERT_TRUE(Second.start(address(1), Responder));
+  boost::asio::io_context Io;
+  std::vector<boost::asio::ip::tcp::socket> Sockets;
+  boost::asio::ip::tcp::endpoint Peer(
+      boost::asio::ip::make_address(address(1).host()), address(1).port());
+  for (int I = 0; I < Strangers; ++I)
+    Sockets.emplace_back(Io).connect(Peer);
+  absl::SleepFor(absl::Milliseconds(400));
+  EXPECT_TRUE(sendQuery(First, 1));
+}
+
 TEST_F(websocket_peer_link_test, query_signedWithOtherKey_isNotAnswered) {
   hmac_signer Other("another key for tests");
   websocket_peer_link Foreign(instance_id("i2"), Other, Clock, Monitor);
