Peer: answer no pings

Cause: the library queues an answer to each ping without a bound, and the gateway never looked at that queue. Class: what a peer has to read is produced by what it sends, and counted nowhere.

Instances send no pings to each other; queries show whether a peer lives. So pings get no answer at either end of a connection.

--- a/lib/Peer/PeerEndpoint.h
+++ b/lib/Peer/PeerEndpoint.h
@@ -3,6 +3,7 @@
 
 #include "bluebellkeel/Peer/PeerCodec.h"
 #include <boost/asio/io_context.hpp>
+#include <string>
 #include <websocketpp/common/connection_hdl.hpp>
 #include <websocketpp/logger/levels.hpp>
 
@@ -18,6 +19,10 @@
   Endpoint.set_max_message_size(peer_codec::MaxBytes);
   Endpoint.set_open_handshake_timeout(HandshakeTimeoutMs);
   Endpoint.set_close_handshake_timeout(HandshakeTimeoutMs);
+  // Peers send no pings. The library would queue an answer to each, as many as
+  // the other side does not read.
+  Endpoint.set_ping_handler(
+      [](websocketpp::connection_hdl, std::string) { return false; });
 }
 
 } // namespace bluebellkeel
