Policy: bound the ids of prompt parts that are kept

Cause: prefix_tracker and part_crash_tracker keep up to 8,192 and 4,096 ids after their requests. The number of entries is bounded, the length of an id is not: a caller chooses it, up to the size of a head. No budget counts them, and nothing gives way. Class: a table bounded in entries, not in bytes.

An id of more than 64 bytes is replaced by a digest when the prompt is made, so that all tables and what peers are told are bounded. Only decisions use the id; upstreams get the header as it came. Ids of ordinary length stay as they are.

Looked for the same elsewhere: model names come from the configuration, other tables are keyed by what the configuration or the upstreams name.

--- a/include/bluebellkeel/Policy/PromptPart.h
+++ b/include/bluebellkeel/Policy/PromptPart.h
@@ -2,6 +2,7 @@
 #define BLUEBELLKEEL_POLICY_PROMPTPART_H
 
 #include "bluebellkeel/Core/Comparable.h"
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <tuple>
@@ -11,8 +12,12 @@
 /// A part of a prompt that other requests may share.
 class prompt_part : public comparable<prompt_part> {
 public:
-  prompt_part(std::string Id, std::uint64_t Tokens)
-      : Id(std::move(Id)), Tokens(Tokens) {}
+  /// Maximum length of an id that is kept as it is, in bytes.
+  static constexpr std::size_t MaxIdBytes = 64;
+
+  /// A longer id is replaced by a digest: ids are kept after their request and
+  /// sent to peers, and callers choose them.
+  prompt_part(std::string Id, std::uint64_t Tokens);
 
   const std::string &id() const { return Id; }
   std::uint64_t tokens() const { return Tokens; }
--- a/test/Memory/GatewayCrowdShapeTest.cpp
+++ b/test/Memory/GatewayCrowdShapeTest.cpp
@@ -55,6 +55,20 @@
     return head("POST", "/once/silent", Text);
   }
 
+  /// Requests whose prompts begin with parts that have long names, all
+  /// different.
+  static std::string requestsWithLongParts(std::size_t Caller) {
+    constexpr int Requests = 20;
+    constexpr std::size_t NameBytes = 14000;
+    std::string Text;
+    for (int Request = 0; Request < Requests; ++Request)
+      Text += head("POST", "/once/quick",
+                   "Content-Length: 0\r\nBluebellkeel-Prompt-Prefix: " +
+                       std::string(NameBytes, 'a') + std::to_string(Caller) +
+                       "b" + std::to_string(Request) + ":100,c:1\r\n");
+    return Text;
+  }
+
   static std::string requestFor(const std::string &Path) {
     return head("POST", Path, "Content-Length: 0\r\n");
   }
@@ -227,6 +241,28 @@
   expectToBear(Crowd, 2);
 }
 
+TEST_F(gateway_crowd_shape_test, longNamesOfPromptParts_areBorne) {
+  caller_swarm Callers(Gateway->callers());
+  for (std::size_t Caller = 0; Caller < Crowd; ++Caller)
+    Callers.sendText(1, requestsWithLongParts(Caller));
+  settle();
+  expectToBear(Crowd, 2);
+}
+
+TEST_F(gateway_crowd_shape_test, promptsOfManyParts_areBorne) {
+  constexpr int Parts = 3500;
+  std::string Prompt;
+  for (int Part = 0; Part < Parts; ++Part)
+    Prompt += "1:1,";
+  caller_swarm Callers(Gateway->callers());
+  Callers.sendText(Crowd, head("POST", "/once/silent",
+                               "Content-Length: 0\r\n"
+                               "Bluebellkeel-Prompt-Prefix: " +
+                                   Prompt + "\r\n"));
+  settle();
+  expectToBear(Crowd, 2);
+}
+
 TEST_F(gateway_crowd_shape_test, bodiesThatTrickle_leaveRoom) {
   constexpr std::size_t Callers = 1600;
   constexpr int Rounds = 20;
