Telemetry: bound the bytes of log lines that wait

Cause: up to 4,096 lines wait for the thread that writes the log, of any length; each request writes several, and each contains the id that the caller chose, as often as twice its length. A reader of standard output that stops reading keeps them for as long as it likes.

The queue holds 2 MB as well. Lines of ordinary length reach the number of lines first, so nothing else is left out than before; what is left out is counted, as before.

--- a/include/bluebellkeel/Telemetry/EventWriter.h
+++ b/include/bluebellkeel/Telemetry/EventWriter.h
@@ -17,8 +17,10 @@
 /// wait for it.
 class event_writer final : public event_log {
 public:
-  /// Maximum number of lines in the queue; further lines are dropped.
+  /// Maximum number of lines in the queue, and of their bytes; further lines
+  /// are dropped.
   static constexpr std::size_t MaxQueuedLines = 4096;
+  static constexpr std::size_t MaxQueuedBytes = 2UL * 1024 * 1024;
 
   /// \param Instance the instance name that is added to each line.
   event_writer(std::string Instance, const time_source &Clock);
@@ -44,6 +46,7 @@
   const time_source &Clock;
   mutable absl::Mutex Mutex;
   std::vector<std::string> QueuedLines ABSL_GUARDED_BY(Mutex);
+  std::size_t QueuedBytes ABSL_GUARDED_BY(Mutex) = 0;
   std::uint64_t DroppedLines ABSL_GUARDED_BY(Mutex) = 0;
   /// True while the thread writes lines that it has taken from the queue.
   bool Writing ABSL_GUARDED_BY(Mutex) = false;
--- a/lib/Telemetry/EventWriter.cpp
+++ b/lib/Telemetry/EventWriter.cpp
@@ -20,12 +20,15 @@
       Clock.wallNow().time_since_epoch());
   event_line Stamped = Line;
   Stamped.add("instance", Instance).add("unix_ms", Wall.count());
+  std::string Text = Stamped.text();
   absl::MutexLock Lock(&Mutex);
-  if (QueuedLines.size() >= MaxQueuedLines) {
+  if (QueuedLines.size() >= MaxQueuedLines ||
+      QueuedBytes + Text.size() > MaxQueuedBytes) {
     ++DroppedLines;
     return;
   }
-  QueuedLines.push_back(Stamped.text());
+  QueuedBytes += Text.size();
+  QueuedLines.push_back(std::move(Text));
 }
 
 void event_writer::flush(milliseconds Limit) const {
@@ -52,6 +55,7 @@
       if (QueuedLines.empty())
         return;
       Lines.swap(QueuedLines);
+      QueuedBytes = 0;
       Writing = true;
       TotalDrops = DroppedLines;
     }
--- a/test/Memory/GatewayCrowdShapeTest.cpp
+++ b/test/Memory/GatewayCrowdShapeTest.cpp
@@ -69,6 +69,18 @@
     return Text;
   }
 
+  /// Requests with a long id, of characters that the log has to escape.
+  static std::string requestsWithLongIds() {
+    constexpr int Requests = 40;
+    constexpr std::size_t IdBytes = 14000;
+    std::string Text;
+    for (int Request = 0; Request < Requests; ++Request)
+      Text += "POST /once/quick HTTP/1.1\r\nHost: a.example\r\n"
+              "Content-Length: 0\r\nBluebellkeel-Request-Id: " +
+              std::string(IdBytes, '"') + "\r\n\r\n";
+    return Text;
+  }
+
   static std::string requestFor(const std::string &Path) {
     return head("POST", Path, "Content-Length: 0\r\n");
   }
@@ -249,6 +261,13 @@
   expectToBear(Crowd, 2);
 }
 
+TEST_F(gateway_crowd_shape_test, longRequestIds_areBorne) {
+  caller_swarm Callers(Gateway->callers());
+  Callers.sendText(Crowd, requestsWithLongIds());
+  settle();
+  expectToBear(Crowd, 2);
+}
+
 TEST_F(gateway_crowd_shape_test, promptsOfManyParts_areBorne) {
   constexpr int Parts = 3500;
   std::string Prompt;
