Http: accept on after a connection for which no stack can be mapped

Callers saw: nothing yet. When the stack of one connection could not be mapped, the server closed that connection and never accepted another one, so that the process lived and served nobody.

Cause: asio::spawn() maps the stack and throws if it can't; the exception left the coroutine that accepts connections and ended it without a trace. Class: an error of one connection ends what serves all.

The stack is mapped before the coroutine is started (reserved_stack); without it only the new connection is closed.

--- a/lib/Http/HttpServer.cpp
+++ b/lib/Http/HttpServer.cpp
@@ -1,12 +1,12 @@
 #include "bluebellkeel/Http/HttpServer.h"
 #include "ConnectionRegistration.h"
 #include "MemoryCosts.h"
+#include "ReservedStack.h"
 #include "ServerConnection.h"
 #include "bluebellkeel/Http/Await.h"
 #include "bluebellkeel/Http/FixedLimits.h"
 #include <boost/asio/detached.hpp>
 #include <boost/asio/strand.hpp>
-#include <boost/context/protected_fixedsize_stack.hpp>
 
 using namespace bluebellkeel;
 
@@ -152,16 +152,18 @@
       std::make_unique<memory_reservation>(*Memory, Current.connectionUse());
   if (!Reservation->growTo(ConnectionBytes))
     return;
+  // The stack is returned to the system with the connection.
+  auto Stack = reserved_stack::map(StackBytes);
+  if (!Stack)
+    return;
   auto Self = shared_from_this();
   auto Executor = Socket.get_executor();
   auto Registration = std::make_shared<const connection_registration>(
       std::shared_ptr<server_state>(Self, &State),
       std::make_shared<interruptible_stream>(std::move(Socket)),
       std::move(Reservation));
-  // The stack is returned to the system with the connection.
   asio::spawn(
-      Executor, std::allocator_arg,
-      boost::context::protected_fixedsize_stack(StackBytes),
+      Executor, std::allocator_arg, *Stack,
       [Self, Registration](asio::yield_context Yield) {
         server_connection Connection(Registration->connection(), Self->Handler,
                                      *Self->Limits, Self->State, *Self->Memory,
