--- a/unittests/Peer/WebsocketPeerLinkTest.cpp
+++ b/unittests/Peer/WebsocketPeerLinkTest.cpp
@@ -64,6 +64,7 @@
   static peer_body longQuery() {
     constexpr int Requests = 1000;
     std::vector<grant_request> Asked;
+    Asked.reserve(Requests);
     for (int I = 0; I < Requests; ++I)
       Asked.emplace_back(instance_id("i0"),
                          upstream_id(std::string(64, 'u') + std::to_string(I)),
