Routing: require a key when the list of accounts is empty

What callers saw: an operator takes the last client account away with a new version whose "tenants" is []. Upstreams got no account. The account whose key was taken away went on, too.

Cause: route_table asked for keys if its list of accounts wasn't empty, and the reader decoded a missing field and an empty list into the same list. The type could not say "no key required" and "no key valid" at once.

Ruled out: an older table (a gateway that starts with the empty list admits everyone as well), a public route (the route has no "public"), and the accounts' keys (one account with "api_keys":[] admits no one).

Fix: api_key_policy names the two cases, notRequired() and requiredOf(Accounts), and takes the place of the list in route_table. The comparison and the copies of a table hold it, no constructor has a default for it, and the reader chooses by the presence of the field. Admission, and the check before each sending, ask the policy.

--- a/include/bluebellkeel/Routing.h
+++ b/include/bluebellkeel/Routing.h
@@ -2,6 +2,7 @@
 #define BLUEBELLKEEL_ROUTING_H
 
 #include "bluebellkeel/Routing/ApiKeyAccount.h"
+#include "bluebellkeel/Routing/ApiKeyPolicy.h"
 #include "bluebellkeel/Routing/CallerLimits.h"
 #include "bluebellkeel/Routing/ForwardRoute.h"
 #include "bluebellkeel/Routing/PricedModel.h"
--- /dev/null
+++ b/include/bluebellkeel/Routing/ApiKeyPolicy.h
@@ -0,0 +1,40 @@
+#ifndef BLUEBELLKEEL_ROUTING_APIKEYPOLICY_H
+#define BLUEBELLKEEL_ROUTING_APIKEYPOLICY_H
+
+#include "bluebellkeel/Routing/ApiKeyAccount.h"
+#include <cstddef>
+#include <map>
+#include <string_view>
+
+namespace bluebellkeel {
+
+/// Says whether callers must present an API key, and which keys are valid. A
+/// policy that requires a key and has no account admits no caller.
+class api_key_policy : public comparable<api_key_policy> {
+public:
+  /// Returns a policy under which callers need no key.
+  static api_key_policy notRequired() { return api_key_policy(false, {}); }
+  /// Returns a policy under which callers need a key of one of \p Accounts.
+  static api_key_policy requiredOf(std::vector<api_key_account> Accounts) {
+    return api_key_policy(true, std::move(Accounts));
+  }
+
+  bool required() const { return Required; }
+  const std::vector<api_key_account> &accounts() const { return Accounts; }
+  /// Returns the account with the API key \p Key; null if there is none.
+  const api_key_account *accountOf(std::string_view Key) const;
+
+  auto key() const { return std::tie(Required, Accounts); }
+
+private:
+  api_key_policy(bool Required, std::vector<api_key_account> Accounts);
+
+  bool Required;
+  std::vector<api_key_account> Accounts;
+  /// Indices into Accounts by API key.
+  std::map<std::string, std::size_t, std::less<>> ByKey;
+};
+
+} // namespace bluebellkeel
+
+#endif // BLUEBELLKEEL_ROUTING_APIKEYPOLICY_H
--- a/lib/Relay/ForwardAdmission.cpp
+++ b/lib/Relay/ForwardAdmission.cpp
@@ -105,8 +105,9 @@
     return Stale ? refusal_reason::SettingsStale : refusal_reason::UnknownRoute;
   Priority = Route->priority();
   Account = account_id();
-  if (Table->requiresApiKeys() && !Route->isPublic()) {
-    const api_key_account *Holder = Table->accountOf(Call.accountKey());
+  if (Table->apiKeys().required() && !Route->isPublic()) {
+    const api_key_account *Holder =
+        Table->apiKeys().accountOf(Call.accountKey());
     if (!Holder)
       return Stale ? refusal_reason::SettingsStale
                    : refusal_reason::Unauthenticated;
--- a/lib/Routing/RouteTable.cpp
+++ b/lib/Routing/RouteTable.cpp
@@ -14,10 +14,9 @@
 route_table::route_table(std::uint64_t Version,
                          std::vector<forward_route> Routes,
                          std::vector<service_config> Services,
-                         std::vector<api_key_account> Accounts,
-                         const caller_limits &Limits)
+                         api_key_policy ApiKeys, const caller_limits &Limits)
     : Version(Version), Routes(std::move(Routes)),
-      Services(std::move(Services)), Accounts(std::move(Accounts)),
+      Services(std::move(Services)), ApiKeys(std::move(ApiKeys)),
       Limits(Limits) {
   for (std::size_t I = 0; I < this->Routes.size(); ++I)
     ByHost[this->Routes[I].host()].push_back(I);
@@ -27,10 +26,6 @@
   };
   for (auto &[Host, Positions] : ByHost)
     std::stable_sort(Positions.begin(), Positions.end(), Longer);
-  for (std::size_t I = 0; I < this->Accounts.size(); ++I) {
-    for (const auto &Key : this->Accounts[I].keys())
-      ByKey.emplace(Key, I);
-  }
 }
 
 const forward_route *route_table::match(std::string_view Host,
@@ -46,11 +41,6 @@
   return nullptr;
 }
 
-const api_key_account *route_table::accountOf(std::string_view Key) const {
-  auto Found = ByKey.find(Key);
-  return Found == ByKey.end() ? nullptr : &Accounts[Found->second];
-}
-
 const service_config *route_table::configOf(const service_id &Service) const {
   for (const auto &ServiceConfig : Services) {
     if (ServiceConfig.service() == Service)
--- a/unittests/Adapter/GatewayFixture.h
+++ b/unittests/Adapter/GatewayFixture.h
@@ -88,8 +88,8 @@
         .dump();
   }
 
-  void putConfiguration(int Version, int TimeoutMs,
-                        const std::vector<std::string> &Keys) {
+  /// Returns a configuration that lacks the field with the accounts.
+  static json configurationWithoutAccounts(int Version, int TimeoutMs) {
     auto Route = [&](const char *Kind, int Attempts) {
       return json({{"name", Kind},
                    {"host", "a.example"},
@@ -102,12 +102,17 @@
                    {"resumable", true},
                    {"service", "desk"}});
     };
-    json Table = {{"version", Version},
-                  {"routes",
-                   {Route("idempotent", 2), Route("non_idempotent", 1),
-                    Route("streaming", 3)}},
-                  {"services", {{{"name", "desk"}}}},
-                  {"tenants", {{{"name", "mill"}, {"api_keys", Keys}}}}};
+    return {{"version", Version},
+            {"routes",
+             {Route("idempotent", 2), Route("non_idempotent", 1),
+              Route("streaming", 3)}},
+            {"services", {{{"name", "desk"}}}}};
+  }
+
+  void putConfiguration(int Version, int TimeoutMs,
+                        const std::vector<std::string> &Keys) {
+    json Table = configurationWithoutAccounts(Version, TimeoutMs);
+    Table["tenants"] = {{{"name", "mill"}, {"api_keys", Keys}}};
     Store.put("keyed.op", "config", Table.dump());
   }
 
--- a/unittests/Adapter/StoreRecordsTest.cpp
+++ b/unittests/Adapter/StoreRecordsTest.cpp
@@ -68,7 +68,7 @@
   EXPECT_TRUE(Split->isPublic());
   EXPECT_EQ(14, Table->configOf(service_id("one"))->coldRate());
   EXPECT_EQ(0.36, Table->configOf(service_id("one"))->costOf("l"));
-  EXPECT_EQ(1U, *Table->accountOf("k2")->priority());
+  EXPECT_EQ(1U, *Table->apiKeys().accountOf("k2")->priority());
 }
 
 TEST_F(store_records_test, malformedConfiguration_isRejected) {
@@ -82,6 +82,39 @@
       R"({"version":1,"routes":[1],"services":[2],"tenants":[3]})"));
 }
 
+// Guards against an empty list of accounts that counts as a missing one.
+TEST_F(store_records_test, configurationWithEmptyAccounts_requiresAKey) {
+  auto Closed = readConfiguration(
+      R"({"version":1,"routes":[],"services":[],"tenants":[]})");
+  auto Open = readConfiguration(R"({"version":1,"routes":[],"services":[]})");
+  ASSERT_TRUE(Closed && Open);
+  EXPECT_TRUE(Closed->apiKeys().required());
+  EXPECT_EQ(nullptr, Closed->apiKeys().accountOf(""));
+  EXPECT_FALSE(Open->apiKeys().required());
+  EXPECT_FALSE(*Closed == *Open);
+}
+
+TEST_F(store_records_test, configurationWithAccountsOfWrongKind_isRejected) {
+  for (const char *Accounts :
+       {"null", "\"mill\"", "7", "{}", "true", "[null]", "[[]]"}) {
+    std::string Text = R"({"version":1,"routes":[],"services":[],"tenants":)";
+    EXPECT_FALSE(readConfiguration(Text + Accounts + "}")) << Accounts;
+  }
+}
+
+TEST_F(store_records_test, accountWithMalformedKeys_hasNoKey) {
+  for (const char *Keys : {"", R"(,"api_keys":null)", R"(,"api_keys":"k")",
+                           R"(,"api_keys":{"k":"k"})", R"(,"api_keys":[7])"}) {
+    auto Table = readConfiguration(
+        R"({"version":1,"routes":[],"services":[],"tenants":[{"name":"mill")" +
+        std::string(Keys) + "}]}");
+    ASSERT_TRUE(Table.has_value()) << Keys;
+    EXPECT_TRUE(Table->apiKeys().required()) << Keys;
+    for (const char *Key : {"", "k", "7"})
+      EXPECT_EQ(nullptr, Table->apiKeys().accountOf(Key)) << Keys;
+  }
+}
+
 TEST_F(store_records_test, configurationLimits_invalidValues_areIgnored) {
   std::string Text = Configuration;
   const std::string OriginalLimit = R"("max_header_bytes":16384)";
--- a/unittests/Relay/ForwardRelayTest.cpp
+++ b/unittests/Relay/ForwardRelayTest.cpp
@@ -195,7 +195,46 @@
   Failed.Before = [this] {
     Tables.replaceIfNewer(route_table(
         9, routes(), {},
-        {api_key_account(account_id("mill"), {"new"}, std::nullopt)}));
+        api_key_policy::requiredOf(
+            {api_key_account(account_id("mill"), {"new"}, std::nullopt)})));
+  };
+  script({Failed});
+  EXPECT_EQ(502, run("/again/x").Status);
+  EXPECT_EQ(1U, Upstreams.Attempts.size());
+}
+
+TEST_F(forward_relay_test, policyWithoutAccounts_refusesEveryKey) {
+  configure(9, routes(), api_key_policy::requiredOf({}));
+  for (const char *Key : {"key", "stranger", ""}) {
+    auto Call = callOf("/again/x");
+    Call.Key = Key;
+    EXPECT_EQ(401, run(Call).Status) << Key;
+  }
+  EXPECT_TRUE(Upstreams.Attempts.empty());
+}
+
+TEST_F(forward_relay_test, policyWithoutAccounts_publicRouteIsServed) {
+  auto Public = routeOf("/again/", route_kind::Idempotent, 2);
+  Public.Public = true;
+  configure(9, {forward_route(Public)}, api_key_policy::requiredOf({}));
+  EXPECT_EQ(200, run("/again/x").Status);
+}
+
+TEST_F(forward_relay_test, keyNotRequired_servesWithoutAccount) {
+  configure(9, routes(), api_key_policy::notRequired());
+  auto Call = callOf("/again/x");
+  Call.Key = "";
+  EXPECT_EQ(200, run(Call).Status);
+  ASSERT_EQ(1U, Upstreams.Attempts.size());
+  EXPECT_EQ("", Upstreams.Attempts[0].account().text());
+}
+
+TEST_F(forward_relay_test,
+       lastAccountRemovedBetweenAttempts_preventsSecondAttempt) {
+  upstream_script Failed;
+  Failed.Status = 500;
+  Failed.Before = [this] {
+    configure(9, routes(), api_key_policy::requiredOf({}));
   };
   script({Failed});
   EXPECT_EQ(502, run("/again/x").Status);
--- /dev/null
+++ b/unittests/Routing/ApiKeyPolicyTest.cpp
@@ -0,0 +1,47 @@
+#include "bluebellkeel/Routing.h"
+#include <gtest/gtest.h>
+
+using namespace bluebellkeel;
+
+namespace {
+
+class api_key_policy_test : public testing::Test {
+protected:
+  static api_key_account account(std::string Name,
+                                 std::vector<std::string> Keys) {
+    return api_key_account(account_id(std::move(Name)), std::move(Keys),
+                           std::nullopt);
+  }
+};
+
+} // namespace
+
+TEST_F(api_key_policy_test, requiredOfNoAccounts_differsFromNotRequired) {
+  auto Closed = api_key_policy::requiredOf({});
+  EXPECT_TRUE(Closed.required());
+  EXPECT_EQ(nullptr, Closed.accountOf("k"));
+  EXPECT_FALSE(api_key_policy::notRequired().required());
+  EXPECT_NE(api_key_policy::notRequired(), Closed);
+}
+
+TEST_F(api_key_policy_test, requiredOfNoAccounts_copiedWithItsTable_isKept) {
+  route_table Table(1, {}, {}, api_key_policy::requiredOf({}));
+  route_table Copy = Table;
+  EXPECT_EQ(Table, Copy);
+  EXPECT_TRUE(Copy.apiKeys().required());
+  EXPECT_NE(route_table(1, {}, {}, api_key_policy::notRequired()), Copy);
+}
+
+TEST_F(api_key_policy_test, accountOf_severalAccounts_returnsHolderOfKey) {
+  auto Policy = api_key_policy::requiredOf(
+      {account("mill", {"k1", "k2"}), account("shop", {"k3"})});
+  EXPECT_EQ("mill", Policy.accountOf("k2")->account().text());
+  EXPECT_EQ("shop", Policy.accountOf("k3")->account().text());
+  EXPECT_EQ(nullptr, Policy.accountOf("k"));
+}
+
+TEST_F(api_key_policy_test, accountWithoutKeys_admitsNoCaller) {
+  auto Policy = api_key_policy::requiredOf({account("mill", {})});
+  EXPECT_TRUE(Policy.required());
+  EXPECT_EQ(nullptr, Policy.accountOf(""));
+}
--- a/unittests/Routing/RouteTableTest.cpp
+++ b/unittests/Routing/RouteTableTest.cpp
@@ -16,9 +16,10 @@
     return forward_route(std::move(Fields));
   }
   static route_table table(std::uint64_t Version) {
-    return route_table(Version, {route("short", "/x/"), route("long", "/x/y/")},
-                       {},
-                       {api_key_account(account_id("mill"), {"k1", "k2"}, 2)});
+    return route_table(
+        Version, {route("short", "/x/"), route("long", "/x/y/")}, {},
+        api_key_policy::requiredOf(
+            {api_key_account(account_id("mill"), {"k1", "k2"}, 2)}));
   }
 };
 
@@ -38,9 +39,9 @@
 
 TEST_F(route_table_test, accountOf_eachKey_returnsItsAccount) {
   route_table Table = table(1);
-  EXPECT_EQ("mill", Table.accountOf("k2")->account().text());
-  EXPECT_EQ(nullptr, Table.accountOf("k3"));
-  EXPECT_EQ(nullptr, Table.accountOf(""));
+  EXPECT_EQ("mill", Table.apiKeys().accountOf("k2")->account().text());
+  EXPECT_EQ(nullptr, Table.apiKeys().accountOf("k3"));
+  EXPECT_EQ(nullptr, Table.apiKeys().accountOf(""));
 }
 
 TEST_F(route_table_test, holder_givenOlderVersion_keepsNewer) {
--- a/unittests/Support/ForwardFixture.h
+++ b/unittests/Support/ForwardFixture.h
@@ -223,13 +223,19 @@
 
   void configure(std::uint64_t Version) { configure(Version, routes()); }
   void configure(std::uint64_t Version, std::vector<forward_route> Routes) {
+    configure(Version, std::move(Routes),
+              api_key_policy::requiredOf({api_key_account(
+                  account_id("mill"), {"key"}, std::nullopt)}));
+  }
+  void configure(std::uint64_t Version, std::vector<forward_route> Routes,
+                 api_key_policy ApiKeys) {
     service_config::fields ServiceConfig;
     ServiceConfig.Service = service_id("engines");
     ServiceConfig.ColdRate = 14;
     ServiceConfig.Models = {{"small", 0.1}, {"large", 1.0}};
-    Tables.replaceIfNewer(route_table(
-        Version, std::move(Routes), {service_config(ServiceConfig)},
-        {api_key_account(account_id("mill"), {"key"}, std::nullopt)}));
+    Tables.replaceIfNewer(route_table(Version, std::move(Routes),
+                                      {service_config(ServiceConfig)},
+                                      std::move(ApiKeys)));
   }
 
   forward_call::fields callOf(const std::string &Path) {
