Routing: admit no caller by an empty key

What callers saw: with "api_keys":[""] for one account, each caller that sends no Api-Key, or an empty one, was served on behalf of that account.

Cause: a missing header reads as an empty text, and the table found the account that has the empty text as its key.

--- a/include/bluebellkeel/Routing/ApiKeyPolicy.h
+++ b/include/bluebellkeel/Routing/ApiKeyPolicy.h
@@ -9,7 +9,8 @@
 namespace bluebellkeel {
 
 /// Says whether callers must present an API key, and which keys are valid. A
-/// policy that requires a key and has no account admits no caller.
+/// policy that requires a key and has no account admits no caller. An empty key
+/// is never valid.
 class api_key_policy : public comparable<api_key_policy> {
 public:
   /// Returns a policy under which callers need no key.
--- a/unittests/Adapter/GatewayApiKeyTest.cpp
+++ b/unittests/Adapter/GatewayApiKeyTest.cpp
@@ -76,3 +76,9 @@
   putConfiguration(5, TimeoutMs, {"other"});
   EXPECT_TRUE(awaitStatus(200, "other"));
 }
+
+TEST_F(gateway_api_key_test, accountWithEmptyKeyOnly_refusesEveryKey) {
+  putConfiguration(3, TimeoutMs, {""});
+  EXPECT_TRUE(awaitStatus(401, "key"));
+  expectAllRefused();
+}
--- a/unittests/Routing/ApiKeyPolicyTest.cpp
+++ b/unittests/Routing/ApiKeyPolicyTest.cpp
@@ -45,3 +45,10 @@
   EXPECT_TRUE(Policy.required());
   EXPECT_EQ(nullptr, Policy.accountOf(""));
 }
+
+// Guards against callers without a key that are admitted by an empty one.
+TEST_F(api_key_policy_test, accountWithEmptyKey_admitsOnlyItsOtherKeys) {
+  auto Policy = api_key_policy::requiredOf({account("mill", {"", "k1"})});
+  EXPECT_EQ(nullptr, Policy.accountOf(""));
+  EXPECT_EQ("mill", Policy.accountOf("k1")->account().text());
+}
