--- a/unittests/Adapter/StoreRecordsTest.cpp
+++ b/unittests/Adapter/StoreRecordsTest.cpp
@@ -115,6 +115,19 @@
   }
 }
 
+// Guards against an account that gets the most urgent priority by a mistake.
+TEST_F(store_records_test, accountPriorityOfWrongKind_countsAsMissing) {
+  for (const char *Priority : {"null", "\"1\"", "[]", "-1", "1e300"}) {
+    auto Table = readConfiguration(
+        R"({"version":1,"routes":[],"services":[],"tenants":[{"name":"mill",)"
+        R"("api_keys":["k"],"priority":)" +
+        std::string(Priority) + "}]}");
+    ASSERT_TRUE(Table.has_value()) << Priority;
+    EXPECT_EQ(std::nullopt, Table->apiKeys().accountOf("k")->priority())
+        << Priority;
+  }
+}
+
 TEST_F(store_records_test, configurationLimits_invalidValues_areIgnored) {
   std::string Text = Configuration;
   const std::string OriginalLimit = R"("max_header_bytes":16384)";
