--- a/include/bluebellkeel/Routing/ApiKeyPolicy.h
+++ b/include/bluebellkeel/Routing/ApiKeyPolicy.h
@@ -24,6 +24,8 @@
   const std::vector<api_key_account> &accounts() const { return Accounts; }
   /// Returns the account with the API key \p Key; null if there is none.
   const api_key_account *accountOf(std::string_view Key) const;
+  /// Returns the number of keys that accountOf() knows.
+  std::size_t validKeys() const { return ByKey.size(); }
 
   auto key() const { return std::tie(Required, Accounts); }
 
