--- a/unittests/Settings/RoutingSettingsTest.cpp
+++ b/unittests/Settings/RoutingSettingsTest.cpp
@@ -30,6 +30,14 @@
   EXPECT_EQ(nullptr, Settings.accountByApiKey("other"));
 }
 
+TEST_F(routing_settings_test, accountByApiKey_settingsWithoutKeys_findsNone) {
+  EXPECT_EQ(nullptr, routing_settings().accountByApiKey(""));
+  EXPECT_EQ(nullptr, routing().accountByApiKey("secret"));
+  put("/t/accounts/a/versions", setting_value::text_list{"m@1"});
+  EXPECT_EQ(nullptr, routing().accountByApiKey(""));
+  EXPECT_EQ(nullptr, routing().accountByApiKey("secret"));
+}
+
 TEST_F(routing_settings_test, version_withoutStage_isHeld) {
   put("/t/versions/m@1/cost", 3.0);
   auto Settings = routing();
