--- a/unittests/Adapter/GatewayApiKeyTest.cpp
+++ b/unittests/Adapter/GatewayApiKeyTest.cpp
@@ -14,6 +14,11 @@
     Table["tenants"] = Accounts;
     Store.put("keyed.op", "config", Table.dump());
   }
+  void restart() {
+    Gateway.reset();
+    Gateway = std::make_unique<gateway_process>(settings());
+    ASSERT_TRUE(Gateway->start().has_value());
+  }
   bool awaitStatus(int Status, const std::string &Key) {
     return waitFor([&] { return call("idempotent", Key)->status() == Status; });
   }
@@ -41,9 +46,7 @@
 
 TEST_F(gateway_api_key_test, emptyListOfAccounts_afterRestart_refusesEveryKey) {
   putAccounts(3, json::array());
-  Gateway.reset();
-  Gateway = std::make_unique<gateway_process>(settings());
-  ASSERT_TRUE(Gateway->start().has_value());
+  restart();
   ASSERT_TRUE(waitFor([this] { return readyStatus() == 200; }));
   expectAllRefused();
 }
@@ -77,6 +80,19 @@
   EXPECT_TRUE(awaitStatus(200, "other"));
 }
 
+TEST_F(gateway_api_key_test, accountsOfWrongKind_afterRestart_serveNobody) {
+  putAccounts(3, json());
+  restart();
+  absl::Notification Never;
+  for (int I = 0; I < 10; ++I) {
+    EXPECT_EQ(503, call("idempotent")->status());
+    EXPECT_EQ(503, readyStatus());
+    Never.WaitForNotificationWithTimeout(absl::Milliseconds(50));
+  }
+  putConfiguration(4, TimeoutMs, {"key"});
+  EXPECT_TRUE(awaitStatus(200, "key"));
+}
+
 TEST_F(gateway_api_key_test, accountWithEmptyKeyOnly_refusesEveryKey) {
   putConfiguration(3, TimeoutMs, {""});
   EXPECT_TRUE(awaitStatus(401, "key"));
