Routing: name the API key policies by whom they admit

Read as a newcomer would, requiredOf({}) could be taken for "required of nobody", the opposite of what it does. anyCaller() and onlyAccounts({}) say it. The reader takes text that is no object for a configuration with accounts, so that a mistake there would close the door; such a text was and is rejected. No change in behaviour.

--- a/include/bluebellkeel/Routing/ApiKeyPolicy.h
+++ b/include/bluebellkeel/Routing/ApiKeyPolicy.h
@@ -8,19 +8,19 @@
 
 namespace bluebellkeel {
 
-/// Says whether callers must present an API key, and which keys are valid. A
-/// policy that requires a key and has no account admits no caller. An empty key
-/// is never valid.
+/// Says whether callers must present an API key, and which keys are valid. An
+/// empty key is never valid.
 class api_key_policy : public comparable<api_key_policy> {
 public:
-  /// Returns a policy under which callers need no key.
-  static api_key_policy notRequired() { return api_key_policy(false, {}); }
-  /// Returns a policy under which callers need a key of one of \p Accounts.
-  static api_key_policy requiredOf(std::vector<api_key_account> Accounts) {
+  /// Returns a policy that admits any caller, with or without a key.
+  static api_key_policy anyCaller() { return api_key_policy(false, {}); }
+  /// Returns a policy that admits callers with a key of one of \p Accounts; if
+  /// the list is empty, it admits no caller.
+  static api_key_policy onlyAccounts(std::vector<api_key_account> Accounts) {
     return api_key_policy(true, std::move(Accounts));
   }
 
-  bool required() const { return Required; }
+  bool requiresKey() const { return Required; }
   const std::vector<api_key_account> &accounts() const { return Accounts; }
   /// Returns the account with the API key \p Key; null if there is none.
   const api_key_account *accountOf(std::string_view Key) const;
--- a/lib/Relay/ForwardAdmission.cpp
+++ b/lib/Relay/ForwardAdmission.cpp
@@ -105,7 +105,7 @@
     return Stale ? refusal_reason::SettingsStale : refusal_reason::UnknownRoute;
   Priority = Route->priority();
   Account = account_id();
-  if (Table->apiKeys().required() && !Route->isPublic()) {
+  if (Table->apiKeys().requiresKey() && !Route->isPublic()) {
     const api_key_account *Holder =
         Table->apiKeys().accountOf(Call.accountKey());
     if (!Holder)
--- a/unittests/Adapter/StoreRecordsTest.cpp
+++ b/unittests/Adapter/StoreRecordsTest.cpp
@@ -88,9 +88,9 @@
       R"({"version":1,"routes":[],"services":[],"tenants":[]})");
   auto Open = readConfiguration(R"({"version":1,"routes":[],"services":[]})");
   ASSERT_TRUE(Closed && Open);
-  EXPECT_TRUE(Closed->apiKeys().required());
+  EXPECT_TRUE(Closed->apiKeys().requiresKey());
   EXPECT_EQ(nullptr, Closed->apiKeys().accountOf(""));
-  EXPECT_FALSE(Open->apiKeys().required());
+  EXPECT_FALSE(Open->apiKeys().requiresKey());
   EXPECT_FALSE(*Closed == *Open);
 }
 
@@ -109,7 +109,7 @@
         R"({"version":1,"routes":[],"services":[],"tenants":[{"name":"mill")" +
         std::string(Keys) + "}]}");
     ASSERT_TRUE(Table.has_value()) << Keys;
-    EXPECT_TRUE(Table->apiKeys().required()) << Keys;
+    EXPECT_TRUE(Table->apiKeys().requiresKey()) << Keys;
     for (const char *Key : {"", "k", "7"})
       EXPECT_EQ(nullptr, Table->apiKeys().accountOf(Key)) << Keys;
   }
--- a/unittests/Relay/ForwardRelayTest.cpp
+++ b/unittests/Relay/ForwardRelayTest.cpp
@@ -195,7 +195,7 @@
   Failed.Before = [this] {
     Tables.replaceIfNewer(route_table(
         9, routes(), {},
-        api_key_policy::requiredOf(
+        api_key_policy::onlyAccounts(
             {api_key_account(account_id("mill"), {"new"}, std::nullopt)})));
   };
   script({Failed});
@@ -204,7 +204,7 @@
 }
 
 TEST_F(forward_relay_test, policyWithoutAccounts_refusesEveryKey) {
-  configure(9, routes(), api_key_policy::requiredOf({}));
+  configure(9, routes(), api_key_policy::onlyAccounts({}));
   for (const char *Key : {"key", "stranger", ""}) {
     auto Call = callOf("/again/x");
     Call.Key = Key;
@@ -216,12 +216,12 @@
 TEST_F(forward_relay_test, policyWithoutAccounts_publicRouteIsServed) {
   auto Public = routeOf("/again/", route_kind::Idempotent, 2);
   Public.Public = true;
-  configure(9, {forward_route(Public)}, api_key_policy::requiredOf({}));
+  configure(9, {forward_route(Public)}, api_key_policy::onlyAccounts({}));
   EXPECT_EQ(200, run("/again/x").Status);
 }
 
 TEST_F(forward_relay_test, keyNotRequired_servesWithoutAccount) {
-  configure(9, routes(), api_key_policy::notRequired());
+  configure(9, routes(), api_key_policy::anyCaller());
   auto Call = callOf("/again/x");
   Call.Key = "";
   EXPECT_EQ(200, run(Call).Status);
@@ -234,7 +234,7 @@
   upstream_script Failed;
   Failed.Status = 500;
   Failed.Before = [this] {
-    configure(9, routes(), api_key_policy::requiredOf({}));
+    configure(9, routes(), api_key_policy::onlyAccounts({}));
   };
   script({Failed});
   EXPECT_EQ(502, run("/again/x").Status);
--- a/unittests/Routing/ApiKeyPolicyTest.cpp
+++ b/unittests/Routing/ApiKeyPolicyTest.cpp
@@ -16,24 +16,24 @@
 
 } // namespace
 
-TEST_F(api_key_policy_test, requiredOfNoAccounts_differsFromNotRequired) {
-  auto Closed = api_key_policy::requiredOf({});
-  EXPECT_TRUE(Closed.required());
+TEST_F(api_key_policy_test, onlyAccounts_ofEmptyList_differsFromAnyCaller) {
+  auto Closed = api_key_policy::onlyAccounts({});
+  EXPECT_TRUE(Closed.requiresKey());
   EXPECT_EQ(nullptr, Closed.accountOf("k"));
-  EXPECT_FALSE(api_key_policy::notRequired().required());
-  EXPECT_NE(api_key_policy::notRequired(), Closed);
+  EXPECT_FALSE(api_key_policy::anyCaller().requiresKey());
+  EXPECT_NE(api_key_policy::anyCaller(), Closed);
 }
 
-TEST_F(api_key_policy_test, requiredOfNoAccounts_copiedWithItsTable_isKept) {
-  route_table Table(1, {}, {}, api_key_policy::requiredOf({}));
+TEST_F(api_key_policy_test, onlyAccounts_ofEmptyList_isKeptInCopiesOfTables) {
+  route_table Table(1, {}, {}, api_key_policy::onlyAccounts({}));
   route_table Copy = Table;
   EXPECT_EQ(Table, Copy);
-  EXPECT_TRUE(Copy.apiKeys().required());
-  EXPECT_NE(route_table(1, {}, {}, api_key_policy::notRequired()), Copy);
+  EXPECT_TRUE(Copy.apiKeys().requiresKey());
+  EXPECT_NE(route_table(1, {}, {}, api_key_policy::anyCaller()), Copy);
 }
 
 TEST_F(api_key_policy_test, accountOf_severalAccounts_returnsHolderOfKey) {
-  auto Policy = api_key_policy::requiredOf(
+  auto Policy = api_key_policy::onlyAccounts(
       {account("mill", {"k1", "k2"}), account("shop", {"k3"})});
   EXPECT_EQ("mill", Policy.accountOf("k2")->account().text());
   EXPECT_EQ("shop", Policy.accountOf("k3")->account().text());
@@ -41,14 +41,14 @@
 }
 
 TEST_F(api_key_policy_test, accountWithoutKeys_admitsNoCaller) {
-  auto Policy = api_key_policy::requiredOf({account("mill", {})});
-  EXPECT_TRUE(Policy.required());
+  auto Policy = api_key_policy::onlyAccounts({account("mill", {})});
+  EXPECT_TRUE(Policy.requiresKey());
   EXPECT_EQ(nullptr, Policy.accountOf(""));
 }
 
 // Guards against callers without a key that are admitted by an empty one.
 TEST_F(api_key_policy_test, accountWithEmptyKey_admitsOnlyItsOtherKeys) {
-  auto Policy = api_key_policy::requiredOf({account("mill", {"", "k1"})});
+  auto Policy = api_key_policy::onlyAccounts({account("mill", {"", "k1"})});
   EXPECT_EQ(nullptr, Policy.accountOf(""));
   EXPECT_EQ("mill", Policy.accountOf("k1")->account().text());
 }
--- a/unittests/Routing/RouteTableTest.cpp
+++ b/unittests/Routing/RouteTableTest.cpp
@@ -18,7 +18,7 @@
   static route_table table(std::uint64_t Version) {
     return route_table(
         Version, {route("short", "/x/"), route("long", "/x/y/")}, {},
-        api_key_policy::requiredOf(
+        api_key_policy::onlyAccounts(
             {api_key_account(account_id("mill"), {"k1", "k2"}, 2)}));
   }
 };
--- a/unittests/Support/ForwardFixture.h
+++ b/unittests/Support/ForwardFixture.h
@@ -224,7 +224,7 @@
   void configure(std::uint64_t Version) { configure(Version, routes()); }
   void configure(std::uint64_t Version, std::vector<forward_route> Routes) {
     configure(Version, std::move(Routes),
-              api_key_policy::requiredOf({api_key_account(
+              api_key_policy::onlyAccounts({api_key_account(
                   account_id("mill"), {"key"}, std::nullopt)}));
   }
   void configure(std::uint64_t Version, std::vector<forward_route> Routes,
