Test: what holds a table holds its API key policy

The test now asks the holder, which is what keeps a table and hands it to requests; it checks as before that the policy is kept and that tables with unlike policies differ.

--- a/unittests/Routing/ApiKeyPolicyTest.cpp
+++ b/unittests/Routing/ApiKeyPolicyTest.cpp
@@ -24,12 +24,13 @@
   EXPECT_NE(api_key_policy::anyCaller(), Closed);
 }
 
-TEST_F(api_key_policy_test, onlyAccounts_ofEmptyList_isKeptInCopiesOfTables) {
-  route_table Table(1, {}, {}, api_key_policy::onlyAccounts({}));
-  route_table Copy = Table;
-  EXPECT_EQ(Table, Copy);
-  EXPECT_TRUE(Copy.apiKeys().requiresKey());
-  EXPECT_NE(route_table(1, {}, {}, api_key_policy::anyCaller()), Copy);
+TEST_F(api_key_policy_test, onlyAccounts_ofEmptyList_isKeptByTableAndHolder) {
+  route_table Closed(1, {}, {}, api_key_policy::onlyAccounts({}));
+  route_table_holder Holder;
+  ASSERT_TRUE(Holder.replaceIfNewer(Closed));
+  EXPECT_TRUE(Holder.current()->apiKeys().requiresKey());
+  EXPECT_EQ(Closed, *Holder.current());
+  EXPECT_NE(route_table(1, {}, {}, api_key_policy::anyCaller()), Closed);
 }
 
 TEST_F(api_key_policy_test, accountOf_severalAccounts_returnsHolderOfKey) {
