--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -11,6 +11,6 @@
 
 compile -c "$source/Net.cpp" -o "$out/Net.o"
 compile -c "$source/Platform.cpp" -o "$out/Platform.o"
-for name in CrashQuery CrashSameId CrashMemory Smuggled; do
+for name in CrashQuery CrashSameId CrashMemory PauseForgotten; do
   compile "$source/$name.cpp" "$out/Net.o" "$out/Platform.o" -o "$out/$name"
 done
