Relay: recognize a repeated request by all that it asks for

Cause: the fingerprint held path, account and body, but neither method, host nor query, so one success cleared the crashes of another request. Chat requests were named by account and messages without their other parameters. The fields were joined without their lengths, so bytes could move from one to the next.

Ruled out: that crashes are not attributed (without other lookups the request is refused after the third crash), and that restarts hide them (new ids).

Why it works: requests that differ in anything that an upstream acts on have different fingerprints, and a repeat has the same one, as header fields, which a repeat changes, are left out.

--- a/include/bluebellkeel/Relay/ForwardAdmission.h
+++ b/include/bluebellkeel/Relay/ForwardAdmission.h
@@ -32,7 +32,7 @@
   const std::optional<unsigned> &priority() const { return Priority; }
   std::uint64_t settingsVersion() const { return Table->version(); }
 
-  /// Fingerprint of the path, the account and the body.
+  /// The fingerprint by which the request is recognized when it comes again.
   const fingerprint &requestFingerprint() const { return RequestFingerprint; }
   /// The caller's session, or the request's id if the caller named none.
   assignment_key assignmentKey() const;
--- a/lib/Frontend/ChatBody.h
+++ b/lib/Frontend/ChatBody.h
@@ -24,7 +24,7 @@
   bool stream() const { return Stream; }
   /// Estimated maximum number of tokens of prompt and response together.
   std::uint64_t maxTokens() const { return MaxTokens; }
-  /// The serialized messages, used for fingerprints.
+  /// The serialized messages, whose prefix selects an upstream.
   const std::string &messages() const { return Messages; }
   auto key() const { return std::tie(Model, Stream, MaxTokens, Messages); }
 
--- a/lib/Frontend/ChatEndpoint.cpp
+++ b/lib/Frontend/ChatEndpoint.cpp
@@ -8,6 +8,7 @@
 #include "RequestIdentity.h"
 #include "StreamSink.h"
 #include "absl/strings/str_cat.h"
+#include "bluebellkeel/Relay.h"
 
 using namespace bluebellkeel;
 
@@ -61,7 +62,7 @@
   auto Id = requestIdOf(Request, Context.Random);
   if (!Id)
     return tl::unexpected(badRequest("The Idempotency-Key is malformed."));
-  fingerprint Content(hashText(Account->text() + "|" + Body.messages()));
+  fingerprint Content = chatFingerprint(*Account, Request.body());
   fingerprint Prefix(hashText(Body.messages().substr(0, PrefixBytes)));
   auto Chat = chat_request(*Id, *Account, Body.model(), Request.body(),
                            Body.maxTokens())
--- a/lib/Relay/ForwardAdmission.cpp
+++ b/lib/Relay/ForwardAdmission.cpp
@@ -1,5 +1,6 @@
 #include "bluebellkeel/Relay/ForwardAdmission.h"
 #include "bluebellkeel/Core/StableHash.h"
+#include "bluebellkeel/Relay/CallFingerprint.h"
 
 using namespace bluebellkeel;
 
@@ -18,8 +19,7 @@
     return Reason;
   if (auto Reason = checkStop())
     return Reason;
-  RequestFingerprint = fingerprint(std::to_string(
-      stableHashOfParts({Call.path(), "|", Account.text(), "|", Call.body()})));
+  RequestFingerprint = fingerprintOf(Call, Account);
   if (auto Reason = checkCrashes(0))
     return Reason;
   return checkTime(0);
