Policy: let a success speak only against crashes near it

Cause: crash_tracker kept that a request had succeeded, not when, and ignored all crashes of such a request for as long as it was remembered.

Evidence: with isSound() regardless of the time of the success, as before, crash_tracker_test.crashesLongAfterASuccess_requestIsBlocked fails; it passes with the fix. successBeforeTheCrashesReportedLate_clearsNothing has no form on the code before, whose reports held no age. The 12 earlier tests of the tracker pass unchanged.

recent_set becomes recent_map, as a time is kept with each request; its two tests check the same of the map. Digests name cleared requests with their age in a new field, "cs"; releases before and after leave out each other's field.

Why it works: a crashing request has no success near its crashes, and one that ran beside the cause of a crash usually has.

--- a/include/bluebellkeel/Core.h
+++ b/include/bluebellkeel/Core.h
@@ -17,7 +17,7 @@
 #include "bluebellkeel/Core/MemoryUse.h"
 #include "bluebellkeel/Core/NetworkAddress.h"
 #include "bluebellkeel/Core/RandomSource.h"
-#include "bluebellkeel/Core/RecentSet.h"
+#include "bluebellkeel/Core/RecentMap.h"
 #include "bluebellkeel/Core/RequestId.h"
 #include "bluebellkeel/Core/ServiceId.h"
 #include "bluebellkeel/Core/Sharded.h"
--- a/include/bluebellkeel/Core/RecentMap.h
+++ b/include/bluebellkeel/Core/RecentMap.h
@@ -1,41 +1,51 @@
-#ifndef BLUEBELLKEEL_CORE_RECENTSET_H
-#define BLUEBELLKEEL_CORE_RECENTSET_H
+#ifndef BLUEBELLKEEL_CORE_RECENTMAP_H
+#define BLUEBELLKEEL_CORE_RECENTMAP_H
 
 #include <cstddef>
-#include <set>
+#include <map>
+#include <optional>
 #include <utility>
 
 namespace bluebellkeel {
 
-/// A set of recently added values with bounded size. The values are kept in two
+/// A map of recently set keys with bounded size. The entries are kept in two
 /// generations of half the maximum size each; when the current generation is
 /// full, the previous one is discarded.
-template <typename value_t> class recent_set {
+template <typename key_t, typename value_t> class recent_map {
 public:
-  explicit recent_set(std::size_t MaxSize) : GenerationSize(MaxSize / 2) {}
+  explicit recent_map(std::size_t MaxSize) : GenerationSize(MaxSize / 2) {}
 
-  void add(const value_t &Value) {
+  void set(const key_t &Key, value_t Value) {
     if (CurrentGeneration.size() >= GenerationSize &&
-        CurrentGeneration.count(Value) == 0) {
+        CurrentGeneration.count(Key) == 0) {
       PreviousGeneration = std::move(CurrentGeneration);
       CurrentGeneration.clear();
     }
-    CurrentGeneration.insert(Value);
+    CurrentGeneration.insert_or_assign(Key, std::move(Value));
   }
-  bool contains(const value_t &Value) const {
-    return CurrentGeneration.count(Value) > 0 ||
-           PreviousGeneration.count(Value) > 0;
+  /// Returns the value that was last set for \p Key; empty if there is none or
+  /// it was discarded.
+  std::optional<value_t> find(const key_t &Key) const {
+    for (const generation *Generation :
+         {&CurrentGeneration, &PreviousGeneration}) {
+      auto Found = Generation->find(Key);
+      if (Found != Generation->end())
+        return Found->second;
+    }
+    return std::nullopt;
   }
   std::size_t size() const {
     return CurrentGeneration.size() + PreviousGeneration.size();
   }
 
 private:
+  using generation = std::map<key_t, value_t>;
+
   std::size_t GenerationSize;
-  std::set<value_t> CurrentGeneration;
-  std::set<value_t> PreviousGeneration;
+  generation CurrentGeneration;
+  generation PreviousGeneration;
 };
 
 } // namespace bluebellkeel
 
-#endif // BLUEBELLKEEL_CORE_RECENTSET_H
+#endif // BLUEBELLKEEL_CORE_RECENTMAP_H
--- a/include/bluebellkeel/Peer/InstanceDigest.h
+++ b/include/bluebellkeel/Peer/InstanceDigest.h
@@ -6,6 +6,7 @@
 #include "bluebellkeel/Peer/CrashNotice.h"
 #include "bluebellkeel/Peer/ViewState.h"
 #include "bluebellkeel/Policy/PartCrashReport.h"
+#include "bluebellkeel/Policy/RequestSuccess.h"
 #include "bluebellkeel/Policy/RollOutEvidence.h"
 #include "bluebellkeel/Upstream/InstanceLoad.h"
 #include "bluebellkeel/Upstream/NoticeReport.h"
@@ -25,7 +26,7 @@
     std::vector<instance_load> Loads;
     std::vector<roll_out_evidence> RollOuts;
     std::vector<crash_notice> Crashes;
-    std::vector<fingerprint> ClearedRequests;
+    std::vector<request_success> ClearedRequests;
     part_crash_report PartCrashes;
     std::vector<notice_report> Notices;
     std::vector<instance_record> KnownInstances;
@@ -45,7 +46,7 @@
   }
   const std::vector<crash_notice> &crashes() const { return Content.Crashes; }
   /// Returns requests that succeeded after crashes had been attributed to them.
-  const std::vector<fingerprint> &clearedRequests() const {
+  const std::vector<request_success> &clearedRequests() const {
     return Content.ClearedRequests;
   }
   const part_crash_report &partCrashes() const { return Content.PartCrashes; }
--- a/include/bluebellkeel/Policy/CrashTracker.h
+++ b/include/bluebellkeel/Policy/CrashTracker.h
@@ -1,36 +1,40 @@
 #ifndef BLUEBELLKEEL_POLICY_CRASHTRACKER_H
 #define BLUEBELLKEEL_POLICY_CRASHTRACKER_H
 
-#include "bluebellkeel/Core/RecentSet.h"
+#include "bluebellkeel/Core/RecentMap.h"
 #include "bluebellkeel/Core/Sharded.h"
 #include "bluebellkeel/Core/TimeSource.h"
 #include "bluebellkeel/Core/UpstreamId.h"
-#include "bluebellkeel/Policy/Fingerprint.h"
+#include "bluebellkeel/Policy/RequestSuccess.h"
 #include <map>
-#include <set>
+#include <optional>
 #include <vector>
 
 namespace bluebellkeel {
 
 /// Tracks which requests were running when upstreams crashed, and blocks a
-/// request for EntryLifetime after CrashLimit crashes. A request that succeeds
-/// is cleared, and crashes of equal requests are no longer counted: a request
-/// that crashes upstreams crashes each of them, so one that succeeds merely ran
-/// beside the cause. Connections that break while an upstream restarts are not
-/// counted either.
+/// request for EntryLifetime after CrashLimit crashes. A request that crashes
+/// upstreams crashes each of them, so one that succeeds merely ran beside the
+/// cause: crashes before a success, or within SuccessLifetime after it, do not
+/// count. Connections that break while an upstream restarts are not counted
+/// either. Thread-safe.
 class crash_tracker {
 public:
   /// Number of distinct upstreams whose crashes block a request.
   static constexpr std::size_t CrashLimit = 2;
   /// How long a request stays blocked or suspected after its latest crash.
   static constexpr seconds EntryLifetime{600};
+  /// How long a success speaks against later crashes. A request that has
+  /// succeeded may still crash upstreams later, for example a newer version.
+  static constexpr seconds SuccessLifetime{10};
   /// How long after a crash a broken connection is attributed to the restart;
   /// process managers restart a process within about this time.
   static constexpr seconds RestartTime{5};
   /// Maximum number of requests tracked per shard, separately for crashes and
   /// for successes.
   static constexpr std::size_t MaxEntries = 1024;
-  /// Maximum number of cleared requests reported to peers.
+  /// Maximum number of cleared requests tracked per shard and reported to
+  /// peers.
   static constexpr std::size_t MaxCleared = 24;
 
   explicit crash_tracker(const time_source &Clock) : Clock(Clock) {}
@@ -45,7 +49,7 @@
   void notePeerCrash(const fingerprint &Request, const upstream_id &Upstream);
   void noteSuccess(const fingerprint &Request);
   /// Records that a request was cleared by a success at a peer.
-  void notePeerSuccess(const fingerprint &Request) { noteSuccess(Request); }
+  void notePeerSuccess(const request_success &Success);
   bool blocked(const fingerprint &Request);
   /// True after the first crash. A suspected request runs beside as few others
   /// as possible.
@@ -55,43 +59,58 @@
   /// Returns the requests whose latest crash is at most \p Age old, with every
   /// upstream that crashed with them, for the peers.
   std::vector<std::pair<fingerprint, upstream_id>> recent(milliseconds Age);
-  /// Returns requests with crashes, here or at peers, that were cleared at most
-  /// \p Age ago, for the peers.
-  std::vector<fingerprint> cleared(milliseconds Age);
+  /// Returns requests with crashes, here or at peers, that were found to be
+  /// cleared at most \p Age ago, for the peers.
+  std::vector<request_success> cleared(milliseconds Age);
 
 private:
+  /// The crashes of one request, with their times.
   struct entry {
-    std::set<upstream_id> Crashed;
-    monotonic_time Latest;
+    std::map<upstream_id, monotonic_time> Crashes;
+
+    monotonic_time latest() const;
+  };
+  /// A success that cleared a request.
+  struct cleared_entry {
+    monotonic_time SuccessAt;
+    /// Time at which the success was last found to concern peers.
+    monotonic_time AnnouncedAt;
   };
 
   using entry_map = std::map<fingerprint, entry>;
-  /// Time at which each cleared request was last found to concern peers.
-  using cleared_map = std::map<fingerprint, monotonic_time>;
+  using cleared_map = std::map<fingerprint, cleared_entry>;
   /// Time of the last crash of each upstream.
   using crash_times = std::map<upstream_id, monotonic_time>;
 
-  /// The recent successful requests of one shard.
-  struct success_set : recent_set<fingerprint> {
-    success_set() : recent_set(MaxEntries) {}
+  /// The times of the recent successes of one shard.
+  struct success_map : recent_map<fingerprint, monotonic_time> {
+    success_map() : recent_map(MaxEntries) {}
   };
 
-  bool succeededBefore(const fingerprint &Request);
-  void noteCleared(const fingerprint &Request);
+  /// Returns the time of the latest success of \p Request that is known.
+  std::optional<monotonic_time> latestSuccess(const fingerprint &Request);
+  /// True if \p Request succeeded after a crash at \p CrashAt, or less than
+  /// SuccessLifetime before it.
+  bool isSound(const fingerprint &Request, monotonic_time CrashAt);
+  /// Records a success and forgets the crashes up to \p Until.
+  void noteSuccessAt(const fingerprint &Request, monotonic_time At,
+                     monotonic_time Until);
+  /// Includes the latest success of \p Request in the next reports to peers.
+  void announce(const fingerprint &Request);
   /// Removes the expired entries and, if the shard is still full, the oldest
   /// one.
   static void removeExpired(entry_map &Shard, monotonic_time Now);
   bool restartingAt(const upstream_id &Upstream, monotonic_time Sent);
   void noteTime(const upstream_id &Upstream, monotonic_time Now);
   /// Returns false if the crash was known already, or if an equal request
-  /// succeeded before.
+  /// succeeded shortly before.
   bool recordCrash(const fingerprint &Request, const upstream_id &Upstream,
-                   monotonic_time Now);
+                   monotonic_time At);
 
   const time_source &Clock;
   sharded<entry_map> Entries;
   sharded<crash_times> Times;
-  sharded<success_set> Successes;
+  sharded<success_map> Successes;
   sharded<cleared_map> Cleared;
 };
 
--- a/lib/Gateway/DigestExchanger.cpp
+++ b/lib/Gateway/DigestExchanger.cpp
@@ -54,8 +54,8 @@
   Context.RollOuts.merge(Peer, Digest.rollOuts());
   for (const auto &Crash : Digest.crashes())
     Context.Crashes.notePeerCrash(Crash.request(), Crash.upstream());
-  for (const auto &Request : Digest.clearedRequests())
-    Context.Crashes.notePeerSuccess(Request);
+  for (const auto &Success : Digest.clearedRequests())
+    Context.Crashes.notePeerSuccess(Success);
   Context.PartCrashes.merge(Digest.partCrashes());
   for (const auto &News : Context.Notices.merge(Digest.notices()))
     logNotice(Peer, News);
--- a/lib/Peer/DigestJson.cpp
+++ b/lib/Peer/DigestJson.cpp
@@ -167,8 +167,10 @@
                {"c", std::move(Crashes)},
                {"k", std::move(KnownInstances)},
                {"h", std::move(LivenessReports)}};
-  for (const auto &Request : Body.clearedRequests())
-    Json["cc"].push_back(Request.text());
+  for (const auto &Success : Body.clearedRequests())
+    Json["cs"].push_back(
+        {{"f", Success.request().text()},
+         {"a", static_cast<std::uint64_t>(Success.age().count())}});
   if (!Body.partCrashes().crashes().empty())
     Json["pc"] = crashesToJson(Body.partCrashes());
   if (!Body.partCrashes().successes().empty())
@@ -217,19 +219,6 @@
   return Fields.optional(Name).is_null() ? Empty : Fields.array(Name);
 }
 
-/// Reads a field that earlier releases do not send.
-static std::vector<fingerprint> clearedRequestsFrom(field_reader &Fields) {
-  std::vector<fingerprint> Requests;
-  for (const auto &Item : optionalArray(Fields, "cc")) {
-    if (!Item.is_string()) {
-      Fields.fail("a cleared request is no string");
-      break;
-    }
-    Requests.emplace_back(Item.get<std::string>());
-  }
-  return Requests;
-}
-
 static milliseconds ageFrom(field_reader &Fields) {
   constexpr std::uint64_t MaxAgeMs = 86400000;
   std::uint64_t Age = Fields.number("a");
@@ -238,6 +227,19 @@
   return milliseconds(std::min(Age, MaxAgeMs));
 }
 
+/// Reads a field that earlier releases do not send.
+static std::vector<request_success> clearedRequestsFrom(field_reader &Fields) {
+  std::vector<request_success> Requests;
+  for (const auto &Item : optionalArray(Fields, "cs")) {
+    field_reader Success(Item);
+    fingerprint Request(Success.text("f"));
+    Requests.emplace_back(Request, ageFrom(Success));
+    if (Success.failed())
+      Fields.fail(Success.error().message());
+  }
+  return Requests;
+}
+
 static std::vector<std::string> partsFrom(field_reader &Crash) {
   std::vector<std::string> Parts;
   for (const auto &Part : Crash.array("p")) {
--- a/lib/Policy/CrashTracker.cpp
+++ b/lib/Policy/CrashTracker.cpp
@@ -4,9 +4,23 @@
 
 using namespace bluebellkeel;
 
+/// Returns the time from \p Then to \p Now; 0 if another thread noted \p Then
+/// after \p Now was taken.
+static milliseconds ageAt(monotonic_time Now, monotonic_time Then) {
+  return std::max(std::chrono::duration_cast<milliseconds>(Now - Then),
+                  milliseconds(0));
+}
+
+monotonic_time crash_tracker::entry::latest() const {
+  monotonic_time Latest = monotonic_time::min();
+  for (const auto &[Upstream, At] : Crashes)
+    Latest = std::max(Latest, At);
+  return Latest;
+}
+
 void crash_tracker::removeExpired(entry_map &Shard, monotonic_time Now) {
   for (auto It = Shard.begin(); It != Shard.end();) {
-    if (Now - It->second.Latest > EntryLifetime)
+    if (Now - It->second.latest() > EntryLifetime)
       It = Shard.erase(It);
     else
       ++It;
@@ -15,7 +29,7 @@
     return;
   auto Oldest = std::min_element(Shard.begin(), Shard.end(),
                                  [](const auto &L, const auto &R) {
-                                   return L.second.Latest < R.second.Latest;
+                                   return L.second.latest() < R.second.latest();
                                  });
   Shard.erase(Oldest);
 }
@@ -39,17 +53,13 @@
 
 bool crash_tracker::recordCrash(const fingerprint &Request,
                                 const upstream_id &Upstream,
-                                monotonic_time Now) {
-  if (succeededBefore(Request))
+                                monotonic_time At) {
+  if (isSound(Request, At))
     return false;
   return Entries.withShard(Request.text(), [&](entry_map &Shard) {
     if (Shard.count(Request) == 0)
-      removeExpired(Shard, Now);
-    entry &Entry = Shard[Request];
-    if (!Entry.Crashed.insert(Upstream).second)
-      return false;
-    Entry.Latest = Now;
-    return true;
+      removeExpired(Shard, Clock.monotonicNow());
+    return Shard[Request].Crashes.emplace(Upstream, At).second;
   });
 }
 
@@ -66,8 +76,8 @@
 void crash_tracker::notePeerCrash(const fingerprint &Request,
                                   const upstream_id &Upstream) {
   monotonic_time Now = Clock.monotonicNow();
-  if (succeededBefore(Request)) {
-    noteCleared(Request);
+  if (isSound(Request, Now)) {
+    announce(Request);
     return;
   }
   // A repeated report of a known crash does not extend the restart time.
@@ -75,47 +85,88 @@
     noteTime(Upstream, Now);
 }
 
-void crash_tracker::noteCleared(const fingerprint &Request) {
+std::optional<monotonic_time>
+crash_tracker::latestSuccess(const fingerprint &Request) {
+  auto Recent = Successes.withShard(
+      Request.text(), [&](success_map &Shard) { return Shard.find(Request); });
+  return Cleared.withShard(Request.text(), [&](cleared_map &Shard) {
+    auto Found = Shard.find(Request);
+    if (Found == Shard.end())
+      return Recent;
+    return std::max(Recent, std::optional(Found->second.SuccessAt));
+  });
+}
+
+bool crash_tracker::isSound(const fingerprint &Request,
+                            monotonic_time CrashAt) {
+  auto Success = latestSuccess(Request);
+  return Success && CrashAt - *Success <= SuccessLifetime;
+}
+
+void crash_tracker::announce(const fingerprint &Request) {
+  auto Success = latestSuccess(Request);
+  if (!Success)
+    return;
   monotonic_time Now = Clock.monotonicNow();
   Cleared.withShard(Request.text(), [&](cleared_map &Shard) {
     if (Shard.size() >= MaxCleared && Shard.count(Request) == 0)
       Shard.erase(std::min_element(
-          Shard.begin(), Shard.end(),
-          [](const auto &L, const auto &R) { return L.second < R.second; }));
-    Shard[Request] = Now;
+          Shard.begin(), Shard.end(), [](const auto &L, const auto &R) {
+            return L.second.AnnouncedAt < R.second.AnnouncedAt;
+          }));
+    Shard[Request] = cleared_entry{*Success, Now};
   });
 }
 
-std::vector<fingerprint> crash_tracker::cleared(milliseconds Age) {
+std::vector<request_success> crash_tracker::cleared(milliseconds Age) {
   monotonic_time Now = Clock.monotonicNow();
-  std::vector<fingerprint> Requests;
+  std::vector<request_success> Requests;
   Cleared.forEachShard([&](cleared_map &Shard) {
     for (auto It = Shard.begin(); It != Shard.end();) {
-      if (Now - It->second > Age) {
+      const auto &[Request, Entry] = *It;
+      // Peers may report crashes before the success as long as they last.
+      if (Now - Entry.SuccessAt > EntryLifetime) {
         It = Shard.erase(It);
         continue;
       }
-      if (Requests.size() < MaxCleared)
-        Requests.push_back(It->first);
       ++It;
+      if (Now - Entry.AnnouncedAt <= Age && Requests.size() < MaxCleared)
+        Requests.emplace_back(Request, ageAt(Now, Entry.SuccessAt));
     }
   });
   return Requests;
 }
 
+void crash_tracker::noteSuccessAt(const fingerprint &Request, monotonic_time At,
+                                  monotonic_time Until) {
+  Successes.withShard(Request.text(), [&](success_map &Shard) {
+    Shard.set(Request, std::max(Shard.find(Request).value_or(At), At));
+  });
+  bool Forgot = Entries.withShard(Request.text(), [&](entry_map &Shard) {
+    auto Found = Shard.find(Request);
+    if (Found == Shard.end())
+      return false;
+    auto &Crashes = Found->second.Crashes;
+    std::size_t Before = Crashes.size();
+    for (auto It = Crashes.begin(); It != Crashes.end();)
+      It = It->second <= Until ? Crashes.erase(It) : std::next(It);
+    bool Removed = Crashes.size() < Before;
+    if (Crashes.empty())
+      Shard.erase(Found);
+    return Removed;
+  });
+  if (Forgot)
+    announce(Request);
+}
+
 void crash_tracker::noteSuccess(const fingerprint &Request) {
-  std::size_t Erased = Entries.withShard(
-      Request.text(), [&](entry_map &Shard) { return Shard.erase(Request); });
-  if (Erased > 0)
-    noteCleared(Request);
-  Successes.withShard(Request.text(),
-                      [&](success_set &Shard) { Shard.add(Request); });
+  monotonic_time Now = Clock.monotonicNow();
+  noteSuccessAt(Request, Now, Now);
 }
 
-bool crash_tracker::succeededBefore(const fingerprint &Request) {
-  return Successes.withShard(Request.text(), [&](success_set &Shard) {
-    return Shard.contains(Request);
-  });
+void crash_tracker::notePeerSuccess(const request_success &Success) {
+  monotonic_time At = Clock.monotonicNow() - Success.age();
+  noteSuccessAt(Success.request(), At, At + SuccessLifetime);
 }
 
 std::size_t crash_tracker::crashesOf(const fingerprint &Request) {
@@ -125,9 +176,9 @@
                              auto Found = Shard.find(Request);
                              if (Found == Shard.end())
                                return 0;
-                             if (Now - Found->second.Latest > EntryLifetime)
+                             if (Now - Found->second.latest() > EntryLifetime)
                                return 0;
-                             return Found->second.Crashed.size();
+                             return Found->second.Crashes.size();
                            });
 }
 
@@ -145,9 +196,9 @@
   std::vector<std::pair<fingerprint, upstream_id>> Crashes;
   Entries.forEachShard([&](entry_map &Shard) {
     for (const auto &[Request, Entry] : Shard) {
-      if (Now - Entry.Latest > Age)
+      if (Now - Entry.latest() > Age)
         continue;
-      for (const auto &Upstream : Entry.Crashed)
+      for (const auto &[Upstream, At] : Entry.Crashes)
         Crashes.emplace_back(Request, Upstream);
     }
   });
--- a/unittests/Core/RecentMapTest.cpp
+++ b/unittests/Core/RecentMapTest.cpp
@@ -5,27 +5,27 @@
 
 namespace {
 
-class recent_set_test : public testing::Test {
+class recent_map_test : public testing::Test {
 protected:
   static constexpr std::size_t MaxSize = 10;
-  recent_set<int> Set{MaxSize};
+  recent_map<int, int> Map{MaxSize};
 };
 
 } // namespace
 
-TEST_F(recent_set_test, add_manyValues_sizeStaysWithinMaximum) {
-  for (int Value = 0; Value < 1000; ++Value) {
-    Set.add(Value);
-    EXPECT_LE(Set.size(), MaxSize);
-    EXPECT_TRUE(Set.contains(Value));
+TEST_F(recent_map_test, set_manyKeys_sizeStaysWithinMaximum) {
+  for (int Key = 0; Key < 1000; ++Key) {
+    Map.set(Key, Key + 1);
+    EXPECT_LE(Map.size(), MaxSize);
+    EXPECT_EQ(Key + 1, Map.find(Key));
   }
-  EXPECT_FALSE(Set.contains(0));
+  EXPECT_FALSE(Map.find(0));
 }
 
-TEST_F(recent_set_test, add_sameValueRepeatedly_valueIsKept) {
-  for (int Value = 1; Value < 1000; ++Value) {
-    Set.add(Value);
-    Set.add(0);
+TEST_F(recent_map_test, set_sameKeyRepeatedly_newestValueIsKept) {
+  for (int Key = 1; Key < 1000; ++Key) {
+    Map.set(Key, 0);
+    Map.set(0, Key);
   }
-  EXPECT_TRUE(Set.contains(0));
+  EXPECT_EQ(999, Map.find(0));
 }
--- a/unittests/Peer/DigestTest.cpp
+++ b/unittests/Peer/DigestTest.cpp
@@ -45,7 +45,9 @@
   Fields.Loads = {instance_load(upstream_id("u"), 2, 300)};
   Fields.RollOuts = {roll_out_evidence(Evidence)};
   Fields.Crashes = {crash_notice(fingerprint("f"), upstream_id("u"))};
-  Fields.ClearedRequests = {fingerprint("g"), fingerprint("h")};
+  Fields.ClearedRequests = {
+      request_success(fingerprint("g"), milliseconds(17)),
+      request_success(fingerprint("h"), milliseconds(18))};
   Fields.PartCrashes = part_crash_report(
       {part_crash(fingerprint("f"), upstream_incarnation(upstream_id("u"), 13),
                   {"p", "q"}, milliseconds(11))},
--- a/unittests/Policy/CrashTrackerTest.cpp
+++ b/unittests/Policy/CrashTrackerTest.cpp
@@ -95,6 +95,30 @@
   EXPECT_EQ(0U, Tracker.crashesOf(OtherRequest));
 }
 
+// Guards against a request that succeeded once and then crashes upstreams
+// without end, such as those of a newer version.
+TEST_F(crash_tracker_test, crashesLongAfterASuccess_requestIsBlocked) {
+  Tracker.noteSuccess(Request);
+  Clock.advance(crash_tracker::SuccessLifetime + seconds(1));
+  for (const char *Upstream : {"u1", "u2"})
+    crash(Request, Upstream);
+  EXPECT_TRUE(Tracker.blocked(Request));
+}
+
+// Guards against a success that a peer reports late and that undoes the crashes
+// that followed it.
+TEST_F(crash_tracker_test, successBeforeTheCrashesReportedLate_clearsNothing) {
+  for (const char *Upstream : {"u1", "u2"})
+    crash(Request, Upstream);
+  Clock.advance(seconds(3));
+  Tracker.notePeerSuccess(
+      request_success(Request, crash_tracker::SuccessLifetime + seconds(4)));
+  EXPECT_TRUE(Tracker.blocked(Request));
+  Tracker.notePeerSuccess(
+      request_success(Request, crash_tracker::SuccessLifetime));
+  EXPECT_FALSE(Tracker.suspected(Request));
+}
+
 // Guards against requests that stay blocked at one instance although they
 // succeed at all others.
 TEST_F(crash_tracker_test, requestThatSucceedsAtAPeer_isCleared) {
