Policy: report a blocked request for as long as the block lasts

Cause: peers were told of a crash for 6 s, without its age, while a request stays blocked for 600 s. An instance that started later learnt nothing, and after it the next one. Each crash and each block that comes from a peer is logged now; without that, the logs did not tell a block that was not reported from one that came late.

Ruled out: another fingerprint after the restart (without restarts the request stays refused).

Why it works: an instance learns of a block from its peers whenever it starts.

The limit of three crashes moves from forward_admission.cpp into the tracker's constructor, so that blocked() means the same everywhere. Digests keep the field "c" for earlier releases; the age in it is optional.

--- a/include/bluebellkeel/Peer/InstanceDigest.h
+++ b/include/bluebellkeel/Peer/InstanceDigest.h
@@ -3,10 +3,9 @@
 
 #include "bluebellkeel/Membership/InstanceRecord.h"
 #include "bluebellkeel/Membership/LivenessReport.h"
-#include "bluebellkeel/Peer/CrashNotice.h"
 #include "bluebellkeel/Peer/ViewState.h"
 #include "bluebellkeel/Policy/PartCrashReport.h"
-#include "bluebellkeel/Policy/RequestSuccess.h"
+#include "bluebellkeel/Policy/RequestCrashReport.h"
 #include "bluebellkeel/Policy/RollOutEvidence.h"
 #include "bluebellkeel/Upstream/InstanceLoad.h"
 #include "bluebellkeel/Upstream/NoticeReport.h"
@@ -25,8 +24,7 @@
     view_state Upstreams;
     std::vector<instance_load> Loads;
     std::vector<roll_out_evidence> RollOuts;
-    std::vector<crash_notice> Crashes;
-    std::vector<request_success> ClearedRequests;
+    request_crash_report RequestCrashes;
     part_crash_report PartCrashes;
     std::vector<notice_report> Notices;
     std::vector<instance_record> KnownInstances;
@@ -44,10 +42,8 @@
   const std::vector<roll_out_evidence> &rollOuts() const {
     return Content.RollOuts;
   }
-  const std::vector<crash_notice> &crashes() const { return Content.Crashes; }
-  /// Returns requests that succeeded after crashes had been attributed to them.
-  const std::vector<request_success> &clearedRequests() const {
-    return Content.ClearedRequests;
+  const request_crash_report &requestCrashes() const {
+    return Content.RequestCrashes;
   }
   const part_crash_report &partCrashes() const { return Content.PartCrashes; }
   /// Returns what upstreams said of themselves lately.
@@ -63,10 +59,9 @@
   }
   auto key() const {
     return std::tie(Content.Sender, Content.Settings, Content.Upstreams,
-                    Content.Loads, Content.RollOuts, Content.Crashes,
-                    Content.ClearedRequests, Content.PartCrashes,
-                    Content.Notices, Content.KnownInstances,
-                    Content.LivenessReports);
+                    Content.Loads, Content.RollOuts, Content.RequestCrashes,
+                    Content.PartCrashes, Content.Notices,
+                    Content.KnownInstances, Content.LivenessReports);
   }
 
 private:
--- a/include/bluebellkeel/Policy.h
+++ b/include/bluebellkeel/Policy.h
@@ -42,6 +42,8 @@
 #include "bluebellkeel/Policy/QualityTracker.h"
 #include "bluebellkeel/Policy/QueuedWorkEstimator.h"
 #include "bluebellkeel/Policy/ReadingSpeedTracker.h"
+#include "bluebellkeel/Policy/RequestCrash.h"
+#include "bluebellkeel/Policy/RequestCrashReport.h"
 #include "bluebellkeel/Policy/RequestSuccess.h"
 #include "bluebellkeel/Policy/RetryRules.h"
 #include "bluebellkeel/Policy/RetryWindow.h"
--- a/include/bluebellkeel/Policy/CrashTracker.h
+++ b/include/bluebellkeel/Policy/CrashTracker.h
@@ -5,7 +5,8 @@
 #include "bluebellkeel/Core/Sharded.h"
 #include "bluebellkeel/Core/TimeSource.h"
 #include "bluebellkeel/Core/UpstreamId.h"
-#include "bluebellkeel/Policy/RequestSuccess.h"
+#include "bluebellkeel/Policy/RequestCrashReport.h"
+#include <atomic>
 #include <map>
 #include <optional>
 #include <vector>
@@ -13,15 +14,15 @@
 namespace bluebellkeel {
 
 /// Tracks which requests were running when upstreams crashed, and blocks a
-/// request for EntryLifetime after CrashLimit crashes. A request that crashes
+/// request for EntryLifetime after enough of them. A request that crashes
 /// upstreams crashes each of them, so one that succeeds merely ran beside the
 /// cause: crashes before a success, or within SuccessLifetime after it, do not
 /// count. Connections that break while an upstream restarts are not counted
 /// either. Thread-safe.
 class crash_tracker {
 public:
-  /// Number of distinct upstreams whose crashes block a request.
-  static constexpr std::size_t CrashLimit = 2;
+  /// Number of distinct upstreams whose crashes block a request by default.
+  static constexpr std::size_t DefaultLimit = 2;
   /// How long a request stays blocked or suspected after its latest crash.
   static constexpr seconds EntryLifetime{600};
   /// How long a success speaks against later crashes. A request that has
@@ -33,20 +34,34 @@
   /// Maximum number of requests tracked per shard, separately for crashes and
   /// for successes.
   static constexpr std::size_t MaxEntries = 1024;
-  /// Maximum number of cleared requests tracked per shard and reported to
-  /// peers.
+  /// Maximum number of cleared requests tracked per shard.
   static constexpr std::size_t MaxCleared = 24;
+  /// Maximum number of crashes tracked per request.
+  static constexpr std::size_t MaxCrashes = 8;
+  /// Requests with this many crashes are reported to peers for as long as the
+  /// crashes count, others for ReportAge. Few requests have two by chance.
+  static constexpr std::size_t MinLastingCrashes = 2;
+  /// How long peers are told of a crash or of a success that cleared a request.
+  static constexpr seconds ReportAge{6};
+  /// Crashes are not reported in the last part of their lifetime, so that a
+  /// slow peer does not bring them back to an instance that has forgotten them.
+  static constexpr seconds ReportMargin{60};
+  /// Maximum number of crashes, and of successes, in a report.
+  static constexpr std::size_t MaxReported = 24;
 
-  explicit crash_tracker(const time_source &Clock) : Clock(Clock) {}
+  /// \param Limit number of distinct upstreams whose crashes block a request.
+  explicit crash_tracker(const time_source &Clock,
+                         std::size_t Limit = DefaultLimit)
+      : Clock(Clock), Limit(Limit) {}
 
   /// Records that \p Upstream broke the connection of \p Request, which was
   /// sent at \p Sent. Returns true if this is a new crash of the request, to be
   /// reported to peers.
   bool noteCrash(const fingerprint &Request, const upstream_id &Upstream,
                  monotonic_time Sent);
-  /// Records that a peer saw \p Request running when \p Upstream crashed. A
-  /// peer may report the same crash repeatedly.
-  void notePeerCrash(const fingerprint &Request, const upstream_id &Upstream);
+  /// Records a crash that a peer reports. A peer may report the same crash
+  /// repeatedly.
+  void notePeerCrash(const request_crash &Crash);
   void noteSuccess(const fingerprint &Request);
   /// Records that a request was cleared by a success at a peer.
   void notePeerSuccess(const request_success &Success);
@@ -56,12 +71,12 @@
   bool suspected(const fingerprint &Request);
   /// Returns the number of upstreams that crashed with the request.
   std::size_t crashesOf(const fingerprint &Request);
-  /// Returns the requests whose latest crash is at most \p Age old, with every
-  /// upstream that crashed with them, for the peers.
-  std::vector<std::pair<fingerprint, upstream_id>> recent(milliseconds Age);
-  /// Returns requests with crashes, here or at peers, that were found to be
-  /// cleared at most \p Age ago, for the peers.
-  std::vector<request_success> cleared(milliseconds Age);
+  /// Returns what peers need to reach the same conclusions. A block is reported
+  /// as long as it lasts, since a peer may have started after the crashes. The
+  /// size is bounded; if there are more crashes, reports name different ones.
+  request_crash_report report();
+  /// Returns the requests that \p Report blocks and that were not blocked.
+  std::vector<fingerprint> merge(const request_crash_report &Report);
 
 private:
   /// The crashes of one request, with their times.
@@ -69,6 +84,11 @@
     std::map<upstream_id, monotonic_time> Crashes;
 
     monotonic_time latest() const;
+    /// Determines which entry makes room for a new one: that of the fewest
+    /// crashes, and of these the one whose latest crash is oldest.
+    auto rank() const { return std::pair(Crashes.size(), latest()); }
+    /// Records a crash; returns false if it is known.
+    bool add(const upstream_id &Upstream, monotonic_time At);
   };
   /// A success that cleared a request.
   struct cleared_entry {
@@ -97,17 +117,23 @@
                      monotonic_time Until);
   /// Includes the latest success of \p Request in the next reports to peers.
   void announce(const fingerprint &Request);
-  /// Removes the expired entries and, if the shard is still full, the oldest
-  /// one.
+  /// Returns the crashes that peers should know, ordered by request.
+  std::vector<request_crash> crashesToReport(monotonic_time Now);
+  std::vector<request_success> successesToReport(monotonic_time Now);
+  /// Removes the expired entries and, if the shard is still full, the one of
+  /// the lowest rank.
   static void removeExpired(entry_map &Shard, monotonic_time Now);
   bool restartingAt(const upstream_id &Upstream, monotonic_time Sent);
-  void noteTime(const upstream_id &Upstream, monotonic_time Now);
+  void noteTime(const upstream_id &Upstream, monotonic_time At);
   /// Returns false if the crash was known already, or if an equal request
   /// succeeded shortly before.
   bool recordCrash(const fingerprint &Request, const upstream_id &Upstream,
                    monotonic_time At);
 
   const time_source &Clock;
+  const std::size_t Limit;
+  /// Number of reports so far; varies which crashes are in a report.
+  std::atomic<std::size_t> Reports{0};
   sharded<entry_map> Entries;
   sharded<crash_times> Times;
   sharded<success_map> Successes;
--- a/include/bluebellkeel/Relay/ForwardAdmission.h
+++ b/include/bluebellkeel/Relay/ForwardAdmission.h
@@ -11,6 +11,10 @@
 /// route, account and service.
 class forward_admission {
 public:
+  /// A request that was running when this many different upstreams crashed is
+  /// not sent again.
+  static constexpr std::size_t CrashLimit = 3;
+
   forward_admission(const forward_dependencies &Deps, const forward_call &Call,
                     const forward_limit &Limit)
       : Deps(Deps), Call(Call), Limit(Limit) {}
--- a/lib/Gateway/DigestExchanger.cpp
+++ b/lib/Gateway/DigestExchanger.cpp
@@ -3,9 +3,6 @@
 
 using namespace bluebellkeel;
 
-/// Digests leave out crashes older than this, which have reached every peer.
-static constexpr milliseconds CrashAge{6000};
-
 /// Minimum time between two extra exchanges for changes of the settings and of
 /// the upstreams. Changes within the interval wait for the next regular
 /// exchange.
@@ -23,9 +20,7 @@
   Fields.Upstreams = Upstreams.state();
   Fields.Loads = Context.Loads.localLoads();
   Fields.RollOuts = Context.RollOuts.evidence();
-  for (const auto &[Request, Upstream] : Context.Crashes.recent(CrashAge))
-    Fields.Crashes.emplace_back(Request, Upstream);
-  Fields.ClearedRequests = Context.Crashes.cleared(CrashAge);
+  Fields.RequestCrashes = Context.Crashes.report();
   Fields.PartCrashes = Context.PartCrashes.report();
   Fields.Notices = Context.Notices.report();
   // A few instances are enough for a peer that knows no others, since it
@@ -52,10 +47,8 @@
   }
   Context.Loads.notePeerReport(Peer, Digest.loads());
   Context.RollOuts.merge(Peer, Digest.rollOuts());
-  for (const auto &Crash : Digest.crashes())
-    Context.Crashes.notePeerCrash(Crash.request(), Crash.upstream());
-  for (const auto &Success : Digest.clearedRequests())
-    Context.Crashes.notePeerSuccess(Success);
+  for (const auto &Request : Context.Crashes.merge(Digest.requestCrashes()))
+    logBlock(Peer, Request);
   Context.PartCrashes.merge(Digest.partCrashes());
   for (const auto &News : Context.Notices.merge(Digest.notices()))
     logNotice(Peer, News);
@@ -63,6 +56,13 @@
   Upstreams.compare(Digest.sender(), Digest.upstreams(), AskedAt);
 }
 
+void digest_exchanger::logBlock(const instance_id &Peer,
+                                const fingerprint &Request) {
+  event_line Line("crashes", "block_from_peer");
+  Line.add("peer", Peer.text()).add("block", "request " + Request.text());
+  Context.Log.write(Line);
+}
+
 void digest_exchanger::logNotice(const instance_id &Peer,
                                  const notice_report &Notice) {
   event_line Line("upstreams", "notice_from_peer");
--- a/lib/Gateway/DigestExchanger.h
+++ b/lib/Gateway/DigestExchanger.h
@@ -46,6 +46,7 @@
   /// as a query itself.
   void merge(const instance_digest &Digest,
              std::optional<monotonic_time> AskedAt);
+  void logBlock(const instance_id &Peer, const fingerprint &Request);
   void logNotice(const instance_id &Peer, const notice_report &Notice);
   void onRecordsFetched(keyed_topic Topic, const keyed_page &Page) override;
   const view_synchronizer &viewOf(keyed_topic Topic) const {
--- a/lib/Gateway/GatewayContext.cpp
+++ b/lib/Gateway/GatewayContext.cpp
@@ -1,4 +1,5 @@
 #include "bluebellkeel/Gateway/GatewayContext.h"
+#include "bluebellkeel/Relay/ForwardAdmission.h"
 
 using namespace bluebellkeel;
 
@@ -41,8 +42,8 @@
       Limits(Settings.Instance, LimitSendersPerRate, LimitAdvance, Clock),
       Centres(Clock), Instances(Clock),
       RollOuts(rollOutLimitsOf(Settings.Reloadable), Clock), Prefixes(Clock),
-      WorkMix(Clock), Crashes(Clock), PartCrashes(Clock),
-      BlockTrials(Settings.Instance, Clock),
+      WorkMix(Clock), Crashes(Clock, forward_admission::CrashLimit),
+      PartCrashes(Clock), BlockTrials(Settings.Instance, Clock),
       Retries(retryRulesOf(Settings.Reloadable), Clock), Returns(Clock),
       HeavyLoad(Clock), Usage(usageCounterFor(Settings, Clock)) {}
 
--- a/lib/Peer/DigestJson.cpp
+++ b/lib/Peer/DigestJson.cpp
@@ -135,6 +135,15 @@
   return Successes;
 }
 
+static json requestCrashesToJson(const request_crash_report &Report) {
+  json Crashes = json::array();
+  for (const auto &Crash : Report.crashes())
+    Crashes.push_back({{"f", Crash.request().text()},
+                       {"u", Crash.upstream().text()},
+                       {"a", static_cast<std::uint64_t>(Crash.age().count())}});
+  return Crashes;
+}
+
 json bluebellkeel::digestToJson(const instance_digest &Body) {
   json Loads = json::array();
   for (const auto &Load : Body.loads())
@@ -144,10 +153,6 @@
   json RollOuts = json::array();
   for (const auto &Evidence : Body.rollOuts())
     RollOuts.push_back(toCompactJson(Evidence));
-  json Crashes = json::array();
-  for (const auto &Crash : Body.crashes())
-    Crashes.push_back(
-        {{"f", Crash.request().text()}, {"u", Crash.upstream().text()}});
   json KnownInstances = json::array();
   for (const auto &Record : Body.knownInstances())
     KnownInstances.push_back(toJson(Record));
@@ -164,10 +169,10 @@
                {"ue", Body.upstreams().end().era()},
                {"l", std::move(Loads)},
                {"r", std::move(RollOuts)},
-               {"c", std::move(Crashes)},
+               {"c", requestCrashesToJson(Body.requestCrashes())},
                {"k", std::move(KnownInstances)},
                {"h", std::move(LivenessReports)}};
-  for (const auto &Success : Body.clearedRequests())
+  for (const auto &Success : Body.requestCrashes().successes())
     Json["cs"].push_back(
         {{"f", Success.request().text()},
          {"a", static_cast<std::uint64_t>(Success.age().count())}});
@@ -200,19 +205,6 @@
   return Loads;
 }
 
-static std::vector<crash_notice> crashesFrom(field_reader &Fields) {
-  std::vector<crash_notice> Crashes;
-  for (const auto &Item : Fields.array("c")) {
-    field_reader Crash(Item);
-    fingerprint Request(Crash.text("f"));
-    upstream_id Upstream(Crash.text("u"));
-    if (Crash.failed())
-      Fields.fail(Crash.error().message());
-    Crashes.emplace_back(Request, Upstream);
-  }
-  return Crashes;
-}
-
 /// Returns the array \p Name, or an empty array if it is missing.
 static const json &optionalArray(field_reader &Fields, const char *Name) {
   static const json Empty = json::array();
@@ -227,17 +219,29 @@
   return milliseconds(std::min(Age, MaxAgeMs));
 }
 
-/// Reads a field that earlier releases do not send.
-static std::vector<request_success> clearedRequestsFrom(field_reader &Fields) {
-  std::vector<request_success> Requests;
+/// Reads the crashes, whose ages earlier releases do not send, and the
+/// successes, which they do not send either.
+static request_crash_report requestCrashesFrom(field_reader &Fields) {
+  std::vector<request_crash> Crashes;
+  for (const auto &Item : Fields.array("c")) {
+    field_reader Crash(Item);
+    fingerprint Request(Crash.text("f"));
+    upstream_id Upstream(Crash.text("u"));
+    milliseconds Age =
+        Crash.optional("a").is_null() ? milliseconds(0) : ageFrom(Crash);
+    Crashes.emplace_back(Request, Upstream, Age);
+    if (Crash.failed())
+      Fields.fail(Crash.error().message());
+  }
+  std::vector<request_success> Successes;
   for (const auto &Item : optionalArray(Fields, "cs")) {
     field_reader Success(Item);
     fingerprint Request(Success.text("f"));
-    Requests.emplace_back(Request, ageFrom(Success));
+    Successes.emplace_back(Request, ageFrom(Success));
     if (Success.failed())
       Fields.fail(Success.error().message());
   }
-  return Requests;
+  return request_crash_report(std::move(Crashes), std::move(Successes));
 }
 
 static std::vector<std::string> partsFrom(field_reader &Crash) {
@@ -337,8 +341,7 @@
   Digest.Loads = loadsFrom(Fields);
   for (const auto &Item : Fields.array("r"))
     Digest.RollOuts.push_back(evidenceFrom(Item, Fields));
-  Digest.Crashes = crashesFrom(Fields);
-  Digest.ClearedRequests = clearedRequestsFrom(Fields);
+  Digest.RequestCrashes = requestCrashesFrom(Fields);
   Digest.PartCrashes = partCrashesFrom(Fields);
   Digest.Notices = noticesFromJson(optionalArray(Fields, "un"), Fields);
   for (const auto &Item : Fields.array("k"))
--- a/lib/Policy/CrashTracker.cpp
+++ b/lib/Policy/CrashTracker.cpp
@@ -1,4 +1,5 @@
 #include "bluebellkeel/Policy/CrashTracker.h"
+#include "bluebellkeel/Core/StableHash.h"
 #include <algorithm>
 #include <iterator>
 
@@ -18,6 +19,20 @@
   return Latest;
 }
 
+bool crash_tracker::entry::add(const upstream_id &Upstream, monotonic_time At) {
+  auto [Known, IsNew] = Crashes.emplace(Upstream, At);
+  if (!IsNew) {
+    // The earliest report has the least delay.
+    Known->second = std::min(Known->second, At);
+    return false;
+  }
+  if (Crashes.size() > MaxCrashes)
+    Crashes.erase(std::min_element(
+        Crashes.begin(), Crashes.end(),
+        [](const auto &L, const auto &R) { return L.second < R.second; }));
+  return true;
+}
+
 void crash_tracker::removeExpired(entry_map &Shard, monotonic_time Now) {
   for (auto It = Shard.begin(); It != Shard.end();) {
     if (Now - It->second.latest() > EntryLifetime)
@@ -27,11 +42,10 @@
   }
   if (Shard.size() < MaxEntries)
     return;
-  auto Oldest = std::min_element(Shard.begin(), Shard.end(),
-                                 [](const auto &L, const auto &R) {
-                                   return L.second.latest() < R.second.latest();
-                                 });
-  Shard.erase(Oldest);
+  Shard.erase(std::min_element(Shard.begin(), Shard.end(),
+                               [](const auto &L, const auto &R) {
+                                 return L.second.rank() < R.second.rank();
+                               }));
 }
 
 bool crash_tracker::restartingAt(const upstream_id &Upstream,
@@ -43,11 +57,13 @@
   });
 }
 
-void crash_tracker::noteTime(const upstream_id &Upstream, monotonic_time Now) {
+void crash_tracker::noteTime(const upstream_id &Upstream, monotonic_time At) {
+  monotonic_time Now = Clock.monotonicNow();
   Times.withShard(Upstream.text(), [&](crash_times &Shard) {
     for (auto It = Shard.begin(); It != Shard.end();)
       It = Now - It->second > RestartTime ? Shard.erase(It) : std::next(It);
-    Shard[Upstream] = Now;
+    auto Found = Shard.emplace(Upstream, At).first;
+    Found->second = std::max(Found->second, At);
   });
 }
 
@@ -59,7 +75,7 @@
   return Entries.withShard(Request.text(), [&](entry_map &Shard) {
     if (Shard.count(Request) == 0)
       removeExpired(Shard, Clock.monotonicNow());
-    return Shard[Request].Crashes.emplace(Upstream, At).second;
+    return Shard[Request].add(Upstream, At);
   });
 }
 
@@ -73,16 +89,15 @@
   return recordCrash(Request, Upstream, Now);
 }
 
-void crash_tracker::notePeerCrash(const fingerprint &Request,
-                                  const upstream_id &Upstream) {
-  monotonic_time Now = Clock.monotonicNow();
-  if (isSound(Request, Now)) {
-    announce(Request);
+void crash_tracker::notePeerCrash(const request_crash &Crash) {
+  monotonic_time At = Clock.monotonicNow() - Crash.age();
+  if (isSound(Crash.request(), At)) {
+    announce(Crash.request());
     return;
   }
   // A repeated report of a known crash does not extend the restart time.
-  if (recordCrash(Request, Upstream, Now))
-    noteTime(Upstream, Now);
+  if (recordCrash(Crash.request(), Crash.upstream(), At))
+    noteTime(Crash.upstream(), At);
 }
 
 std::optional<monotonic_time>
@@ -118,8 +133,8 @@
   });
 }
 
-std::vector<request_success> crash_tracker::cleared(milliseconds Age) {
-  monotonic_time Now = Clock.monotonicNow();
+std::vector<request_success>
+crash_tracker::successesToReport(monotonic_time Now) {
   std::vector<request_success> Requests;
   Cleared.forEachShard([&](cleared_map &Shard) {
     for (auto It = Shard.begin(); It != Shard.end();) {
@@ -130,7 +145,7 @@
         continue;
       }
       ++It;
-      if (Now - Entry.AnnouncedAt <= Age && Requests.size() < MaxCleared)
+      if (Now - Entry.AnnouncedAt <= ReportAge && Requests.size() < MaxReported)
         Requests.emplace_back(Request, ageAt(Now, Entry.SuccessAt));
     }
   });
@@ -183,24 +198,53 @@
 }
 
 bool crash_tracker::blocked(const fingerprint &Request) {
-  return crashesOf(Request) >= CrashLimit;
+  return crashesOf(Request) >= Limit;
 }
 
 bool crash_tracker::suspected(const fingerprint &Request) {
   return crashesOf(Request) > 0;
 }
 
-std::vector<std::pair<fingerprint, upstream_id>>
-crash_tracker::recent(milliseconds Age) {
-  monotonic_time Now = Clock.monotonicNow();
-  std::vector<std::pair<fingerprint, upstream_id>> Crashes;
+std::vector<request_crash> crash_tracker::crashesToReport(monotonic_time Now) {
+  std::vector<request_crash> Crashes;
   Entries.forEachShard([&](entry_map &Shard) {
     for (const auto &[Request, Entry] : Shard) {
-      if (Now - Entry.latest() > Age)
+      bool Lasting = Entry.Crashes.size() >= MinLastingCrashes;
+      if (Now - Entry.latest() >
+          (Lasting ? EntryLifetime - ReportMargin : ReportAge))
         continue;
       for (const auto &[Upstream, At] : Entry.Crashes)
-        Crashes.emplace_back(Request, Upstream);
+        Crashes.emplace_back(Request, Upstream, ageAt(Now, At));
     }
   });
   return Crashes;
 }
+
+request_crash_report crash_tracker::report() {
+  monotonic_time Now = Clock.monotonicNow();
+  auto All = crashesToReport(Now);
+  std::size_t Count = std::min(All.size(), MaxReported);
+  if (Count < All.size()) {
+    // Reports go to the peers in a fixed order; a pseudorandom start keeps any
+    // of them from getting the same crashes each time.
+    std::size_t First = stableHash(std::to_string(Reports++)) % All.size();
+    std::rotate(All.begin(), All.begin() + static_cast<std::ptrdiff_t>(First),
+                All.end());
+    All.erase(All.begin() + static_cast<std::ptrdiff_t>(Count), All.end());
+  }
+  return request_crash_report(std::move(All), successesToReport(Now));
+}
+
+std::vector<fingerprint>
+crash_tracker::merge(const request_crash_report &Report) {
+  for (const auto &Success : Report.successes())
+    notePeerSuccess(Success);
+  std::vector<fingerprint> NewlyBlocked;
+  for (const auto &Crash : Report.crashes()) {
+    bool WasBlocked = blocked(Crash.request());
+    notePeerCrash(Crash);
+    if (!WasBlocked && blocked(Crash.request()))
+      NewlyBlocked.push_back(Crash.request());
+  }
+  return NewlyBlocked;
+}
--- a/lib/Relay/AttemptRecorder.cpp
+++ b/lib/Relay/AttemptRecorder.cpp
@@ -38,13 +38,21 @@
 }
 
 void attempt_recorder::noteCrash(const upstream_listing &Upstream) const {
-  Deps.Crashes.noteCrash(Admission.requestFingerprint(), Upstream.id(),
-                         Progress.SentAt);
-  Deps.PartCrashes.noteInterruption(Admission.requestFingerprint(),
-                                    Upstream.incarnationKey(),
+  const fingerprint &Request = Admission.requestFingerprint();
+  bool Counted =
+      Deps.Crashes.noteCrash(Request, Upstream.id(), Progress.SentAt);
+  event_line Line("relay", "crash");
+  Line.add("id", Call.id().text())
+      .add("request", Request.text())
+      .add("upstream", Upstream.id().text())
+      .add("counted", Counted)
+      .add("crashes",
+           static_cast<std::int64_t>(Deps.Crashes.crashesOf(Request)));
+  Deps.Log.write(Line);
+  Deps.PartCrashes.noteInterruption(Request, Upstream.incarnationKey(),
                                     Call.requestPrompt());
   // A request that had just begun is the likeliest cause of the crash.
   if (Progress.HeadReceived && !Progress.BodyStarted && !Stream.started())
-    Deps.PartCrashes.noteCrash(Admission.requestFingerprint(),
-                               Upstream.incarnationKey(), Call.requestPrompt());
+    Deps.PartCrashes.noteCrash(Request, Upstream.incarnationKey(),
+                               Call.requestPrompt());
 }
--- a/lib/Relay/ForwardAdmission.cpp
+++ b/lib/Relay/ForwardAdmission.cpp
@@ -4,10 +4,6 @@
 
 using namespace bluebellkeel;
 
-/// A request that was running when this many different upstreams crashed is not
-/// sent again.
-static constexpr std::size_t CrashLimit = 3;
-
 std::optional<refusal_reason> forward_admission::admit() {
   serving_phase Phase = Deps.ServingStatus.phase();
   Table = Deps.Tables.current();
@@ -71,8 +67,7 @@
   if (auto Part = Blame->blockedPart(Prompt))
     return "part " + *Part;
   bool RepeatBlocked = Runs > 0 && Blame->blocksRepeat(Prompt);
-  bool Crashed =
-      Runs == 0 && Deps.Crashes.crashesOf(RequestFingerprint) >= CrashLimit;
+  bool Crashed = Runs == 0 && Deps.Crashes.blocked(RequestFingerprint);
   if (RepeatBlocked || Crashed || Blame->blocksRequest(RequestFingerprint))
     return "request " + RequestFingerprint.text();
   return std::nullopt;
--- a/lib/Runtime/RuntimePeerResponder.cpp
+++ b/lib/Runtime/RuntimePeerResponder.cpp
@@ -36,6 +36,7 @@
   if (std::holds_alternative<state_query>(Body))
     return state_answer(*Settings.state());
   if (const auto *Notice = std::get_if<crash_notice>(&Body))
-    Crashes.notePeerCrash(Notice->request(), Notice->upstream());
+    Crashes.notePeerCrash(
+        request_crash(Notice->request(), Notice->upstream(), milliseconds(0)));
   return std::nullopt;
 }
--- a/unittests/Peer/DigestTest.cpp
+++ b/unittests/Peer/DigestTest.cpp
@@ -44,10 +44,10 @@
   Fields.Upstreams = view_state(log_offset(8), std::nullopt);
   Fields.Loads = {instance_load(upstream_id("u"), 2, 300)};
   Fields.RollOuts = {roll_out_evidence(Evidence)};
-  Fields.Crashes = {crash_notice(fingerprint("f"), upstream_id("u"))};
-  Fields.ClearedRequests = {
-      request_success(fingerprint("g"), milliseconds(17)),
-      request_success(fingerprint("h"), milliseconds(18))};
+  Fields.RequestCrashes = request_crash_report(
+      {request_crash(fingerprint("f"), upstream_id("u"), milliseconds(19))},
+      {request_success(fingerprint("g"), milliseconds(17)),
+       request_success(fingerprint("h"), milliseconds(18))});
   Fields.PartCrashes = part_crash_report(
       {part_crash(fingerprint("f"), upstream_incarnation(upstream_id("u"), 13),
                   {"p", "q"}, milliseconds(11))},
--- a/unittests/Policy/CrashTrackerTest.cpp
+++ b/unittests/Policy/CrashTrackerTest.cpp
@@ -73,7 +73,8 @@
 
 TEST_F(crash_tracker_test,
        crashSeenByAPeer_requestSentDuringTheRestartIsNotSuspected) {
-  Tracker.notePeerCrash(Request, upstream_id("u1"));
+  Tracker.notePeerCrash(
+      request_crash(Request, upstream_id("u1"), milliseconds(0)));
   Clock.advance(milliseconds(500));
   crash(OtherRequest, "u1");
   EXPECT_FALSE(Tracker.suspected(OtherRequest));
@@ -81,17 +82,19 @@
 
 TEST_F(crash_tracker_test, crashReportedRepeatedly_keepsItsFirstTime) {
   for (int Second = 0; Second < 10; ++Second) {
-    Tracker.notePeerCrash(Request, upstream_id("u1"));
+    Tracker.notePeerCrash(
+        request_crash(Request, upstream_id("u1"), milliseconds(0)));
     Clock.advance(seconds(1));
   }
-  EXPECT_TRUE(Tracker.recent(seconds(5)).empty());
+  EXPECT_TRUE(Tracker.report().crashes().empty());
 }
 
 TEST_F(crash_tracker_test, equalRequestSucceededBefore_crashesAreNotCounted) {
   Tracker.noteSuccess(OtherRequest);
   for (const char *Upstream : {"u1", "u2", "u3", "u4"})
     crash(OtherRequest, Upstream);
-  Tracker.notePeerCrash(OtherRequest, upstream_id("u5"));
+  Tracker.notePeerCrash(
+      request_crash(OtherRequest, upstream_id("u5"), milliseconds(0)));
   EXPECT_EQ(0U, Tracker.crashesOf(OtherRequest));
 }
 
@@ -124,18 +127,16 @@
 TEST_F(crash_tracker_test, requestThatSucceedsAtAPeer_isCleared) {
   crash_tracker Peer(Clock);
   Peer.noteSuccess(Request);
-  EXPECT_TRUE(Peer.cleared(seconds(6)).empty());
+  EXPECT_TRUE(Peer.report().successes().empty());
   for (const char *Upstream : {"u1", "u2", "u3"})
     crash(Request, Upstream);
-  for (const auto &[Running, Upstream] : Tracker.recent(seconds(6)))
-    Peer.notePeerCrash(Running, Upstream);
-  for (const auto &Cleared : Peer.cleared(seconds(6)))
-    Tracker.notePeerSuccess(Cleared);
+  Peer.merge(Tracker.report());
+  Tracker.merge(Peer.report());
   EXPECT_EQ(0U, Tracker.crashesOf(Request));
   // The instance that learnt it tells others, for a limited time.
-  EXPECT_EQ(1U, Tracker.cleared(seconds(6)).size());
+  EXPECT_EQ(1U, Tracker.report().successes().size());
   Clock.advance(seconds(7));
-  EXPECT_TRUE(Tracker.cleared(seconds(6)).empty());
+  EXPECT_TRUE(Tracker.report().successes().empty());
 }
 
 TEST_F(crash_tracker_test, reportOfClearedRequests_isBounded) {
@@ -144,5 +145,5 @@
     crash(Other, "u");
     Tracker.noteSuccess(Other);
   }
-  EXPECT_EQ(crash_tracker::MaxCleared, Tracker.cleared(seconds(6)).size());
+  EXPECT_EQ(crash_tracker::MaxReported, Tracker.report().successes().size());
 }
--- a/unittests/Relay/ChatRelayTest.cpp
+++ b/unittests/Relay/ChatRelayTest.cpp
@@ -129,7 +129,7 @@
     run();
     Engines.Scripts.clear();
   }
-  EXPECT_EQ(crash_tracker::CrashLimit, Engines.Attempts.size());
+  EXPECT_EQ(crash_tracker::DefaultLimit, Engines.Attempts.size());
   EXPECT_EQ(refusal_reason::CrashingRequest, run().error().reason());
 }
 
--- a/unittests/Support/ForwardFixture.h
+++ b/unittests/Support/ForwardFixture.h
@@ -293,7 +293,7 @@
   work_mix_tracker WorkMix{Clock};
   reading_speed_tracker ReadingSpeeds;
   queued_work_estimator FirstTokens{ReadingSpeeds};
-  crash_tracker Crashes{Clock};
+  crash_tracker Crashes{Clock, forward_admission::CrashLimit};
   part_crash_tracker PartCrashes{Clock};
   block_trials BlockTrials{Self, Clock};
   retry_window Retries{retry_rules(0.9, 56, milliseconds(10000)), Clock};
