Gateway: keep blocked requests in the log

Cause: what blocks a request was in the memory of the processes only, while what must last is in the platform's log. An instance also said that it was ready before it could have heard of any block.

Weighed: peers as the only keepers (nobody is left after such a kill), and a write by an elected instance (registrations of lost instances are never removed, so the elected one may be gone). The instance that sees the crash writes, one record a request, about 200 bytes; blocks are rare. An instance reads the topic once, beside its first reads of the settings and the upstreams, and waits for it at most 2 s. Times are those of the wall clock; one that is ahead only makes a block last its full lifetime again.

--- a/include/bluebellkeel/Gateway/PlatformLogProvider.h
+++ b/include/bluebellkeel/Gateway/PlatformLogProvider.h
@@ -4,6 +4,7 @@
 #include "bluebellkeel/Duty/DutyPlatform.h"
 #include "bluebellkeel/Journal/KeyedLog.h"
 #include "bluebellkeel/Membership/InstanceRecord.h"
+#include "bluebellkeel/Policy/CrashRecordLog.h"
 #include "bluebellkeel/Policy/RollOutStatusLog.h"
 #include <boost/asio/spawn.hpp>
 #include <memory>
@@ -20,6 +21,8 @@
   openLog(boost::asio::yield_context Yield) = 0;
   virtual std::unique_ptr<roll_out_status_log>
   openStatusLog(boost::asio::yield_context Yield) = 0;
+  virtual std::unique_ptr<crash_record_log>
+  openCrashLog(boost::asio::yield_context Yield) = 0;
   /// Opens the platform's calls that are duties; must not be called in a
   /// deployment without duties.
   virtual std::unique_ptr<duty_platform>
--- a/include/bluebellkeel/Journal/KeyedTopic.h
+++ b/include/bluebellkeel/Journal/KeyedTopic.h
@@ -17,6 +17,8 @@
   Statuses,
   /// The record of the duties of one instance at a time.
   Duties,
+  /// Requests that crash upstreams.
+  Crashes,
 };
 
 inline std::string_view toString(keyed_topic Topic) {
@@ -31,6 +33,8 @@
     return "statuses";
   case keyed_topic::Duties:
     return "duties";
+  case keyed_topic::Crashes:
+    return "crashes";
   }
   return "";
 }
--- a/include/bluebellkeel/Policy/BlockTrials.h
+++ b/include/bluebellkeel/Policy/BlockTrials.h
@@ -44,8 +44,6 @@
   };
   using entry_map = std::map<std::string, entry>;
 
-  bool isOwner(const std::string &Block,
-               const std::vector<instance_id> &Instances) const;
   /// Removes the forgotten blocks and, if the shard is still full, the one
   /// under which nothing was refused for the longest time.
   static void makeRoom(entry_map &Shard, monotonic_time Now);
--- a/include/bluebellkeel/Policy/CrashTracker.h
+++ b/include/bluebellkeel/Policy/CrashTracker.h
@@ -5,10 +5,12 @@
 #include "bluebellkeel/Core/Sharded.h"
 #include "bluebellkeel/Core/TimeSource.h"
 #include "bluebellkeel/Core/UpstreamId.h"
+#include "bluebellkeel/Policy/CrashRecord.h"
 #include "bluebellkeel/Policy/RequestCrashReport.h"
 #include <atomic>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace bluebellkeel {
@@ -78,6 +80,12 @@
   /// Returns the requests that \p Report blocks and that were not blocked.
   std::vector<fingerprint> merge(const request_crash_report &Report);
 
+  /// Returns the requests of which this instance has seen, since the last call,
+  /// a crash that blocks them or a success that ended their block.
+  std::vector<fingerprint> takeBlockChanges();
+  /// Returns what blocks \p Request; empty if it is not blocked.
+  std::optional<crash_record> blockRecord(const fingerprint &Request);
+
 private:
   /// The crashes of one request, with their times.
   struct entry {
@@ -102,6 +110,8 @@
   /// Time of the last crash of each upstream.
   using crash_times = std::map<upstream_id, monotonic_time>;
 
+  using request_set = std::set<fingerprint>;
+
   /// The times of the recent successes of one shard.
   struct success_map : recent_map<fingerprint, monotonic_time> {
     success_map() : recent_map(MaxEntries) {}
@@ -112,9 +122,11 @@
   /// True if \p Request succeeded after a crash at \p CrashAt, or less than
   /// SuccessLifetime before it.
   bool isSound(const fingerprint &Request, monotonic_time CrashAt);
-  /// Records a success and forgets the crashes up to \p Until.
-  void noteSuccessAt(const fingerprint &Request, monotonic_time At,
+  /// Records a success and forgets the crashes up to \p Until. Returns true if
+  /// the request was blocked.
+  bool noteSuccessAt(const fingerprint &Request, monotonic_time At,
                      monotonic_time Until);
+  void noteBlockChange(const fingerprint &Request);
   /// Includes the latest success of \p Request in the next reports to peers.
   void announce(const fingerprint &Request);
   /// Returns the crashes that peers should know, ordered by request.
@@ -138,6 +150,7 @@
   sharded<crash_times> Times;
   sharded<success_map> Successes;
   sharded<cleared_map> Cleared;
+  sharded<request_set> BlockChanges;
 };
 
 } // namespace bluebellkeel
--- a/lib/Gateway/GatewayRuntime.cpp
+++ b/lib/Gateway/GatewayRuntime.cpp
@@ -1,4 +1,5 @@
 #include "bluebellkeel/Gateway/GatewayRuntime.h"
+#include "BlockWait.h"
 #include "BoardExchanger.h"
 #include "DigestExchanger.h"
 #include "DutyRunner.h"
@@ -49,7 +50,7 @@
         Duties(Context, LogProvider, Link),
         Exchanger(Context, SettingsView, UpstreamsView, Duties, Link),
         Boards(Context, Link), Responders({Exchanger, Boards}),
-        Schedule(Context, Exchanger) {}
+        Schedule(Context, Exchanger), BlockWait(Context.Clock) {}
 
   tl::expected<void, std::string> start();
   void announceLeaving() { Exchanger.exchangeWithPeers(); }
@@ -74,6 +75,8 @@
   void exchangeBoards(asio::yield_context Yield);
   void runPeriodicTasks(asio::yield_context Yield);
   void runDuties(asio::yield_context Yield) { Duties.run(Yield); }
+  void recordBlocks(asio::yield_context Yield);
+  void readBlocks(crash_recorder &Recorder, asio::yield_context Yield);
   void updateMetrics();
   void awaitBackoff(asio::yield_context Yield, monotonic_time RequestedAt,
                     milliseconds Backoff) const;
@@ -96,6 +99,7 @@
   board_exchanger Boards;
   responder_list Responders;
   read_schedule Schedule;
+  block_wait BlockWait;
 };
 
 template <typename loop_t> void gateway_runtime::impl::spawn(loop_t Loop) {
@@ -134,17 +138,20 @@
   spawn(&impl::exchangeBoards);
   spawn(&impl::runPeriodicTasks);
   spawn(&impl::runDuties);
+  spawn(&impl::recordBlocks);
   return {};
 }
 
 void gateway_runtime::impl::startServingWhenReady() {
   if (Context.State.phase() != serving_phase::Starting ||
-      !Context.Tables.current() || !Context.UpstreamsAge.completeAsOf())
+      !Context.Tables.current() || !Context.UpstreamsAge.completeAsOf() ||
+      !BlockWait.isOver())
     return;
   Context.State.advance(serving_phase::Serving);
   event_line Line("gateway", "serving");
   Line.add("settings",
-           static_cast<std::int64_t>(Context.Tables.current()->version()));
+           static_cast<std::int64_t>(Context.Tables.current()->version()))
+      .add("blocks_read", BlockWait.hasRead());
   Context.Log.write(Line);
 }
 
@@ -321,6 +328,35 @@
       View->settle(Context.Clock.monotonicNow());
     removeLapsedUpstreams();
     updateMetrics();
+    startServingWhenReady();
+    awaitTime(Yield, PeriodicTaskInterval);
+  }
+}
+
+void gateway_runtime::impl::readBlocks(crash_recorder &Recorder,
+                                       asio::yield_context Yield) {
+  auto Blocked = Recorder.readBlocks();
+  while (!Blocked) {
+    awaitTime(Yield, FailureBackoff);
+    Blocked = Recorder.readBlocks();
+  }
+  for (const auto &Request : *Blocked) {
+    event_line Line("crashes", "block_from_log");
+    Line.add("block", "request " + Request.text());
+    Context.Log.write(Line);
+  }
+  BlockWait.noteRead();
+  startServingWhenReady();
+}
+
+void gateway_runtime::impl::recordBlocks(asio::yield_context Yield) {
+  auto Log = LogProvider.openCrashLog(Yield);
+  crash_recorder Recorder(Context.Settings.Instance, Context.Clock,
+                          Context.Crashes, *Log);
+  readBlocks(Recorder, Yield);
+  while (true) {
+    Recorder.writeChanges(SettingsView.end().era(),
+                          Context.forwardDependencies().senders());
     awaitTime(Yield, PeriodicTaskInterval);
   }
 }
--- a/lib/Policy/BlockTrials.cpp
+++ b/lib/Policy/BlockTrials.cpp
@@ -1,19 +1,10 @@
 #include "bluebellkeel/Policy/BlockTrials.h"
-#include "bluebellkeel/Core/StableHash.h"
+#include "bluebellkeel/Policy/BlockOwnership.h"
 #include <algorithm>
 #include <iterator>
 
 using namespace bluebellkeel;
 
-bool block_trials::isOwner(const std::string &Block,
-                           const std::vector<instance_id> &Instances) const {
-  std::uint64_t OwnWeight = rendezvousWeight(Block, Self.text());
-  return std::none_of(
-      Instances.begin(), Instances.end(), [&](const instance_id &Instance) {
-        return rendezvousWeight(Block, Instance.text()) > OwnWeight;
-      });
-}
-
 void block_trials::makeRoom(entry_map &Shard, monotonic_time Now) {
   for (auto It = Shard.begin(); It != Shard.end();)
     It = Now - It->second.LatestRefusal > Lifetime ? Shard.erase(It)
@@ -28,7 +19,7 @@
 
 bool block_trials::admit(const std::string &Block,
                          const std::vector<instance_id> &Instances) {
-  if (!isOwner(Block, Instances))
+  if (!ownsBlock(Block, Self, Instances))
     return false;
   monotonic_time Now = Clock.monotonicNow();
   return Entries.withShard(Block, [&](entry_map &Shard) {
--- a/lib/Policy/CrashTracker.cpp
+++ b/lib/Policy/CrashTracker.cpp
@@ -86,7 +86,10 @@
     return false;
   monotonic_time Now = Clock.monotonicNow();
   noteTime(Upstream, Now);
-  return recordCrash(Request, Upstream, Now);
+  bool IsNew = recordCrash(Request, Upstream, Now);
+  if (IsNew && blocked(Request))
+    noteBlockChange(Request);
+  return IsNew;
 }
 
 void crash_tracker::notePeerCrash(const request_crash &Crash) {
@@ -152,31 +155,34 @@
   return Requests;
 }
 
-void crash_tracker::noteSuccessAt(const fingerprint &Request, monotonic_time At,
+bool crash_tracker::noteSuccessAt(const fingerprint &Request, monotonic_time At,
                                   monotonic_time Until) {
   Successes.withShard(Request.text(), [&](success_map &Shard) {
     Shard.set(Request, std::max(Shard.find(Request).value_or(At), At));
   });
-  bool Forgot = Entries.withShard(Request.text(), [&](entry_map &Shard) {
+  std::size_t Before = 0;
+  std::size_t After = 0;
+  Entries.withShard(Request.text(), [&](entry_map &Shard) {
     auto Found = Shard.find(Request);
     if (Found == Shard.end())
-      return false;
+      return;
     auto &Crashes = Found->second.Crashes;
-    std::size_t Before = Crashes.size();
+    Before = Crashes.size();
     for (auto It = Crashes.begin(); It != Crashes.end();)
       It = It->second <= Until ? Crashes.erase(It) : std::next(It);
-    bool Removed = Crashes.size() < Before;
+    After = Crashes.size();
     if (Crashes.empty())
       Shard.erase(Found);
-    return Removed;
   });
-  if (Forgot)
+  if (After < Before)
     announce(Request);
+  return Before >= Limit && After < Limit;
 }
 
 void crash_tracker::noteSuccess(const fingerprint &Request) {
   monotonic_time Now = Clock.monotonicNow();
-  noteSuccessAt(Request, Now, Now);
+  if (noteSuccessAt(Request, Now, Now))
+    noteBlockChange(Request);
 }
 
 void crash_tracker::notePeerSuccess(const request_success &Success) {
@@ -248,3 +254,36 @@
   }
   return NewlyBlocked;
 }
+
+void crash_tracker::noteBlockChange(const fingerprint &Request) {
+  BlockChanges.withShard(Request.text(), [&](request_set &Shard) {
+    if (Shard.size() < MaxEntries)
+      Shard.insert(Request);
+  });
+}
+
+std::vector<fingerprint> crash_tracker::takeBlockChanges() {
+  std::vector<fingerprint> Changes;
+  BlockChanges.forEachShard([&](request_set &Shard) {
+    Changes.insert(Changes.end(), Shard.begin(), Shard.end());
+    Shard.clear();
+  });
+  return Changes;
+}
+
+std::optional<crash_record>
+crash_tracker::blockRecord(const fingerprint &Request) {
+  if (!blocked(Request))
+    return std::nullopt;
+  monotonic_time Now = Clock.monotonicNow();
+  wall_time WallNow = Clock.wallNow();
+  crash_record::crash_map Crashes;
+  Entries.withShard(Request.text(), [&](entry_map &Shard) {
+    auto Found = Shard.find(Request);
+    if (Found == Shard.end())
+      return;
+    for (const auto &[Upstream, At] : Found->second.Crashes)
+      Crashes.emplace(Upstream, WallNow - ageAt(Now, At));
+  });
+  return crash_record(Request, std::move(Crashes));
+}
