Policy: schedule trials of a blocked request by its crashes

Callers would see sound requests lost more often than the schedule of trials promises: after each restart, and when another instance takes over a block, trials began anew 20 s after the first refusal, and each costs an upstream with all that runs there.

Cause: block_trials counted its own trials only. The crashes of a request, which outlive the instance now, say how many trials have failed, and when the last one.

Why it works: the time of the next trial is derived from what all instances know alike. Blocks of parts have no such history yet and begin anew, as before.

--- a/include/bluebellkeel/Policy.h
+++ b/include/bluebellkeel/Policy.h
@@ -10,6 +10,7 @@
 #include "bluebellkeel/Policy/CheapestAtTargetPlanner.h"
 #include "bluebellkeel/Policy/CheapestPlacement.h"
 #include "bluebellkeel/Policy/ConfidenceModelSelector.h"
+#include "bluebellkeel/Policy/CrashBlock.h"
 #include "bluebellkeel/Policy/CrashRecord.h"
 #include "bluebellkeel/Policy/CrashRecordLog.h"
 #include "bluebellkeel/Policy/CrashRecorder.h"
--- a/include/bluebellkeel/Policy/BlockTrials.h
+++ b/include/bluebellkeel/Policy/BlockTrials.h
@@ -4,6 +4,7 @@
 #include "bluebellkeel/Core/InstanceId.h"
 #include "bluebellkeel/Core/Sharded.h"
 #include "bluebellkeel/Core/TimeSource.h"
+#include "bluebellkeel/Policy/CrashBlock.h"
 #include <map>
 #include <string>
 #include <vector>
@@ -12,12 +13,13 @@
 
 /// Decides which blocked requests are sent all the same, so that a block
 /// without cause ends with the success of one of them. Each trial that does not
-/// end the block doubles the time to the next one. Rendezvous hashing selects
-/// one instance for the trials of a block, without coordination. Thread-safe.
+/// end the block doubles the time to the next one, also across restarts if the
+/// block says how many crashes it has had. Rendezvous hashing selects one
+/// instance for the trials of a block, without coordination. Thread-safe.
 class block_trials {
 public:
-  /// Time from the first refusal to the first trial, and longest time between
-  /// trials.
+  /// Time to the first trial, from the latest crash or, if that is not known,
+  /// from the first refusal; longest time between trials.
   static constexpr seconds FirstDelay{20};
   static constexpr seconds MaxDelay{300};
   /// A block under which nothing was refused for this long is forgotten.
@@ -32,18 +34,19 @@
   /// is a trial and must be sent.
   ///
   /// \param Instances all instances that may send, including this one.
-  bool admit(const std::string &Block,
+  bool admit(const crash_block &Block,
              const std::vector<instance_id> &Instances);
 
 private:
   struct entry {
-    /// Time of the first refusal or of the latest trial.
-    monotonic_time Since;
+    monotonic_time NextTrial;
     monotonic_time LatestRefusal;
-    seconds Delay = FirstDelay;
+    /// Time to the next trial from the latest one.
+    seconds Delay;
   };
   using entry_map = std::map<std::string, entry>;
 
+  static seconds delayAfter(std::size_t FailedTrials);
   /// Removes the forgotten blocks and, if the shard is still full, the one
   /// under which nothing was refused for the longest time.
   static void makeRoom(entry_map &Shard, monotonic_time Now);
--- a/include/bluebellkeel/Policy/CrashTracker.h
+++ b/include/bluebellkeel/Policy/CrashTracker.h
@@ -5,6 +5,7 @@
 #include "bluebellkeel/Core/Sharded.h"
 #include "bluebellkeel/Core/TimeSource.h"
 #include "bluebellkeel/Core/UpstreamId.h"
+#include "bluebellkeel/Policy/CrashBlock.h"
 #include "bluebellkeel/Policy/CrashRecord.h"
 #include "bluebellkeel/Policy/RequestCrashReport.h"
 #include <atomic>
@@ -67,7 +68,11 @@
   void noteSuccess(const fingerprint &Request);
   /// Records that a request was cleared by a success at a peer.
   void notePeerSuccess(const request_success &Success);
-  bool blocked(const fingerprint &Request);
+  bool blocked(const fingerprint &Request) {
+    return crashesOf(Request) >= Limit;
+  }
+  /// Returns the block of \p Request; empty if it is not blocked.
+  std::optional<crash_block> blockOf(const fingerprint &Request);
   /// True after the first crash. A suspected request runs beside as few others
   /// as possible.
   bool suspected(const fingerprint &Request);
--- a/include/bluebellkeel/Relay/ForwardAdmission.h
+++ b/include/bluebellkeel/Relay/ForwardAdmission.h
@@ -46,7 +46,7 @@
   std::optional<refusal_reason> checkCrashes(unsigned Runs);
   /// Returns what blocks the request from running after \p Runs earlier runs:
   /// a part of its prompt, or the request itself; empty if nothing does.
-  std::optional<std::string> blockOf(unsigned Runs) const;
+  std::optional<crash_block> blockOf(unsigned Runs) const;
   std::optional<refusal_reason> checkTime(unsigned Runs) const;
   std::optional<refusal_reason> checkStop() const;
 
--- a/lib/Policy/CrashTracker.cpp
+++ b/lib/Policy/CrashTracker.cpp
@@ -203,8 +203,20 @@
                            });
 }
 
-bool crash_tracker::blocked(const fingerprint &Request) {
-  return crashesOf(Request) >= Limit;
+std::optional<crash_block> crash_tracker::blockOf(const fingerprint &Request) {
+  monotonic_time Now = Clock.monotonicNow();
+  return Entries.withShard(
+      Request.text(), [&](entry_map &Shard) -> std::optional<crash_block> {
+        auto Found = Shard.find(Request);
+        if (Found == Shard.end())
+          return std::nullopt;
+        const entry &Entry = Found->second;
+        if (Entry.Crashes.size() < Limit ||
+            Now - Entry.latest() > EntryLifetime)
+          return std::nullopt;
+        return crash_block("request " + Request.text(), Entry.latest(),
+                           Entry.Crashes.size() - Limit);
+      });
 }
 
 bool crash_tracker::suspected(const fingerprint &Request) {
--- a/lib/Relay/ForwardAdmission.cpp
+++ b/lib/Relay/ForwardAdmission.cpp
@@ -61,15 +61,18 @@
   return refusal_reason::Draining;
 }
 
-std::optional<std::string> forward_admission::blockOf(unsigned Runs) const {
+std::optional<crash_block> forward_admission::blockOf(unsigned Runs) const {
   const prompt &Prompt = Call.requestPrompt();
   auto Blame = Deps.PartCrashes.blame();
   if (auto Part = Blame->blockedPart(Prompt))
-    return "part " + *Part;
+    return crash_block("part " + *Part);
+  if (Runs == 0) {
+    if (auto Block = Deps.Crashes.blockOf(RequestFingerprint))
+      return Block;
+  }
   bool RepeatBlocked = Runs > 0 && Blame->blocksRepeat(Prompt);
-  bool Crashed = Runs == 0 && Deps.Crashes.blocked(RequestFingerprint);
-  if (RepeatBlocked || Crashed || Blame->blocksRequest(RequestFingerprint))
-    return "request " + RequestFingerprint.text();
+  if (RepeatBlocked || Blame->blocksRequest(RequestFingerprint))
+    return crash_block("request " + RequestFingerprint.text());
   return std::nullopt;
 }
 
@@ -84,7 +87,7 @@
   event_line Line("relay", "crashing_prompt");
   Line.add("id", Call.id().text())
       .add("runs", static_cast<std::int64_t>(Runs))
-      .add("block", Block.value_or(""))
+      .add("block", Block ? Block->name() : "")
       .add("trial", IsTrial);
   Deps.Log.write(Line);
   return IsTrial
