--- a/unittests/Policy/PartCrashTrackerTest.cpp
+++ b/unittests/Policy/PartCrashTrackerTest.cpp
@@ -425,3 +425,31 @@
       RC_ASSERT(!Blame->blockedPart(promptWith({Sound})));
   }
 }
+
+// Guards against blocks of parts that instances keep alive at each other.
+RC_GTEST_FIXTURE_PROP(part_crash_tracker_test,
+                      reportsInAnyOrder_blockEndsWithItsLifetime, ()) {
+  constexpr std::size_t Count = 3;
+  constexpr int MaxDelayMs = 10000;
+  /// A report reaches the last of three instances by way of another one.
+  constexpr milliseconds MaxLateness(2 * MaxDelayMs);
+  for (std::size_t I = 0; I < part_blame::BlockingRequests; ++I)
+    crash(0, {"d"});
+  RC_ASSERT(blocks(0, {"d"}));
+  milliseconds Elapsed(0);
+  constexpr milliseconds Lifetime = part_crash_tracker::CrashLifetime;
+  while (Elapsed < 2 * Lifetime) {
+    auto From = *rc::gen::inRange<std::size_t>(0, Count);
+    auto To = *rc::gen::inRange<std::size_t>(0, Count);
+    milliseconds Delay(*rc::gen::inRange(0, MaxDelayMs));
+    auto Report = instance(From).report();
+    Clock.advance(Delay);
+    instance(To).merge(Report);
+    Clock.advance(milliseconds(700));
+    Elapsed += Delay + milliseconds(700);
+    if (Elapsed <= Lifetime + MaxLateness)
+      continue;
+    for (std::size_t Index = 0; Index < Count; ++Index)
+      RC_ASSERT(!blocks(Index, {"d"}));
+  }
+}
